--- /dev/null
+++ b/internal/adapter/cwcodec/config.go
@@ -0,0 +1,227 @@
+// Package cwcodec holds the JSON documents of the system's own formats and their mapping to core types.
+package cwcodec
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwpolicy"
+)
+
+// Duration is written as text such as "1.5s".
+type Duration time.Duration
+
+// MarshalText returns the duration as text.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText parses text such as "1.5s".
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return cwfault.New(cwfault.Invalid, "%q is not a duration such as 1.5s", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+const bytesPerMiB = 1 << 20
+
+// Resources is a vector of resources; keys that are left out are zero.
+type Resources struct {
+	Processors   float64 `json:"processors,omitempty"`
+	MemoryMiB    int64   `json:"memory-mib,omitempty"`
+	Accelerators int64   `json:"accelerators,omitempty"`
+	Slots        int64   `json:"slots,omitempty"`
+	Connections  int64   `json:"connections,omitempty"`
+}
+
+// Core returns the core type.
+func (r Resources) Core() cwmodel.Resources {
+	return cwmodel.Resources{
+		MilliProcessors: int64(r.Processors*1000 + 0.5),
+		MemoryBytes:     r.MemoryMiB * bytesPerMiB,
+		Accelerators:    r.Accelerators,
+		Slots:           r.Slots,
+		Connections:     r.Connections,
+	}
+}
+
+// ResourcesOf returns the document of a core type.
+func ResourcesOf(r cwmodel.Resources) Resources {
+	return Resources{
+		Processors:   float64(r.MilliProcessors) / 1000,
+		MemoryMiB:    r.MemoryBytes / bytesPerMiB,
+		Accelerators: r.Accelerators,
+		Slots:        r.Slots,
+		Connections:  r.Connections,
+	}
+}
+
+// Profile is the document of one profile.
+type Profile struct {
+	Name            string    `json:"name"`
+	Kind            string    `json:"kind"`
+	Class           string    `json:"class"`
+	Weight          float64   `json:"weight,omitempty"`
+	GuaranteedShare float64   `json:"guaranteed-share,omitempty"`
+	Ceiling         float64   `json:"ceiling,omitempty"`
+	QueueLimit      int       `json:"queue-limit,omitempty"`
+	Deadline        Duration  `json:"deadline,omitempty"`
+	Lease           Duration  `json:"lease,omitempty"`
+	RunTime         Duration  `json:"run-time,omitempty"`
+	Demand          Resources `json:"demand"`
+	MaxAttempts     int       `json:"max-attempts,omitempty"`
+	Repeatable      bool      `json:"repeatable"`
+	Checkpointable  bool      `json:"checkpointable,omitempty"`
+}
+
+// Defaults of keys that a profile leaves out.
+const (
+	defaultWeight        = 1
+	defaultCeiling       = 1
+	defaultQueueLimit    = 1000
+	defaultRequestLease  = 10 * time.Second
+	defaultJobLease      = 2 * time.Minute
+	defaultRepeatableTry = 3
+)
+
+// Core returns the core type with defaults for what is left out; it does not validate.
+func (p Profile) Core() cwpolicy.Profile {
+	core := cwpolicy.Profile{
+		Name:            cwmodel.ProfileName(p.Name),
+		Kind:            cwmodel.Kind(p.Kind),
+		Class:           cwmodel.Class(p.Class),
+		Weight:          orDefault(p.Weight, defaultWeight),
+		GuaranteedShare: p.GuaranteedShare,
+		Ceiling:         orDefault(p.Ceiling, defaultCeiling),
+		QueueLimit:      orDefault(p.QueueLimit, defaultQueueLimit),
+		Deadline:        time.Duration(p.Deadline),
+		Lease:           time.Duration(p.Lease),
+		RunTime:         time.Duration(p.RunTime),
+		Demand:          p.Demand.Core(),
+		MaxAttempts:     p.MaxAttempts,
+		Repeatable:      p.Repeatable,
+		Checkpointable:  p.Checkpointable,
+	}
+	if core.Lease == 0 {
+		core.Lease = defaultJobLease
+		if core.Kind == cwmodel.KindRequest {
+			core.Lease = defaultRequestLease
+		}
+	}
+	if core.MaxAttempts == 0 {
+		core.MaxAttempts = 1
+		if core.Repeatable {
+			core.MaxAttempts = defaultRepeatableTry
+		}
+	}
+	return core
+}
+
+func orDefault[T comparable](v, fallback T) T {
+	var zero T
+	if v == zero {
+		return fallback
+	}
+	return v
+}
+
+// ProfileOf returns the document of a core profile.
+func ProfileOf(p cwpolicy.Profile) Profile {
+	return Profile{
+		Name:            string(p.Name),
+		Kind:            string(p.Kind),
+		Class:           string(p.Class),
+		Weight:          p.Weight,
+		GuaranteedShare: p.GuaranteedShare,
+		Ceiling:         p.Ceiling,
+		QueueLimit:      p.QueueLimit,
+		Deadline:        Duration(p.Deadline),
+		Lease:           Duration(p.Lease),
+		RunTime:         Duration(p.RunTime),
+		Demand:          ResourcesOf(p.Demand),
+		MaxAttempts:     p.MaxAttempts,
+		Repeatable:      p.Repeatable,
+		Checkpointable:  p.Checkpointable,
+	}
+}
+
+// Team is the document of one team.
+type Team struct {
+	Name   string    `json:"name"`
+	Weight float64   `json:"weight,omitempty"`
+	Quota  Resources `json:"quota"`
+}
+
+// Core returns the core type with defaults for what is left out.
+func (t Team) Core() cwpolicy.Team {
+	return cwpolicy.Team{Name: cwmodel.TeamName(t.Name), Weight: orDefault(t.Weight, defaultWeight), Quota: t.Quota.Core()}
+}
+
+// TeamOf returns the document of a core team.
+func TeamOf(t cwpolicy.Team) Team {
+	return Team{Name: string(t.Name), Weight: t.Weight, Quota: ResourcesOf(t.Quota)}
+}
+
+// Configuration is the document of a whole configuration.
+type Configuration struct {
+	Version  uint64    `json:"version"`
+	Profiles []Profile `json:"profiles"`
+	Teams    []Team    `json:"teams"`
+}
+
+// Core returns the core type, sorted by name; it does not validate.
+func (c Configuration) Core() cwpolicy.Configuration {
+	core := cwpolicy.Configuration{Version: cwpolicy.Version(c.Version)}
+	for _, p := range c.Profiles {
+		core.Profiles = append(core.Profiles, p.Core())
+	}
+	for _, t := range c.Teams {
+		core.Teams = append(core.Teams, t.Core())
+	}
+	slices.SortStableFunc(core.Profiles, func(a, b cwpolicy.Profile) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	slices.SortStableFunc(core.Teams, func(a, b cwpolicy.Team) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	return core
+}
+
+// ConfigurationOf returns the document of a core configuration.
+func ConfigurationOf(c cwpolicy.Configuration) Configuration {
+	document := Configuration{Version: uint64(c.Version), Profiles: []Profile{}, Teams: []Team{}}
+	for _, p := range c.Profiles {
+		document.Profiles = append(document.Profiles, ProfileOf(p))
+	}
+	for _, t := range c.Teams {
+		document.Teams = append(document.Teams, TeamOf(t))
+	}
+	return document
+}
+
+// EncodeConfiguration returns a configuration as JSON.
+func EncodeConfiguration(c cwpolicy.Configuration) ([]byte, error) {
+	return json.Marshal(ConfigurationOf(c))
+}
+
+// DecodeConfiguration parses and validates a configuration.
+func DecodeConfiguration(data []byte) (c cwpolicy.Configuration, err error) {
+	var document Configuration
+	if err = cwhttp.DecodeStrict(data, &document); err != nil {
+		return c, err
+	}
+	c = document.Core()
+	return c, c.Validate()
+}
+
+// DecodeProfile parses and validates one profile.
+func DecodeProfile(data []byte) (p cwpolicy.Profile, err error) {
+	var document Profile
+	if err = cwhttp.DecodeStrict(data, &document); err != nil {
+		return p, err
+	}
+	p = document.Core()
+	return p, p.Validate()
+}
--- /dev/null
+++ b/internal/adapter/cwcodec/platform.go
@@ -0,0 +1,128 @@
+package cwcodec
+
+import (
+	"net/netip"
+
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwport"
+)
+
+// Paths of the platform's protocol.
+const (
+	PathTableRead   = "/v1/table/read"
+	PathTableScan   = "/v1/table/scan"
+	PathTableCommit = "/v1/table/commit"
+	PathObject      = "/v1/objects/"
+	PathHosts       = "/v1/hosts"
+)
+
+// ReadRequest asks for one row.
+type ReadRequest struct {
+	Key string `json:"key"`
+}
+
+// ScanRequest asks for rows in key order.
+type ScanRequest struct {
+	Prefix string `json:"prefix"`
+	After  string `json:"after,omitempty"`
+	Limit  int    `json:"limit"`
+}
+
+// ScanAnswer lists rows.
+type ScanAnswer struct {
+	Rows []Row `json:"rows"`
+}
+
+// Row is the document of one row.
+type Row struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value,omitempty"`
+}
+
+// Core returns the core type.
+func (r Row) Core() cwport.Row {
+	return cwport.Row{Key: r.Key, Version: cwport.RowVersion(r.Version), Value: r.Value}
+}
+
+// RowOf returns the document of a row.
+func RowOf(r cwport.Row) Row { return Row{Key: r.Key, Version: uint64(r.Version), Value: r.Value} }
+
+// CommitRequest is one transaction.
+type CommitRequest struct {
+	Checks  []RowCheck `json:"checks,omitempty"`
+	Puts    []RowPut   `json:"puts,omitempty"`
+	Deletes []string   `json:"deletes,omitempty"`
+}
+
+// RowCheck demands a version of one row.
+type RowCheck struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+// RowPut writes one row.
+type RowPut struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
+// Core returns the transaction.
+func (c CommitRequest) Core() cwport.Txn {
+	txn := cwport.Txn{Deletes: c.Deletes}
+	for _, check := range c.Checks {
+		txn.Checks = append(txn.Checks, cwport.Check{Key: check.Key, Version: cwport.RowVersion(check.Version)})
+	}
+	for _, put := range c.Puts {
+		txn.Puts = append(txn.Puts, cwport.Put(put))
+	}
+	return txn
+}
+
+// CommitRequestOf returns the document of a transaction.
+func CommitRequestOf(txn cwport.Txn) CommitRequest {
+	document := CommitRequest{Deletes: txn.Deletes}
+	for _, check := range txn.Checks {
+		document.Checks = append(document.Checks, RowCheck{Key: check.Key, Version: uint64(check.Version)})
+	}
+	for _, put := range txn.Puts {
+		document.Puts = append(document.Puts, RowPut(put))
+	}
+	return document
+}
+
+// Host is the document of one row of the host list.
+type Host struct {
+	ID         string         `json:"id"`
+	Role       string         `json:"role"`
+	State      string         `json:"state"`
+	Address    netip.AddrPort `json:"address"`
+	DataCentre string         `json:"data-centre"`
+	Rack       string         `json:"rack,omitempty"`
+}
+
+// HostsAnswer is the host list.
+type HostsAnswer struct {
+	Hosts []Host `json:"hosts"`
+}
+
+// Core returns the core type; an unknown role or state is an error.
+func (h Host) Core() (core cwmodel.Host, err error) {
+	role, err := cwmodel.ParseHostRole(h.Role)
+	if err != nil {
+		return core, err
+	}
+	state, err := cwmodel.ParseHostState(h.State)
+	return cwmodel.Host{
+		ID: cwmodel.HostID(h.ID), Role: role, State: state, Address: h.Address,
+		DataCentre: cwmodel.DataCentre(h.DataCentre), Rack: h.Rack,
+	}, err
+}
+
+// HostOf returns the document of a host.
+func HostOf(h cwmodel.Host) Host {
+	return Host{
+		ID: string(h.ID), Role: string(h.Role), State: string(h.State), Address: h.Address,
+		DataCentre: string(h.DataCentre), Rack: h.Rack,
+	}
+}
--- /dev/null
+++ b/internal/adapter/cwcodec/worker.go
@@ -0,0 +1,275 @@
+package cwcodec
+
+import (
+	"net/netip"
+	"time"
+
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwport"
+)
+
+// Paths of a worker's protocol.
+const (
+	PathInspect     = "/v1/worker"
+	PathClaim       = "/v1/claim"
+	PathRenew       = "/v1/renew"
+	PathRelease     = "/v1/release"
+	PathStart       = "/v1/start"
+	PathStop        = "/v1/stop"
+	PathCompletions = "/v1/completions"
+	PathDrain       = "/v1/drain"
+)
+
+// ClaimRequest asks for ownership, renews it or releases it.
+type ClaimRequest struct {
+	Owner string   `json:"owner,omitempty"`
+	Epoch uint64   `json:"epoch"`
+	TTL   Duration `json:"ttl,omitempty"`
+}
+
+// Attempt is the document of one attempt.
+type Attempt struct {
+	Task   string `json:"task"`
+	Number int    `json:"number"`
+	Worker string `json:"worker"`
+	Epoch  uint64 `json:"epoch"`
+}
+
+// Core returns the core type.
+func (a Attempt) Core() cwmodel.Attempt {
+	return cwmodel.Attempt{Task: cwmodel.TaskID(a.Task), Number: a.Number, Worker: cwmodel.HostID(a.Worker), Epoch: cwmodel.Epoch(a.Epoch)}
+}
+
+// AttemptOf returns the document of a core attempt.
+func AttemptOf(a cwmodel.Attempt) Attempt {
+	return Attempt{Task: string(a.Task), Number: a.Number, Worker: string(a.Worker), Epoch: uint64(a.Epoch)}
+}
+
+// Running is the document of one entry of an inventory.
+type Running struct {
+	Attempt    Attempt   `json:"attempt"`
+	Job        string    `json:"job,omitempty"`
+	Profile    string    `json:"profile"`
+	Team       string    `json:"team"`
+	Kind       string    `json:"kind"`
+	Demand     Resources `json:"demand"`
+	Began      time.Time `json:"began"`
+	Deadline   time.Time `json:"deadline,omitzero"`
+	Lease      Duration  `json:"lease"`
+	LeaseEnds  time.Time `json:"lease-ends"`
+	Repeatable bool      `json:"repeatable"`
+	Durable    bool      `json:"durable,omitempty"`
+}
+
+// Core returns the core type.
+func (r Running) Core() cwmodel.Running {
+	return cwmodel.Running{
+		Attempt:    r.Attempt.Core(),
+		Job:        cwmodel.JobID(r.Job),
+		Profile:    cwmodel.ProfileName(r.Profile),
+		Team:       cwmodel.TeamName(r.Team),
+		Kind:       cwmodel.Kind(r.Kind),
+		Demand:     r.Demand.Core(),
+		Began:      r.Began,
+		Deadline:   r.Deadline,
+		Lease:      time.Duration(r.Lease),
+		LeaseEnds:  r.LeaseEnds,
+		Repeatable: r.Repeatable,
+		Durable:    r.Durable,
+	}
+}
+
+// RunningOf returns the document of a core entry.
+func RunningOf(r cwmodel.Running) Running {
+	return Running{
+		Attempt:    AttemptOf(r.Attempt),
+		Job:        string(r.Job),
+		Profile:    string(r.Profile),
+		Team:       string(r.Team),
+		Kind:       string(r.Kind),
+		Demand:     ResourcesOf(r.Demand),
+		Began:      r.Began,
+		Deadline:   r.Deadline,
+		Lease:      Duration(r.Lease),
+		LeaseEnds:  r.LeaseEnds,
+		Repeatable: r.Repeatable,
+		Durable:    r.Durable,
+	}
+}
+
+// Inventory is a worker's answer to an inspection or a claim.
+type Inventory struct {
+	ID         string         `json:"id"`
+	Address    netip.AddrPort `json:"address"`
+	DataCentre string         `json:"data-centre"`
+	Rack       string         `json:"rack"`
+	Capacity   Resources      `json:"capacity"`
+	Owner      string         `json:"owner,omitempty"`
+	Epoch      uint64         `json:"epoch"`
+	Clock      time.Time      `json:"clock"`
+	Leaving    bool           `json:"leaving,omitempty"`
+	Running    []Running      `json:"running"`
+}
+
+// Core returns the core type.
+func (i Inventory) Core() cwport.Inventory {
+	core := cwport.Inventory{
+		Worker: cwmodel.Worker{
+			ID:         cwmodel.HostID(i.ID),
+			Address:    i.Address,
+			DataCentre: cwmodel.DataCentre(i.DataCentre),
+			Rack:       i.Rack,
+			Capacity:   i.Capacity.Core(),
+		},
+		Owner:   cwmodel.HostID(i.Owner),
+		Epoch:   cwmodel.Epoch(i.Epoch),
+		Clock:   i.Clock,
+		Leaving: i.Leaving,
+	}
+	for _, r := range i.Running {
+		core.Running = append(core.Running, r.Core())
+	}
+	return core
+}
+
+// InventoryOf returns the document of a core inventory.
+func InventoryOf(i cwport.Inventory) Inventory {
+	document := Inventory{
+		ID:         string(i.Worker.ID),
+		Address:    i.Worker.Address,
+		DataCentre: string(i.Worker.DataCentre),
+		Rack:       i.Worker.Rack,
+		Capacity:   ResourcesOf(i.Worker.Capacity),
+		Owner:      string(i.Owner),
+		Epoch:      uint64(i.Epoch),
+		Clock:      i.Clock,
+		Leaving:    i.Leaving,
+		Running:    []Running{},
+	}
+	for _, r := range i.Running {
+		document.Running = append(document.Running, RunningOf(r))
+	}
+	return document
+}
+
+// StartRequest is a start order.
+type StartRequest struct {
+	Entry    Running   `json:"entry"` // lease-ends and began are set by the worker
+	NotAfter time.Time `json:"not-after"`
+	Payload  []byte    `json:"payload,omitempty"`
+}
+
+// StartRequestOf returns the document of a start order.
+func StartRequestOf(order cwport.Start) StartRequest {
+	t := order.Task
+	return StartRequest{
+		Entry: RunningOf(cwmodel.Running{
+			Attempt: order.Attempt, Job: t.Job, Profile: t.Profile, Team: t.Team, Kind: t.Kind, Demand: t.Demand,
+			Deadline: t.Deadline, Lease: t.Lease, Repeatable: t.Repeatable, Durable: t.Durable,
+		}),
+		NotAfter: order.NotAfter,
+		Payload:  t.Payload,
+	}
+}
+
+// Core returns the order.
+func (s StartRequest) Core() cwport.Start {
+	r := s.Entry.Core()
+	return cwport.Start{
+		Attempt:  r.Attempt,
+		NotAfter: s.NotAfter,
+		Task: cwmodel.Task{
+			ID: r.Attempt.Task, Job: r.Job, Attempt: r.Attempt.Number, Profile: r.Profile, Team: r.Team, Kind: r.Kind, Demand: r.Demand,
+			Deadline: r.Deadline, Lease: r.Lease, Repeatable: r.Repeatable, Durable: r.Durable, Payload: s.Payload,
+		},
+	}
+}
+
+// StopRequest ends, checkpoints or throttles one attempt.
+type StopRequest struct {
+	Attempt Attempt `json:"attempt"`
+	Mode    string  `json:"mode"`
+}
+
+// CompletionsRequest acknowledges results and waits for further ones.
+type CompletionsRequest struct {
+	Epoch uint64    `json:"epoch"`
+	Acks  []Attempt `json:"acks,omitempty"`
+	Wait  Duration  `json:"wait"`
+}
+
+// CompletionsAnswer lists results that are not acknowledged.
+type CompletionsAnswer struct {
+	Results []Result `json:"results"`
+}
+
+// Result is the document of one result.
+type Result struct {
+	Attempt Attempt   `json:"attempt"`
+	End     string    `json:"end"`
+	Message string    `json:"message,omitempty"`
+	Answer  []byte    `json:"answer,omitempty"`
+	Began   time.Time `json:"began,omitzero"`
+	Ended   time.Time `json:"ended"`
+	Used    Resources `json:"used"`
+}
+
+// Core returns the core type; an unknown end is an error.
+func (r Result) Core() (core cwmodel.Result, err error) {
+	end, err := cwmodel.ParseEnd(r.End)
+	return cwmodel.Result{
+		Attempt: r.Attempt.Core(),
+		End:     end,
+		Message: r.Message,
+		Answer:  r.Answer,
+		Began:   r.Began,
+		Ended:   r.Ended,
+		Used:    r.Used.Core(),
+	}, err
+}
+
+// ResultOf returns the document of a core result.
+func ResultOf(r cwmodel.Result) Result {
+	return Result{
+		Attempt: AttemptOf(r.Attempt),
+		End:     string(r.End),
+		Message: r.Message,
+		Answer:  r.Answer,
+		Began:   r.Began,
+		Ended:   r.Ended,
+		Used:    ResourcesOf(r.Used),
+	}
+}
+
+// RenewAnswer is a worker's answer to its owner's heartbeat.
+type RenewAnswer struct {
+	Clock   time.Time `json:"clock"`
+	Leaving bool      `json:"leaving,omitempty"`
+	Running int       `json:"running"`
+	Usage   []Usage   `json:"usage,omitempty"`
+}
+
+// Usage is the document of what one task uses.
+type Usage struct {
+	Task string    `json:"task"`
+	Used Resources `json:"used"`
+	At   time.Time `json:"at"`
+}
+
+// Core returns the core type.
+func (r RenewAnswer) Core() cwport.Renewal {
+	core := cwport.Renewal{Clock: r.Clock, Leaving: r.Leaving, Running: r.Running}
+	for _, u := range r.Usage {
+		core.Usage = append(core.Usage, cwmodel.Usage{Task: cwmodel.TaskID(u.Task), Used: u.Used.Core(), At: u.At})
+	}
+	return core
+}
+
+// RenewAnswerOf returns the document of a renewal.
+func RenewAnswerOf(r cwport.Renewal) RenewAnswer {
+	document := RenewAnswer{Clock: r.Clock, Leaving: r.Leaving, Running: r.Running}
+	for _, u := range r.Usage {
+		document.Usage = append(document.Usage, Usage{Task: string(u.Task), Used: ResourcesOf(u.Used), At: u.At})
+	}
+	return document
+}
--- /dev/null
+++ b/internal/adapter/cwmemory/worker.go
@@ -0,0 +1,302 @@
+package cwmemory
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"currantward/internal/base/cwfault"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwport"
+)
+
+// Execution is how one task will go.
+type Execution struct {
+	RunTime time.Duration // zero or below: until it is stopped
+	End     cwmodel.End
+	Message string
+	Answer  []byte
+	Used    cwmodel.Resources
+}
+
+// WorkerOptions set up a worker in memory.
+type WorkerOptions struct {
+	Worker  cwmodel.Worker
+	Now     func() time.Time
+	Execute func(t cwmodel.Task) Execution // nil: ends at once as done
+}
+
+// Worker is a worker in memory: it runs tasks under leases and refuses what is stale or does not fit.
+type Worker struct {
+	opts      WorkerOptions
+	mu        sync.Mutex
+	owner     cwmodel.HostID
+	epoch     cwmodel.Epoch
+	claimEnds time.Time
+	leaving   bool
+	running   map[cwmodel.TaskID]*execution
+	newest    map[cwmodel.TaskID]int // highest attempt that was seen, whether begun or refused
+	results   []cwmodel.Result       // not acknowledged, in order of their ends
+	used      cwmodel.Resources
+	changed   chan struct{} // closed and replaced when a result is added
+	begun     int
+}
+
+// execution is a running task.
+type execution struct {
+	cwmodel.Running
+	plan Execution
+	ends time.Time // zero: until it is stopped
+}
+
+// NewWorker returns a worker that runs nothing and has no owner.
+func NewWorker(opts WorkerOptions) *Worker {
+	if opts.Execute == nil {
+		opts.Execute = func(cwmodel.Task) Execution { return Execution{RunTime: 1, End: cwmodel.EndDone} }
+	}
+	return &Worker{
+		opts:    opts,
+		running: map[cwmodel.TaskID]*execution{},
+		newest:  map[cwmodel.TaskID]int{},
+		changed: make(chan struct{}),
+	}
+}
+
+// SetAddress states the address that the inventory names.
+func (w *Worker) SetAddress(worker cwmodel.Worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.opts.Worker = worker
+}
+
+// Drain marks the worker as leaving.
+func (w *Worker) Drain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = true
+}
+
+// Begun returns how many attempts have begun.
+func (w *Worker) Begun() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.begun
+}
+
+// Inspect returns the inventory.
+func (w *Worker) Inspect() cwport.Inventory {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	return w.inventory()
+}
+
+// Claim grants ownership under a larger epoch once the earlier claim has ended.
+func (w *Worker) Claim(claim cwport.Claim) (inventory cwport.Inventory, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	now := w.opts.Now()
+	if claim.Epoch <= w.epoch {
+		return inventory, cwfault.New(cwfault.StaleEpoch, "epoch %d is not above %d", claim.Epoch, w.epoch)
+	}
+	if w.owner != "" && w.owner != claim.Owner && now.Before(w.claimEnds) {
+		return inventory, cwfault.New(cwfault.Conflict, "%s owns this worker under epoch %d", w.owner, w.epoch)
+	}
+	w.owner, w.epoch, w.claimEnds = claim.Owner, claim.Epoch, now.Add(claim.TTL)
+	w.renewLeases(now)
+	return w.inventory(), nil
+}
+
+// Renew extends the claim and all leases.
+func (w *Worker) Renew(epoch cwmodel.Epoch, ttl time.Duration) (renewal cwport.Renewal, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	if err = w.checkEpoch(epoch); err != nil {
+		return renewal, err
+	}
+	now := w.opts.Now()
+	w.claimEnds = now.Add(ttl)
+	w.renewLeases(now)
+	renewal = cwport.Renewal{Clock: now, Leaving: w.leaving, Running: len(w.running)}
+	for _, e := range w.inOrder() {
+		renewal.Usage = append(renewal.Usage, cwmodel.Usage{Task: e.Attempt.Task, Used: e.plan.Used, At: now})
+	}
+	return renewal, nil
+}
+
+// Release ends the claim.
+func (w *Worker) Release(epoch cwmodel.Epoch) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	if err := w.checkEpoch(epoch); err != nil {
+		return err
+	}
+	w.owner = ""
+	return nil
+}
+
+// Start begins one attempt and returns its planned run time; a repeated order for a running attempt succeeds.
+func (w *Worker) Start(order cwport.Start) (runTime time.Duration, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	if err = w.checkEpoch(order.Attempt.Epoch); err != nil {
+		return 0, err
+	}
+	if e, ok := w.running[order.Attempt.Task]; ok && e.Attempt == order.Attempt {
+		return e.plan.RunTime, nil
+	}
+	if reason := w.refusal(order); reason != "" {
+		w.newest[order.Attempt.Task] = max(w.newest[order.Attempt.Task], order.Attempt.Number)
+		return 0, cwfault.New(cwfault.Refused, "%s", reason)
+	}
+	return w.begin(order), nil
+}
+
+func (w *Worker) refusal(order cwport.Start) string {
+	now := w.opts.Now()
+	_, runs := w.running[order.Attempt.Task]
+	switch {
+	case order.Attempt.Worker != w.opts.Worker.ID:
+		return "the order is for another worker"
+	case runs:
+		return "another attempt of this task is running"
+	case order.Attempt.Number <= w.newest[order.Attempt.Task]:
+		return "this attempt is over or was refused"
+	case now.After(order.NotAfter):
+		return "the latest time to begin has passed"
+	case w.leaving:
+		return "the worker is leaving"
+	case !order.Task.Demand.FitsIn(w.opts.Worker.Capacity.Minus(w.used)):
+		return "the demand does not fit in what is free"
+	}
+	return ""
+}
+
+func (w *Worker) begin(order cwport.Start) time.Duration {
+	now, t := w.opts.Now(), order.Task
+	e := &execution{
+		Running: cwmodel.Running{
+			Attempt: order.Attempt, Job: t.Job, Profile: t.Profile, Team: t.Team, Kind: t.Kind, Demand: t.Demand,
+			Began: now, Deadline: t.Deadline, Lease: t.Lease, LeaseEnds: now.Add(t.Lease), Repeatable: t.Repeatable, Durable: t.Durable,
+		},
+		plan: w.opts.Execute(t),
+	}
+	if e.plan.RunTime > 0 {
+		e.ends = now.Add(e.plan.RunTime)
+	}
+	w.running[t.ID] = e
+	w.newest[t.ID] = order.Attempt.Number
+	w.used = w.used.Plus(t.Demand)
+	w.begun++
+	return e.plan.RunTime
+}
+
+// Stop ends an attempt; one that never began is refused for good from then on.
+func (w *Worker) Stop(attempt cwmodel.Attempt, mode cwmodel.StopMode) (result cwmodel.Result, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	if err = w.checkEpoch(attempt.Epoch); err != nil {
+		return result, err
+	}
+	now := w.opts.Now()
+	if e, ok := w.running[attempt.Task]; ok && e.Attempt.Number == attempt.Number {
+		end := cwmodel.EndStopped
+		if mode == cwmodel.StopCheckpoint {
+			end = cwmodel.EndCheckpoint
+		}
+		return w.end(e, now, end, string(mode), nil), nil
+	}
+	for _, r := range w.results {
+		if r.Attempt.Task == attempt.Task && r.Attempt.Number == attempt.Number {
+			return r, nil
+		}
+	}
+	if attempt.Number <= w.newest[attempt.Task] {
+		return result, cwfault.New(cwfault.NotFound, "attempt %d of %s is over and acknowledged", attempt.Number, attempt.Task)
+	}
+	w.newest[attempt.Task] = attempt.Number
+	return cwmodel.Result{Attempt: attempt, End: cwmodel.EndNeverBegan, Ended: now}, nil
+}
+
+// Completions drops acknowledged results and returns the others with a channel that closes on the next one.
+func (w *Worker) Completions(epoch cwmodel.Epoch, acks []cwmodel.Attempt) (results []cwmodel.Result, changed <-chan struct{}, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	if err = w.checkEpoch(epoch); err != nil {
+		return nil, nil, err
+	}
+	w.results = slices.DeleteFunc(w.results, func(r cwmodel.Result) bool { return slices.Contains(acks, r.Attempt) })
+	return slices.Clone(w.results), w.changed, nil
+}
+
+// Advance ends what is due at the present time.
+func (w *Worker) Advance() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+}
+
+func (w *Worker) advance() {
+	now := w.opts.Now()
+	for _, e := range w.inOrder() {
+		isDue := !e.ends.IsZero() && !e.ends.After(now)
+		lapsed := !e.LeaseEnds.After(now)
+		switch {
+		case isDue && !(lapsed && e.LeaseEnds.Before(e.ends)):
+			w.end(e, e.ends, e.plan.End, e.plan.Message, e.plan.Answer)
+		case lapsed:
+			w.end(e, e.LeaseEnds, cwmodel.EndLapsed, "the lease ended", nil)
+		}
+	}
+}
+
+func (w *Worker) end(e *execution, at time.Time, end cwmodel.End, message string, answer []byte) cwmodel.Result {
+	delete(w.running, e.Attempt.Task)
+	w.used = w.used.Minus(e.Demand)
+	result := cwmodel.Result{
+		Attempt: e.Attempt, End: end, Message: message, Answer: answer, Began: e.Began, Ended: at, Used: e.plan.Used,
+	}
+	w.results = append(w.results, result)
+	close(w.changed)
+	w.changed = make(chan struct{})
+	return result
+}
+
+func (w *Worker) checkEpoch(epoch cwmodel.Epoch) error {
+	if epoch != w.epoch {
+		return cwfault.New(cwfault.StaleEpoch, "epoch %d is not the present one, %d", epoch, w.epoch)
+	}
+	return nil
+}
+
+func (w *Worker) renewLeases(now time.Time) {
+	for _, e := range w.running {
+		e.LeaseEnds = now.Add(e.Lease)
+	}
+}
+
+func (w *Worker) inventory() cwport.Inventory {
+	inventory := cwport.Inventory{Worker: w.opts.Worker, Owner: w.owner, Epoch: w.epoch, Clock: w.opts.Now(), Leaving: w.leaving}
+	for _, e := range w.inOrder() {
+		inventory.Running = append(inventory.Running, e.Running)
+	}
+	return inventory
+}
+
+func (w *Worker) inOrder() []*execution {
+	list := make([]*execution, 0, len(w.running))
+	for _, e := range w.running {
+		list = append(list, e)
+	}
+	slices.SortFunc(list, func(a, b *execution) int {
+		return strings.Compare(string(a.Attempt.Task), string(b.Attempt.Task))
+	})
+	return list
+}
--- /dev/null
+++ b/internal/adapter/cwplatform/platform.go
@@ -0,0 +1,113 @@
+// Package cwplatform reaches the platform's table, object store and host list over HTTP.
+package cwplatform
+
+import (
+	"context"
+	"net/netip"
+	"net/url"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwport"
+)
+
+// Platform is a client of one platform.
+type Platform struct {
+	client *cwhttp.Client
+	addr   netip.AddrPort
+}
+
+// New returns a client of the platform at addr and the function that closes its connections.
+func New(addr netip.AddrPort, opts cwhttp.ClientOptions) (p *Platform, stop func()) {
+	client, stop := cwhttp.NewClient(opts)
+	return &Platform{client: client, addr: addr}, stop
+}
+
+// Table returns the port of the table.
+func (p *Platform) Table() cwport.Table {
+	return cwport.Table{Read: p.read, Scan: p.scan, Commit: p.commit}
+}
+
+// Objects returns the port of the object store.
+func (p *Platform) Objects() cwport.Objects {
+	return cwport.Objects{Put: p.putObject, Get: p.getObject, Delete: p.deleteObject}
+}
+
+// HostList returns the port of the host list.
+func (p *Platform) HostList() cwport.HostList { return cwport.HostList{List: p.listHosts} }
+
+func (p *Platform) read(ctx context.Context, key string) (row cwport.Row, err error) {
+	defer func() { err = eris.Wrap(err, "read row") }()
+	var document cwcodec.Row
+	err = p.client.Call(ctx, fasthttp.MethodPost, p.addr, cwcodec.PathTableRead, cwcodec.ReadRequest{Key: key}, &document)
+	return document.Core(), err
+}
+
+func (p *Platform) scan(ctx context.Context, prefix, after string, limit int) (rows []cwport.Row, err error) {
+	defer func() { err = eris.Wrap(err, "scan rows") }()
+	var document cwcodec.ScanAnswer
+	in := cwcodec.ScanRequest{Prefix: prefix, After: after, Limit: limit}
+	if err = p.client.Call(ctx, fasthttp.MethodPost, p.addr, cwcodec.PathTableScan, in, &document); err != nil {
+		return nil, err
+	}
+	for _, row := range document.Rows {
+		rows = append(rows, row.Core())
+	}
+	return rows, nil
+}
+
+func (p *Platform) commit(ctx context.Context, txn cwport.Txn) (err error) {
+	defer func() { err = eris.Wrap(err, "commit transaction") }()
+	return p.client.Call(ctx, fasthttp.MethodPost, p.addr, cwcodec.PathTableCommit, cwcodec.CommitRequestOf(txn), nil)
+}
+
+func (p *Platform) putObject(ctx context.Context, key string, body []byte) (err error) {
+	defer func() { err = eris.Wrap(err, "put object") }()
+	_, err = p.object(ctx, fasthttp.MethodPut, key, body)
+	return err
+}
+
+func (p *Platform) getObject(ctx context.Context, key string) (body []byte, err error) {
+	defer func() { err = eris.Wrap(err, "get object") }()
+	return p.object(ctx, fasthttp.MethodGet, key, nil)
+}
+
+func (p *Platform) deleteObject(ctx context.Context, key string) (err error) {
+	defer func() { err = eris.Wrap(err, "delete object") }()
+	_, err = p.object(ctx, fasthttp.MethodDelete, key, nil)
+	return err
+}
+
+func (p *Platform) object(ctx context.Context, method, key string, body []byte) ([]byte, error) {
+	status, answer, err := p.client.Do(ctx, method, p.addr, cwcodec.PathObject+url.PathEscape(key), body)
+	switch {
+	case err != nil:
+		return nil, err
+	case status == fasthttp.StatusNotFound:
+		return nil, cwfault.New(cwfault.NotFound, "no object %s", key)
+	case status/100 != 2:
+		return nil, cwfault.New(cwfault.Unavailable, "object store answered %d", status)
+	}
+	return answer, nil
+}
+
+func (p *Platform) listHosts(ctx context.Context) (hosts []cwmodel.Host, err error) {
+	defer func() { err = eris.Wrap(err, "list hosts") }()
+	var document cwcodec.HostsAnswer
+	if err = p.client.Call(ctx, fasthttp.MethodGet, p.addr, cwcodec.PathHosts, nil, &document); err != nil {
+		return nil, err
+	}
+	for _, row := range document.Hosts {
+		host, err := row.Core()
+		if err != nil {
+			return nil, err
+		}
+		hosts = append(hosts, host)
+	}
+	return hosts, nil
+}
--- /dev/null
+++ b/internal/adapter/cwworker/worker.go
@@ -0,0 +1,100 @@
+// Package cwworker reaches workers over HTTP.
+package cwworker
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwport"
+)
+
+// client sends orders to workers.
+type client struct{ http *cwhttp.Client }
+
+// New returns the port to workers and the function that closes its connections.
+func New(opts cwhttp.ClientOptions) (port cwport.Workers, stop func()) {
+	http, stop := cwhttp.NewClient(opts)
+	c := &client{http: http}
+	return cwport.Workers{
+		Inspect:     c.inspect,
+		Claim:       c.claim,
+		Renew:       c.renew,
+		Release:     c.release,
+		Start:       c.start,
+		Stop:        c.stop,
+		Completions: c.completions,
+	}, stop
+}
+
+func (c *client) inspect(ctx context.Context, addr netip.AddrPort) (inventory cwport.Inventory, err error) {
+	defer func() { err = eris.Wrap(err, "inspect worker") }()
+	var document cwcodec.Inventory
+	err = c.http.Call(ctx, fasthttp.MethodGet, addr, cwcodec.PathInspect, nil, &document)
+	return document.Core(), err
+}
+
+func (c *client) claim(ctx context.Context, addr netip.AddrPort, claim cwport.Claim) (inventory cwport.Inventory, err error) {
+	defer func() { err = eris.Wrap(err, "claim worker") }()
+	in := cwcodec.ClaimRequest{Owner: string(claim.Owner), Epoch: uint64(claim.Epoch), TTL: cwcodec.Duration(claim.TTL)}
+	var document cwcodec.Inventory
+	err = c.http.Call(ctx, fasthttp.MethodPost, addr, cwcodec.PathClaim, in, &document)
+	return document.Core(), err
+}
+
+func (c *client) renew(ctx context.Context, addr netip.AddrPort, epoch cwmodel.Epoch, ttl time.Duration) (renewal cwport.Renewal, err error) {
+	defer func() { err = eris.Wrap(err, "renew claim") }()
+	in := cwcodec.ClaimRequest{Epoch: uint64(epoch), TTL: cwcodec.Duration(ttl)}
+	var document cwcodec.RenewAnswer
+	err = c.http.Call(ctx, fasthttp.MethodPost, addr, cwcodec.PathRenew, in, &document)
+	return document.Core(), err
+}
+
+func (c *client) release(ctx context.Context, addr netip.AddrPort, epoch cwmodel.Epoch) (err error) {
+	defer func() { err = eris.Wrap(err, "release claim") }()
+	return c.http.Call(ctx, fasthttp.MethodPost, addr, cwcodec.PathRelease, cwcodec.ClaimRequest{Epoch: uint64(epoch)}, nil)
+}
+
+func (c *client) start(ctx context.Context, addr netip.AddrPort, order cwport.Start) (err error) {
+	defer func() { err = eris.Wrap(err, "start task") }()
+	return c.http.Call(ctx, fasthttp.MethodPost, addr, cwcodec.PathStart, cwcodec.StartRequestOf(order), nil)
+}
+
+func (c *client) stop(ctx context.Context, addr netip.AddrPort, attempt cwmodel.Attempt, mode cwmodel.StopMode) (result cwmodel.Result, err error) {
+	defer func() { err = eris.Wrap(err, "stop task") }()
+	in := cwcodec.StopRequest{Attempt: cwcodec.AttemptOf(attempt), Mode: string(mode)}
+	var document cwcodec.Result
+	if err = c.http.Call(ctx, fasthttp.MethodPost, addr, cwcodec.PathStop, in, &document); err != nil {
+		return result, err
+	}
+	return document.Core()
+}
+
+func (c *client) completions(ctx context.Context, addr netip.AddrPort, epoch cwmodel.Epoch, acks []cwmodel.Attempt, wait time.Duration) (results []cwmodel.Result, err error) {
+	defer func() { err = eris.Wrap(err, "read completions") }()
+	const margin = time.Second
+	ctx, cancel := context.WithTimeout(ctx, wait+margin)
+	defer cancel()
+	in := cwcodec.CompletionsRequest{Epoch: uint64(epoch), Wait: cwcodec.Duration(wait)}
+	for _, ack := range acks {
+		in.Acks = append(in.Acks, cwcodec.AttemptOf(ack))
+	}
+	var document cwcodec.CompletionsAnswer
+	if err = c.http.Call(ctx, fasthttp.MethodPost, addr, cwcodec.PathCompletions, in, &document); err != nil {
+		return nil, err
+	}
+	for _, row := range document.Results {
+		result, err := row.Core()
+		if err != nil {
+			return nil, err
+		}
+		results = append(results, result)
+	}
+	return results, nil
+}
--- /dev/null
+++ b/internal/base/cwduty/duty.go
@@ -0,0 +1,80 @@
+// Package cwduty runs the named duties of a process, each on its own goroutine.
+package cwduty
+
+import (
+	"context"
+	"sync"
+)
+
+// Start runs one duty until the returned function is called; that function waits for its end.
+func Start(name string, run func(ctx context.Context)) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		running.add(name)
+		defer running.remove(name)
+		run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
+// Cleanup collects the clean-up functions of several parts and calls them in reverse order.
+type Cleanup struct {
+	mu    sync.Mutex
+	calls []func()
+}
+
+// Add appends one clean-up function.
+func (c *Cleanup) Add(call func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls = append(c.calls, call)
+}
+
+// Run calls each function once, the last added first.
+func (c *Cleanup) Run() {
+	c.mu.Lock()
+	calls := c.calls
+	c.calls = nil
+	c.mu.Unlock()
+	for n := len(calls) - 1; n >= 0; n-- {
+		calls[n]()
+	}
+}
+
+// registry counts the duties that run now by name.
+type registry struct {
+	mu    sync.Mutex
+	names map[string]int
+}
+
+var running = registry{names: map[string]int{}}
+
+func (r *registry) add(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.names[name]++
+}
+
+func (r *registry) remove(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.names[name]--; r.names[name] == 0 {
+		delete(r.names, name)
+	}
+}
+
+// Running returns how many duties of each name run in this process now.
+func Running() map[string]int {
+	running.mu.Lock()
+	defer running.mu.Unlock()
+	names := make(map[string]int, len(running.names))
+	for name, n := range running.names {
+		names[name] = n
+	}
+	return names
+}
--- /dev/null
+++ b/internal/base/cwhttp/server.go
@@ -0,0 +1,145 @@
+// Package cwhttp holds what the HTTP listeners and clients of the system share.
+package cwhttp
+
+import (
+	"encoding/json"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"currantward/internal/base/cwfault"
+)
+
+// ServerOptions bound what one listener accepts.
+type ServerOptions struct {
+	Name            string
+	MaxBodyBytes    int
+	MaxHeaderBytes  int
+	MaxConnections  int
+	ReadTimeout     time.Duration
+	IdleTimeout     time.Duration
+	ShutdownTimeout time.Duration
+	Log             *logrus.Logger
+}
+
+// DefaultServerOptions returns limits that suit a listener for callers.
+func DefaultServerOptions(name string, log *logrus.Logger) ServerOptions {
+	return ServerOptions{
+		Name:            name,
+		MaxBodyBytes:    1 << 20,
+		MaxHeaderBytes:  8 << 10,
+		MaxConnections:  4096,
+		ReadTimeout:     10 * time.Second,
+		IdleTimeout:     60 * time.Second,
+		ShutdownTimeout: 10 * time.Second,
+		Log:             log,
+	}
+}
+
+// Serve listens on addr and returns the bound address and a function that ends the listener gracefully.
+func Serve(addr netip.AddrPort, handle fasthttp.RequestHandler, opts ServerOptions) (bound netip.AddrPort, stop func(), err error) {
+	defer func() { err = eris.Wrapf(err, "serve %s on %s", opts.Name, addr) }()
+	listener, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return bound, nil, err
+	}
+	bound = listener.Addr().(*net.TCPAddr).AddrPort()
+	server := &fasthttp.Server{
+		Handler:                       handle,
+		ErrorHandler:                  rejectRequest,
+		Name:                          opts.Name,
+		MaxRequestBodySize:            opts.MaxBodyBytes,
+		ReadBufferSize:                opts.MaxHeaderBytes,
+		Concurrency:                   opts.MaxConnections,
+		ReadTimeout:                   opts.ReadTimeout,
+		IdleTimeout:                   opts.IdleTimeout,
+		NoDefaultServerHeader:         true,
+		CloseOnShutdown:               true,
+		DisableHeaderNamesNormalizing: false,
+		Logger:                        opts.Log,
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := server.Serve(listener); err != nil {
+			opts.Log.WithFields(logrus.Fields{"listener": opts.Name, "error": err.Error()}).Error("listener-failed")
+		}
+	}()
+	stop = func() {
+		_ = server.ShutdownWithContext(deadlineContext(opts.ShutdownTimeout))
+		_ = listener.Close()
+		<-ended
+	}
+	return bound, stop, nil
+}
+
+// rejectRequest answers what could not be read as a request: too large, too slow or malformed.
+func rejectRequest(ctx *fasthttp.RequestCtx, err error) {
+	code := cwfault.Invalid
+	if eris.Is(err, fasthttp.ErrBodyTooLarge) {
+		code = cwfault.TooLarge
+	}
+	var small *fasthttp.ErrSmallBuffer
+	if eris.As(err, &small) {
+		code = cwfault.TooLarge
+	}
+	WriteError(ctx, cwfault.New(code, "cannot read the request: %v", err))
+}
+
+// ErrorDocument is the body of every error answer.
+type ErrorDocument struct {
+	Error   cwfault.Code `json:"error"`
+	Message string       `json:"message"`
+}
+
+// WriteJSON answers with one JSON document.
+func WriteJSON(ctx *fasthttp.RequestCtx, status int, document any) {
+	body, err := json.Marshal(document)
+	if err != nil {
+		WriteError(ctx, cwfault.New(cwfault.Internal, "encode the answer: %v", err))
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(body, '\n'))
+}
+
+// WriteError answers with the typed error of err and the status that belongs to it.
+func WriteError(ctx *fasthttp.RequestCtx, err error) {
+	document := ErrorDocument{Error: cwfault.CodeOf(err), Message: cwfault.MessageOf(err)}
+	body, _ := json.Marshal(document)
+	ctx.SetStatusCode(StatusOf(document.Error))
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(body, '\n'))
+}
+
+// statuses maps each error code to its HTTP status.
+var statuses = []struct {
+	code   cwfault.Code
+	status int
+}{
+	{cwfault.Invalid, fasthttp.StatusBadRequest},
+	{cwfault.Unauthorized, fasthttp.StatusUnauthorized},
+	{cwfault.NotFound, fasthttp.StatusNotFound},
+	{cwfault.Conflict, fasthttp.StatusConflict},
+	{cwfault.TooLarge, fasthttp.StatusRequestEntityTooLarge},
+	{cwfault.Refused, fasthttp.StatusUnprocessableEntity},
+	{cwfault.StaleEpoch, fasthttp.StatusPreconditionFailed},
+	{cwfault.Unavailable, fasthttp.StatusServiceUnavailable},
+	{cwfault.Indefinite, fasthttp.StatusGatewayTimeout},
+	{cwfault.NotSupported, fasthttp.StatusMethodNotAllowed},
+}
+
+// StatusOf returns the HTTP status for an error code.
+func StatusOf(code cwfault.Code) int {
+	for _, row := range statuses {
+		if row.code == code {
+			return row.status
+		}
+	}
+	return fasthttp.StatusInternalServerError
+}
--- /dev/null
+++ b/internal/base/cwtimer/timer.go
@@ -0,0 +1,171 @@
+// Package cwtimer provides the timer service that all parts of a process take time from.
+package cwtimer
+
+import (
+	"container/heap"
+	"sync"
+	"time"
+)
+
+// Service tells the time and calls its subscribers when their time has come.
+//
+// Subscribers run on the service's own goroutine and must not block: they offer an event to a ring.
+type Service struct {
+	now     func() time.Time
+	mu      sync.Mutex
+	pending subscriptions
+	changed chan struct{}
+}
+
+// subscription is one future call, repeated if its period is above zero.
+type subscription struct {
+	at      time.Time
+	period  time.Duration
+	deliver func(now time.Time)
+	index   int
+}
+
+// New returns a service that runs on the system's clock, and the function that stops it.
+func New() (s *Service, stop func()) {
+	s = newService(time.Now)
+	done, ended := make(chan struct{}), make(chan struct{})
+	go s.run(done, ended)
+	var once sync.Once
+	return s, func() {
+		once.Do(func() { close(done) })
+		<-ended
+	}
+}
+
+func newService(now func() time.Time) *Service {
+	return &Service{now: now, changed: make(chan struct{}, 1)}
+}
+
+// Now returns the present time of the service.
+func (s *Service) Now() time.Time { return s.now() }
+
+// Every calls deliver once each period until cancel is called.
+func (s *Service) Every(period time.Duration, deliver func(now time.Time)) (cancel func()) {
+	period = max(period, time.Millisecond)
+	return s.add(&subscription{at: s.now().Add(period), period: period, deliver: deliver})
+}
+
+// After calls deliver once when d has passed unless cancel is called first.
+func (s *Service) After(d time.Duration, deliver func(now time.Time)) (cancel func()) {
+	return s.add(&subscription{at: s.now().Add(d), deliver: deliver})
+}
+
+// Sleep blocks until d has passed or done is closed, and reports whether d has passed.
+func (s *Service) Sleep(done <-chan struct{}, d time.Duration) bool {
+	woken := make(chan struct{})
+	cancel := s.After(d, func(time.Time) { close(woken) })
+	defer cancel()
+	select {
+	case <-woken:
+		return true
+	case <-done:
+		return false
+	}
+}
+
+func (s *Service) add(sub *subscription) (cancel func()) {
+	s.mu.Lock()
+	heap.Push(&s.pending, sub)
+	first := sub.index == 0
+	s.mu.Unlock()
+	if first {
+		s.wake()
+	}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		sub.period = 0
+		if sub.index >= 0 {
+			heap.Remove(&s.pending, sub.index)
+		}
+	}
+}
+
+func (s *Service) wake() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Service) run(done <-chan struct{}, ended chan<- struct{}) {
+	defer close(ended)
+	const idle = time.Hour
+	timer := time.NewTimer(idle)
+	defer timer.Stop()
+	for {
+		wait := idle
+		if next, ok := s.fire(s.now()); ok {
+			wait = next.Sub(s.now())
+		}
+		timer.Reset(max(wait, 0))
+		select {
+		case <-done:
+			return
+		case <-s.changed:
+		case <-timer.C:
+		}
+	}
+}
+
+// fire calls every subscription that is due at now and returns the time of the next one.
+func (s *Service) fire(now time.Time) (next time.Time, ok bool) {
+	for {
+		s.mu.Lock()
+		if len(s.pending) == 0 {
+			s.mu.Unlock()
+			return next, false
+		}
+		sub := s.pending[0]
+		if sub.at.After(now) {
+			s.mu.Unlock()
+			return sub.at, true
+		}
+		s.reschedule(sub, now)
+		s.mu.Unlock()
+		sub.deliver(now)
+	}
+}
+
+// reschedule moves a periodic subscription past now, skipping missed periods, and removes any other.
+func (s *Service) reschedule(sub *subscription, now time.Time) {
+	if sub.period <= 0 {
+		heap.Remove(&s.pending, sub.index)
+		return
+	}
+	missed := now.Sub(sub.at) / sub.period
+	sub.at = sub.at.Add((missed + 1) * sub.period)
+	heap.Fix(&s.pending, sub.index)
+}
+
+// subscriptions is a heap ordered by due time.
+type subscriptions []*subscription
+
+func (h subscriptions) Len() int           { return len(h) }
+func (h subscriptions) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h subscriptions) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push adds a subscription; it is called by package heap.
+func (h *subscriptions) Push(x any) {
+	sub := x.(*subscription)
+	sub.index = len(*h)
+	*h = append(*h, sub)
+}
+
+// Pop removes the last subscription; it is called by package heap.
+func (h *subscriptions) Pop() any {
+	last := len(*h) - 1
+	sub := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	sub.index = -1
+	return sub
+}
--- /dev/null
+++ b/internal/core/cwmodel/parse.go
@@ -0,0 +1,40 @@
+package cwmodel
+
+import (
+	"slices"
+
+	"currantward/internal/base/cwfault"
+)
+
+// ParseKind returns the kind named s and rejects what it does not know.
+func ParseKind(s string) (Kind, error) {
+	return parse("kind", s, []Kind{KindRequest, KindBatch, KindGang, KindService})
+}
+
+// ParseClass returns the class named s and rejects what it does not know.
+func ParseClass(s string) (Class, error) { return parse("class", s, Classes()) }
+
+// ParseOutcome returns the outcome named s and rejects what it does not know.
+func ParseOutcome(s string) (Outcome, error) { return parse("outcome", s, Outcomes()) }
+
+// ParseEnd returns the end named s and rejects what it does not know.
+func ParseEnd(s string) (End, error) {
+	return parse("end", s, []End{EndDone, EndFailed, EndTransient, EndStopped, EndCheckpoint, EndLapsed, EndNeverBegan})
+}
+
+// ParseHostState returns the host state named s and rejects what it does not know.
+func ParseHostState(s string) (HostState, error) {
+	return parse("host state", s, []HostState{HostLive, HostLeaving})
+}
+
+// ParseHostRole returns the host role named s and rejects what it does not know.
+func ParseHostRole(s string) (HostRole, error) {
+	return parse("host role", s, []HostRole{RoleWorker, RoleEntryHost})
+}
+
+func parse[E ~string](what, s string, known []E) (E, error) {
+	if slices.Contains(known, E(s)) {
+		return E(s), nil
+	}
+	return "", cwfault.New(cwfault.Invalid, "unknown %s %q", what, s)
+}
--- /dev/null
+++ b/internal/core/cwmodel/resources.go
@@ -0,0 +1,68 @@
+package cwmodel
+
+// Resources is a vector of capacity or demand.
+type Resources struct {
+	MilliProcessors int64 // thousandths of a processor
+	MemoryBytes     int64
+	Accelerators    int64
+	Slots           int64 // tasks that a runner serves at once
+	Connections     int64
+}
+
+// Plus returns r + o.
+func (r Resources) Plus(o Resources) Resources {
+	r.MilliProcessors += o.MilliProcessors
+	r.MemoryBytes += o.MemoryBytes
+	r.Accelerators += o.Accelerators
+	r.Slots += o.Slots
+	r.Connections += o.Connections
+	return r
+}
+
+// Minus returns r - o.
+func (r Resources) Minus(o Resources) Resources {
+	r.MilliProcessors -= o.MilliProcessors
+	r.MemoryBytes -= o.MemoryBytes
+	r.Accelerators -= o.Accelerators
+	r.Slots -= o.Slots
+	r.Connections -= o.Connections
+	return r
+}
+
+// Times returns r scaled by n.
+func (r Resources) Times(n int64) Resources {
+	r.MilliProcessors *= n
+	r.MemoryBytes *= n
+	r.Accelerators *= n
+	r.Slots *= n
+	r.Connections *= n
+	return r
+}
+
+// FitsIn reports whether r is at most free in every dimension.
+func (r Resources) FitsIn(free Resources) bool {
+	return r.MilliProcessors <= free.MilliProcessors &&
+		r.MemoryBytes <= free.MemoryBytes &&
+		r.Accelerators <= free.Accelerators &&
+		r.Slots <= free.Slots &&
+		r.Connections <= free.Connections
+}
+
+// IsNonNegative reports whether no dimension is below zero.
+func (r Resources) IsNonNegative() bool { return Resources{}.FitsIn(r) }
+
+// DominantShare returns the largest share that r takes of any dimension of total.
+func (r Resources) DominantShare(total Resources) float64 {
+	share := ratio(r.MilliProcessors, total.MilliProcessors)
+	share = max(share, ratio(r.MemoryBytes, total.MemoryBytes))
+	share = max(share, ratio(r.Accelerators, total.Accelerators))
+	share = max(share, ratio(r.Slots, total.Slots))
+	return max(share, ratio(r.Connections, total.Connections))
+}
+
+func ratio(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/internal/standin/cwrunner/runner.go
@@ -0,0 +1,199 @@
+// Package cwrunner is the stand-in for a worker: it runs tasks under leases over HTTP.
+package cwrunner
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/adapter/cwmemory"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwport"
+	"currantward/internal/standin/cwstore"
+)
+
+// leaseCheck is how often leases are checked where nothing else happens.
+const leaseCheck = 250 * time.Millisecond
+
+// Options set up a stand-in worker.
+type Options struct {
+	Listen   netip.AddrPort
+	Platform netip.AddrPort // zero: the worker does not register itself
+	Worker   cwmodel.Worker // the address is filled in once bound
+	Timer    *cwtimer.Service
+	Log      *logrus.Logger
+}
+
+// Runner is a stand-in worker.
+type Runner struct {
+	worker *cwmemory.Worker
+	timer  *cwtimer.Service
+}
+
+// New starts a stand-in worker and returns its address and the function that stops it.
+func New(opts Options) (r *Runner, bound netip.AddrPort, stop func(), err error) {
+	r = &Runner{timer: opts.Timer}
+	r.worker = cwmemory.NewWorker(cwmemory.WorkerOptions{Worker: opts.Worker, Now: opts.Timer.Now, Execute: Plan})
+	limits := cwhttp.DefaultServerOptions("worker-stand-in", opts.Log)
+	limits.MaxBodyBytes = 4 << 20
+	bound, stopServer, err := cwhttp.Serve(opts.Listen, r.handle, limits)
+	if err != nil {
+		return nil, bound, nil, err
+	}
+	opts.Worker.Address = bound
+	r.worker.SetAddress(opts.Worker)
+	cancel := opts.Timer.Every(leaseCheck, func(time.Time) { r.worker.Advance() })
+	stop = func() {
+		cancel()
+		stopServer()
+	}
+	if opts.Platform.IsValid() {
+		err = register(opts)
+	}
+	return r, bound, stop, err
+}
+
+// Worker returns the state of the stand-in.
+func (r *Runner) Worker() *cwmemory.Worker { return r.worker }
+
+// register tells the stand-in platform of this worker.
+func register(opts Options) error {
+	client, stop := cwhttp.NewClient(cwhttp.DefaultClientOptions())
+	defer stop()
+	host := cwmodel.Host{
+		ID: opts.Worker.ID, Role: cwmodel.RoleWorker, State: cwmodel.HostLive, Address: opts.Worker.Address,
+		DataCentre: opts.Worker.DataCentre, Rack: opts.Worker.Rack,
+	}
+	return client.Call(context.Background(), fasthttp.MethodPost, opts.Platform, cwstore.PathRegister, cwcodec.HostOf(host), nil)
+}
+
+func (r *Runner) handle(ctx *fasthttp.RequestCtx) {
+	switch path := string(ctx.Path()); path {
+	case cwcodec.PathInspect:
+		cwhttp.WriteJSON(ctx, fasthttp.StatusOK, cwcodec.InventoryOf(r.worker.Inspect()))
+	case cwcodec.PathClaim:
+		r.handleClaim(ctx)
+	case cwcodec.PathRenew:
+		r.handleRenew(ctx)
+	case cwcodec.PathRelease:
+		r.handleRelease(ctx)
+	case cwcodec.PathStart:
+		r.handleStart(ctx)
+	case cwcodec.PathStop:
+		r.handleStop(ctx)
+	case cwcodec.PathCompletions:
+		r.handleCompletions(ctx)
+	case cwcodec.PathDrain:
+		r.worker.Drain()
+		cwhttp.WriteJSON(ctx, fasthttp.StatusOK, struct{}{})
+	default:
+		cwhttp.WriteError(ctx, cwfault.New(cwfault.NotFound, "no such path %s", path))
+	}
+}
+
+// decode parses the body into in, or answers the error and returns false.
+func decode(ctx *fasthttp.RequestCtx, in any) bool {
+	if err := cwhttp.DecodeStrict(ctx.PostBody(), in); err != nil {
+		cwhttp.WriteError(ctx, err)
+		return false
+	}
+	return true
+}
+
+// respond answers with document, or with err if there is one.
+func respond(ctx *fasthttp.RequestCtx, document any, err error) {
+	if err != nil {
+		cwhttp.WriteError(ctx, err)
+		return
+	}
+	cwhttp.WriteJSON(ctx, fasthttp.StatusOK, document)
+}
+
+func (r *Runner) handleClaim(ctx *fasthttp.RequestCtx) {
+	var in cwcodec.ClaimRequest
+	if !decode(ctx, &in) {
+		return
+	}
+	claim := cwport.Claim{Owner: cwmodel.HostID(in.Owner), Epoch: cwmodel.Epoch(in.Epoch), TTL: time.Duration(in.TTL)}
+	inventory, err := r.worker.Claim(claim)
+	respond(ctx, cwcodec.InventoryOf(inventory), err)
+}
+
+func (r *Runner) handleRenew(ctx *fasthttp.RequestCtx) {
+	var in cwcodec.ClaimRequest
+	if !decode(ctx, &in) {
+		return
+	}
+	renewal, err := r.worker.Renew(cwmodel.Epoch(in.Epoch), time.Duration(in.TTL))
+	respond(ctx, cwcodec.RenewAnswerOf(renewal), err)
+}
+
+func (r *Runner) handleRelease(ctx *fasthttp.RequestCtx) {
+	var in cwcodec.ClaimRequest
+	if !decode(ctx, &in) {
+		return
+	}
+	respond(ctx, struct{}{}, r.worker.Release(cwmodel.Epoch(in.Epoch)))
+}
+
+func (r *Runner) handleStart(ctx *fasthttp.RequestCtx) {
+	var in cwcodec.StartRequest
+	if !decode(ctx, &in) {
+		return
+	}
+	runTime, err := r.worker.Start(in.Core())
+	if err == nil && runTime > 0 {
+		r.timer.After(runTime, func(time.Time) { r.worker.Advance() })
+	}
+	respond(ctx, struct{}{}, err)
+}
+
+func (r *Runner) handleStop(ctx *fasthttp.RequestCtx) {
+	var in cwcodec.StopRequest
+	if !decode(ctx, &in) {
+		return
+	}
+	result, err := r.worker.Stop(in.Attempt.Core(), cwmodel.StopMode(in.Mode))
+	respond(ctx, cwcodec.ResultOf(result), err)
+}
+
+func (r *Runner) handleCompletions(ctx *fasthttp.RequestCtx) {
+	var in cwcodec.CompletionsRequest
+	if !decode(ctx, &in) {
+		return
+	}
+	var acks []cwmodel.Attempt
+	for _, ack := range in.Acks {
+		acks = append(acks, ack.Core())
+	}
+	epoch := cwmodel.Epoch(in.Epoch)
+	results, changed, err := r.worker.Completions(epoch, acks)
+	if err == nil && len(results) == 0 {
+		r.await(ctx, changed, time.Duration(in.Wait))
+		results, _, err = r.worker.Completions(epoch, nil)
+	}
+	answer := cwcodec.CompletionsAnswer{Results: []cwcodec.Result{}}
+	for _, result := range results {
+		answer.Results = append(answer.Results, cwcodec.ResultOf(result))
+	}
+	respond(ctx, answer, err)
+}
+
+// await blocks until changed closes, the wait has passed or the server stops.
+func (r *Runner) await(ctx *fasthttp.RequestCtx, changed <-chan struct{}, wait time.Duration) {
+	late := make(chan struct{})
+	cancel := r.timer.After(wait, func(time.Time) { close(late) })
+	defer cancel()
+	select {
+	case <-changed:
+	case <-late:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/standin/cwstore/store.go
@@ -0,0 +1,228 @@
+// Package cwstore is the stand-in for the platform: a table, an object store and a host list over HTTP.
+package cwstore
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/adapter/cwmemory"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwmodel"
+)
+
+// Paths that only the stand-in has.
+const (
+	PathRegister = "/control/hosts"
+	PathFaults   = "/control/faults"
+)
+
+// Faults are the ways in which the stand-in misbehaves.
+type Faults struct {
+	Down       bool             `json:"down,omitempty"`
+	Delay      cwcodec.Duration `json:"delay,omitempty"`
+	LoseAnswer int              `json:"lose-answer,omitempty"` // this many commits take effect but answer an error
+	HostLag    cwcodec.Duration `json:"host-lag,omitempty"`    // changes of the host list show this much later
+}
+
+// Options set up a stand-in platform.
+type Options struct {
+	Listen netip.AddrPort
+	Timer  *cwtimer.Service
+	Log    *logrus.Logger
+}
+
+// Store is a stand-in platform.
+type Store struct {
+	table   *cwmemory.Table
+	objects *cwmemory.Objects
+	timer   *cwtimer.Service
+	mu      sync.Mutex
+	faults  Faults
+	hosts   map[cwmodel.HostID]cwmodel.Host
+}
+
+// New starts a stand-in platform and returns its address and the function that stops it.
+func New(opts Options) (s *Store, bound netip.AddrPort, stop func(), err error) {
+	s = &Store{
+		table: cwmemory.NewTable(), objects: cwmemory.NewObjects(), timer: opts.Timer,
+		hosts: map[cwmodel.HostID]cwmodel.Host{},
+	}
+	limits := cwhttp.DefaultServerOptions("platform-stand-in", opts.Log)
+	limits.MaxBodyBytes = 16 << 20
+	bound, stop, err = cwhttp.Serve(opts.Listen, s.handle, limits)
+	return s, bound, stop, err
+}
+
+// Register adds or replaces a host; it shows in the list after the lag.
+func (s *Store) Register(host cwmodel.Host) {
+	s.mu.Lock()
+	lag := time.Duration(s.faults.HostLag)
+	s.mu.Unlock()
+	apply := func(time.Time) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.hosts[host.ID] = host
+	}
+	if lag <= 0 {
+		apply(time.Time{})
+		return
+	}
+	s.timer.After(lag, apply)
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+func (s *Store) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch path {
+	case PathRegister:
+		s.handleRegister(ctx)
+		return
+	case PathFaults:
+		s.handleFaults(ctx)
+		return
+	}
+	faults := s.present()
+	if faults.Down {
+		cwhttp.WriteError(ctx, cwfault.New(cwfault.Unavailable, "the platform is down"))
+		return
+	}
+	if faults.Delay > 0 {
+		s.timer.Sleep(ctx.Done(), time.Duration(faults.Delay))
+	}
+	switch {
+	case path == cwcodec.PathTableRead:
+		s.handleRead(ctx)
+	case path == cwcodec.PathTableScan:
+		s.handleScan(ctx)
+	case path == cwcodec.PathTableCommit:
+		s.handleCommit(ctx)
+	case path == cwcodec.PathHosts:
+		s.handleHosts(ctx)
+	case strings.HasPrefix(path, cwcodec.PathObject):
+		s.handleObject(ctx, strings.TrimPrefix(path, cwcodec.PathObject))
+	default:
+		cwhttp.WriteError(ctx, cwfault.New(cwfault.NotFound, "no such path %s", path))
+	}
+}
+
+func (s *Store) present() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+func (s *Store) handleRegister(ctx *fasthttp.RequestCtx) {
+	var document cwcodec.Host
+	if err := cwhttp.DecodeStrict(ctx.PostBody(), &document); err != nil {
+		cwhttp.WriteError(ctx, err)
+		return
+	}
+	host, err := document.Core()
+	if err != nil {
+		cwhttp.WriteError(ctx, err)
+		return
+	}
+	s.Register(host)
+	cwhttp.WriteJSON(ctx, fasthttp.StatusOK, document)
+}
+
+func (s *Store) handleFaults(ctx *fasthttp.RequestCtx) {
+	var faults Faults
+	if err := cwhttp.DecodeStrict(ctx.PostBody(), &faults); err != nil {
+		cwhttp.WriteError(ctx, err)
+		return
+	}
+	s.SetFaults(faults)
+	cwhttp.WriteJSON(ctx, fasthttp.StatusOK, faults)
+}
+
+func (s *Store) handleRead(ctx *fasthttp.RequestCtx) {
+	var in cwcodec.ReadRequest
+	if err := cwhttp.DecodeStrict(ctx.PostBody(), &in); err != nil {
+		cwhttp.WriteError(ctx, err)
+		return
+	}
+	cwhttp.WriteJSON(ctx, fasthttp.StatusOK, cwcodec.RowOf(s.table.Read(in.Key)))
+}
+
+func (s *Store) handleScan(ctx *fasthttp.RequestCtx) {
+	var in cwcodec.ScanRequest
+	if err := cwhttp.DecodeStrict(ctx.PostBody(), &in); err != nil {
+		cwhttp.WriteError(ctx, err)
+		return
+	}
+	answer := cwcodec.ScanAnswer{Rows: []cwcodec.Row{}}
+	for _, row := range s.table.Scan(in.Prefix, in.After, in.Limit) {
+		answer.Rows = append(answer.Rows, cwcodec.RowOf(row))
+	}
+	cwhttp.WriteJSON(ctx, fasthttp.StatusOK, answer)
+}
+
+func (s *Store) handleCommit(ctx *fasthttp.RequestCtx) {
+	var in cwcodec.CommitRequest
+	if err := cwhttp.DecodeStrict(ctx.PostBody(), &in); err != nil {
+		cwhttp.WriteError(ctx, err)
+		return
+	}
+	if err := s.table.Commit(in.Core()); err != nil {
+		cwhttp.WriteError(ctx, err)
+		return
+	}
+	if s.losesAnswer() {
+		cwhttp.WriteError(ctx, cwfault.New(cwfault.Indefinite, "the answer was lost"))
+		return
+	}
+	cwhttp.WriteJSON(ctx, fasthttp.StatusOK, struct{}{})
+}
+
+func (s *Store) losesAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseAnswer <= 0 {
+		return false
+	}
+	s.faults.LoseAnswer--
+	return true
+}
+
+func (s *Store) handleHosts(ctx *fasthttp.RequestCtx) {
+	answer := cwcodec.HostsAnswer{Hosts: []cwcodec.Host{}}
+	s.mu.Lock()
+	for _, host := range s.hosts {
+		answer.Hosts = append(answer.Hosts, cwcodec.HostOf(host))
+	}
+	s.mu.Unlock()
+	slices.SortFunc(answer.Hosts, func(a, b cwcodec.Host) int { return strings.Compare(a.ID, b.ID) })
+	cwhttp.WriteJSON(ctx, fasthttp.StatusOK, answer)
+}
+
+func (s *Store) handleObject(ctx *fasthttp.RequestCtx, key string) {
+	switch string(ctx.Method()) {
+	case fasthttp.MethodPut:
+		s.objects.Put(key, ctx.PostBody())
+	case fasthttp.MethodDelete:
+		s.objects.Delete(key)
+	default:
+		body, err := s.objects.Get(key)
+		if err != nil {
+			cwhttp.WriteError(ctx, err)
+			return
+		}
+		ctx.SetBody(body)
+	}
+}
