--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,31 @@
+// Command measure runs the measurements whose figures stand in docs/MEASUREMENTS.md and docs/CAPACITY.md.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"currantward/internal/bench/cwlatency"
+)
+
+type arguments struct {
+	Latency *cwlatency.Arguments `arg:"subcommand:latency" help:"added latency of a request as a ratio to calling the worker directly"`
+}
+
+func main() {
+	var a arguments
+	parser := arg.MustParse(&a)
+	var err error
+	switch {
+	case a.Latency != nil:
+		err = cwlatency.Run(*a.Latency, os.Stdout)
+	default:
+		parser.Fail("a subcommand is needed")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "error:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,130 @@
+// Command standin runs the stand-ins for the platform and for workers.
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/sirupsen/logrus"
+
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/standin/cwrunner"
+	"currantward/internal/standin/cwstore"
+)
+
+type platformArgs struct {
+	Listen netip.AddrPort `arg:"--listen" default:"127.0.0.1:9000" help:"address to listen on"`
+	Hosts  string         `arg:"--hosts" help:"JSON file with the hosts that the list begins with"`
+}
+
+type workersArgs struct {
+	Platform     netip.AddrPort `arg:"--platform,required" help:"address of the platform to register with"`
+	DataCentre   string         `arg:"--data-centre,required" help:"data centre of the workers"`
+	Count        int            `arg:"--count" default:"1" help:"workers in this process"`
+	Prefix       string         `arg:"--prefix" default:"worker" help:"start of the workers' names"`
+	PerRack      int            `arg:"--per-rack" default:"8" help:"workers in a rack"`
+	Processors   float64        `arg:"--processors" default:"16" help:"processors of each worker"`
+	MemoryMiB    int64          `arg:"--memory-mib" default:"65536" help:"memory of each worker"`
+	Accelerators int64          `arg:"--accelerators" default:"0" help:"accelerators of each worker"`
+	Slots        int64          `arg:"--slots" default:"8" help:"slots of each worker"`
+	Connections  int64          `arg:"--connections" default:"60" help:"connections of each worker"`
+}
+
+type arguments struct {
+	Platform *platformArgs `arg:"subcommand:platform" help:"run a stand-in platform"`
+	Workers  *workersArgs  `arg:"subcommand:workers" help:"run stand-in workers"`
+}
+
+func main() {
+	var a arguments
+	parser := arg.MustParse(&a)
+	timer, stop := cwtimer.New()
+	defer stop()
+	log := cwlog.New(os.Stderr, logrus.InfoLevel)
+	var err error
+	switch {
+	case a.Platform != nil:
+		err = runPlatform(a.Platform, timer, log)
+	case a.Workers != nil:
+		err = runWorkers(a.Workers, timer, log)
+	default:
+		parser.Fail("a subcommand is needed")
+	}
+	if err != nil {
+		log.WithFields(logrus.Fields{"error": err.Error()}).Error("stand-in-failed")
+		os.Exit(1)
+	}
+}
+
+// awaitSignal blocks until the process is told to end.
+func awaitSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+}
+
+func runPlatform(a *platformArgs, timer *cwtimer.Service, log *logrus.Logger) error {
+	store, bound, stop, err := cwstore.New(cwstore.Options{Listen: a.Listen, Timer: timer, Log: log})
+	if err != nil {
+		return err
+	}
+	defer stop()
+	if err = registerHosts(store, a.Hosts); err != nil {
+		return err
+	}
+	log.WithFields(logrus.Fields{"address": bound}).Info("platform-started")
+	awaitSignal()
+	return nil
+}
+
+// registerHosts adds the hosts of a file to the host list; no file adds none.
+func registerHosts(store *cwstore.Store, path string) error {
+	if path == "" {
+		return nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var document cwcodec.HostsAnswer
+	if err = cwhttp.DecodeStrict(data, &document); err != nil {
+		return err
+	}
+	for _, row := range document.Hosts {
+		host, err := row.Core()
+		if err != nil {
+			return err
+		}
+		store.Register(host)
+	}
+	return nil
+}
+
+func runWorkers(a *workersArgs, timer *cwtimer.Service, log *logrus.Logger) error {
+	capacity := cwcodec.Resources{
+		Processors: a.Processors, MemoryMiB: a.MemoryMiB, Accelerators: a.Accelerators, Slots: a.Slots, Connections: a.Connections,
+	}
+	listen := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+	for n := range a.Count {
+		worker := cwmodel.Worker{
+			ID: cwmodel.HostID(fmt.Sprintf("%s-%03d", a.Prefix, n)), DataCentre: cwmodel.DataCentre(a.DataCentre),
+			Rack: fmt.Sprintf("rack-%02d", n/max(a.PerRack, 1)), Capacity: capacity.Core(),
+		}
+		_, bound, stop, err := cwrunner.New(cwrunner.Options{Listen: listen, Platform: a.Platform, Worker: worker, Timer: timer, Log: log})
+		if err != nil {
+			return err
+		}
+		defer stop()
+		log.WithFields(logrus.Fields{"worker": worker.ID, "address": bound}).Info("worker-started")
+	}
+	awaitSignal()
+	return nil
+}
--- /dev/null
+++ b/internal/adapter/cwfront/front.go
@@ -0,0 +1,127 @@
+// Package cwfront is the HTTP listener for callers.
+package cwfront
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/core/cwmodel"
+)
+
+// Paths of the callers' protocol.
+const (
+	PathRequests = "/v1/requests"
+	PathHealth   = "/v1/health"
+)
+
+// Options set up the listener.
+type Options struct {
+	Listen netip.AddrPort
+	Limits cwhttp.ServerOptions
+	Log    *logrus.Logger
+
+	// Run takes one request from its arrival to its answer.
+	Run func(ctx context.Context, request cwmodel.Request) cwmodel.Answer
+	// Ready reports whether this host takes requests.
+	Ready func() bool
+}
+
+// New starts the listener and returns its address and the function that ends it gracefully.
+func New(opts Options) (bound netip.AddrPort, stop func(), err error) {
+	f := &front{opts: opts}
+	return cwhttp.Serve(opts.Listen, f.handle, opts.Limits)
+}
+
+// front answers callers.
+type front struct{ opts Options }
+
+func (f *front) handle(ctx *fasthttp.RequestCtx) {
+	path, method := string(ctx.Path()), string(ctx.Method())
+	switch {
+	case path == PathRequests && method == fasthttp.MethodPost:
+		f.handleRequest(ctx)
+	case path == PathRequests:
+		cwhttp.WriteError(ctx, cwfault.New(cwfault.NotSupported, "%s takes POST only", path))
+	case path == PathHealth:
+		f.handleHealth(ctx)
+	default:
+		cwhttp.WriteError(ctx, cwfault.New(cwfault.NotFound, "no such path %s", path))
+	}
+}
+
+func (f *front) handleHealth(ctx *fasthttp.RequestCtx) {
+	if !f.opts.Ready() {
+		cwhttp.WriteError(ctx, cwfault.New(cwfault.Unavailable, "this host takes no requests"))
+		return
+	}
+	cwhttp.WriteJSON(ctx, fasthttp.StatusOK, struct {
+		Status string `json:"status"`
+	}{"ready"})
+}
+
+func (f *front) handleRequest(ctx *fasthttp.RequestCtx) {
+	request, err := decode(ctx.PostBody())
+	if err != nil {
+		cwhttp.WriteError(ctx, err)
+		return
+	}
+	answer := f.opts.Run(ctx, request)
+	cwhttp.WriteJSON(ctx, statusOf(answer), cwcodec.AnswerOf(answer))
+}
+
+func decode(body []byte) (request cwmodel.Request, err error) {
+	var document cwcodec.Submission
+	if err = cwhttp.DecodeStrict(body, &document); err != nil {
+		return request, err
+	}
+	if document.Profile == "" {
+		return request, cwfault.New(cwfault.Invalid, "profile: missing")
+	}
+	request = cwmodel.Request{
+		Profile:        cwmodel.ProfileName(document.Profile),
+		Team:           cwmodel.TeamName(document.Team),
+		Deadline:       time.Duration(document.Deadline),
+		IdempotencyKey: document.IdempotencyKey,
+		Payload:        append([]byte(nil), document.Payload...),
+	}
+	if document.Demand != nil {
+		demand := document.Demand.Core()
+		if !demand.IsNonNegative() {
+			return request, cwfault.New(cwfault.Invalid, "demand: a resource is negative")
+		}
+		request.Demand = &demand
+	}
+	return request, nil
+}
+
+// statusOf maps an answer to its HTTP status; the document says the rest.
+func statusOf(answer cwmodel.Answer) int {
+	switch answer.Outcome {
+	case cwmodel.OutcomeDone:
+		return fasthttp.StatusOK
+	case cwmodel.OutcomeFailed:
+		return fasthttp.StatusBadGateway
+	case cwmodel.OutcomeUnknown:
+		return fasthttp.StatusGatewayTimeout
+	case cwmodel.OutcomeCancelled:
+		return fasthttp.StatusConflict
+	}
+	switch answer.Reason {
+	case cwmodel.ReasonUnknownProfile, cwmodel.ReasonUnknownTeam:
+		return fasthttp.StatusNotFound
+	case cwmodel.ReasonTooLarge, cwmodel.ReasonOverQuota:
+		return fasthttp.StatusUnprocessableEntity
+	case cwmodel.ReasonDeadlinePassed, cwmodel.ReasonNoTimeLeft:
+		return fasthttp.StatusRequestTimeout
+	case cwmodel.ReasonQueueFull:
+		return fasthttp.StatusTooManyRequests
+	}
+	return fasthttp.StatusServiceUnavailable
+}
--- a/internal/adapter/cwmemory/worker.go
+++ b/internal/adapter/cwmemory/worker.go
@@ -249,7 +249,7 @@
 		isDue := !e.ends.IsZero() && !e.ends.After(now)
 		lapsed := !e.LeaseEnds.After(now)
 		switch {
-		case isDue && !(lapsed && e.LeaseEnds.Before(e.ends)):
+		case isDue && (!lapsed || !e.LeaseEnds.Before(e.ends)):
 			w.end(e, e.ends, e.plan.End, e.plan.Message, e.plan.Answer)
 		case lapsed:
 			w.end(e, e.LeaseEnds, cwmodel.EndLapsed, "the lease ended", nil)
--- /dev/null
+++ b/internal/adapter/cwmetric/metric.go
@@ -0,0 +1,64 @@
+// Package cwmetric publishes metrics by client_golang.
+package cwmetric
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"currantward/internal/core/cwmodel"
+)
+
+// Metrics holds the metrics of one process.
+type Metrics struct {
+	registry *prometheus.Registry
+	answers  *prometheus.CounterVec
+	waited   *prometheus.HistogramVec
+	ran      *prometheus.HistogramVec
+	total    *prometheus.HistogramVec
+}
+
+// waitBuckets are the upper bounds of the histograms' buckets, in seconds.
+var waitBuckets = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.1, 2.5, 5, 10, 30, 60, 300}
+
+// New returns metrics with their own registry.
+func New() *Metrics {
+	labels := []string{"profile", "team"}
+	histogram := func(name, help string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: waitBuckets}, labels)
+	}
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "currantward_answers_total", Help: "Answers to callers by outcome and reason.",
+		}, append(labels, "outcome", "reason")),
+		waited: histogram("currantward_wait_seconds", "Time from arrival to the last start."),
+		ran:    histogram("currantward_run_seconds", "Time from the last start to its end."),
+		total:  histogram("currantward_answer_seconds", "Time from arrival to the answer."),
+	}
+	m.registry.MustRegister(m.answers, m.waited, m.ran, m.total)
+	return m
+}
+
+// Observe records one answer.
+func (m *Metrics) Observe(profile cwmodel.ProfileName, team cwmodel.TeamName, answer cwmodel.Answer, took time.Duration) {
+	p, t := string(profile), string(team)
+	m.answers.WithLabelValues(p, t, string(answer.Outcome), string(answer.Reason)).Inc()
+	m.total.WithLabelValues(p, t).Observe(took.Seconds())
+	if answer.Attempts > 0 {
+		m.waited.WithLabelValues(p, t).Observe(answer.Waited.Seconds())
+		m.ran.WithLabelValues(p, t).Observe(answer.Ran.Seconds())
+	}
+}
+
+// Gauge publishes a value that is read when metrics are collected.
+func (m *Metrics) Gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+}
+
+// Handler returns the handler that serves the metrics.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/internal/adapter/cwpeer/convert.go
@@ -0,0 +1,67 @@
+package cwpeer
+
+import (
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"currantward/internal/adapter/cwpeerwire"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwpolicy"
+	"currantward/internal/port/cwport"
+)
+
+func resourcesToWire(r cwmodel.Resources) *cwpeerwire.Resources {
+	return &cwpeerwire.Resources{
+		MilliProcessors: r.MilliProcessors, MemoryBytes: r.MemoryBytes, Accelerators: r.Accelerators,
+		Slots: r.Slots, Connections: r.Connections,
+	}
+}
+
+func resourcesFromWire(r *cwpeerwire.Resources) cwmodel.Resources {
+	return cwmodel.Resources{
+		MilliProcessors: r.GetMilliProcessors(), MemoryBytes: r.GetMemoryBytes(), Accelerators: r.GetAccelerators(),
+		Slots: r.GetSlots(), Connections: r.GetConnections(),
+	}
+}
+
+func digestToWire(d cwport.Digest) *cwpeerwire.Digest {
+	return &cwpeerwire.Digest{
+		Host: string(d.Host), DataCentre: string(d.DataCentre), Address: d.Address.String(), Configuration: uint64(d.Configuration),
+		Workers: int64(d.Workers), Free: resourcesToWire(d.Free), LargestFree: resourcesToWire(d.LargestFree),
+		Waiting: int64(d.Waiting), Leaving: d.Leaving,
+	}
+}
+
+func digestFromWire(d *cwpeerwire.Digest) (cwport.Digest, error) {
+	addr, err := netip.ParseAddrPort(d.GetAddress())
+	return cwport.Digest{
+		Host: cwmodel.HostID(d.GetHost()), DataCentre: cwmodel.DataCentre(d.GetDataCentre()), Address: addr,
+		Configuration: cwpolicy.Version(d.GetConfiguration()), Workers: int(d.GetWorkers()), Free: resourcesFromWire(d.GetFree()),
+		LargestFree: resourcesFromWire(d.GetLargestFree()), Waiting: int(d.GetWaiting()), Leaving: d.GetLeaving(),
+	}, err
+}
+
+func forwardToWire(t cwmodel.Task, hops int, now time.Time) *cwpeerwire.ForwardRequest {
+	return &cwpeerwire.ForwardRequest{
+		Task: string(t.ID), Profile: string(t.Profile), Team: string(t.Team), Demand: resourcesToWire(t.Demand),
+		Arrived: timestamppb.New(t.Arrived), TimeLeft: durationpb.New(t.Deadline.Sub(now)), Payload: t.Payload, Hops: int32(hops),
+	}
+}
+
+func answerToWire(a cwmodel.Answer) *cwpeerwire.ForwardAnswer {
+	return &cwpeerwire.ForwardAnswer{
+		Outcome: string(a.Outcome), Reason: string(a.Reason), Message: a.Message, Attempts: int32(a.Attempts),
+		Worker: string(a.Worker), Payload: a.Payload, Waited: durationpb.New(a.Waited), Ran: durationpb.New(a.Ran),
+	}
+}
+
+func answerFromWire(id cwmodel.TaskID, a *cwpeerwire.ForwardAnswer) (cwmodel.Answer, error) {
+	outcome, err := cwmodel.ParseOutcome(a.GetOutcome())
+	return cwmodel.Answer{
+		Task: id, Outcome: outcome, Reason: cwmodel.Reason(a.GetReason()), Message: a.GetMessage(), Attempts: int(a.GetAttempts()),
+		Worker: cwmodel.HostID(a.GetWorker()), Payload: a.GetPayload(), Waited: a.GetWaited().AsDuration(), Ran: a.GetRan().AsDuration(),
+	}, err
+}
--- /dev/null
+++ b/internal/adapter/cwpeer/server.go
@@ -0,0 +1,105 @@
+package cwpeer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
+
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/adapter/cwpeerwire"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwpolicy"
+	"currantward/internal/port/cwport"
+)
+
+// ServerOptions hold what answers the peers.
+type ServerOptions struct {
+	Listen          netip.AddrPort
+	Timer           *cwtimer.Service
+	Log             *logrus.Logger
+	ShutdownTimeout time.Duration
+
+	// Exchange takes a peer's digest and returns ours.
+	Exchange func(theirs cwport.Digest) cwport.Digest
+	// Forward runs a request that a peer handed over.
+	Forward func(ctx context.Context, task cwmodel.Task, hops int) (cwmodel.Answer, error)
+	// Configuration returns the configuration in force.
+	Configuration func() cwpolicy.Configuration
+}
+
+// server answers peers.
+type server struct{ opts ServerOptions }
+
+// Serve listens for peers and returns the bound address and the function that ends the listener gracefully.
+func Serve(opts ServerOptions) (bound netip.AddrPort, stop func(), err error) {
+	defer func() { err = eris.Wrap(err, "serve peers") }()
+	listener, err := net.Listen("tcp", opts.Listen.String())
+	if err != nil {
+		return bound, nil, err
+	}
+	bound = cwhttp.BoundAddress(listener)
+	web := &http.Server{
+		Handler:           cwpeerwire.NewPeerServer(&server{opts: opts}),
+		ReadHeaderTimeout: 5 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := web.Serve(listener); !eris.Is(err, http.ErrServerClosed) {
+			opts.Log.WithFields(logrus.Fields{"listener": "peers", "error": err.Error()}).Error("listener-failed")
+		}
+	}()
+	stop = func() {
+		ctx, cancel := context.WithTimeout(context.Background(), opts.ShutdownTimeout)
+		defer cancel()
+		_ = web.Shutdown(ctx)
+		_ = web.Close()
+		<-ended
+	}
+	return bound, stop, nil
+}
+
+// Exchange implements the twirp service.
+func (s *server) Exchange(_ context.Context, theirs *cwpeerwire.Digest) (*cwpeerwire.Digest, error) {
+	digest, err := digestFromWire(theirs)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("address", err.Error())
+	}
+	return digestToWire(s.opts.Exchange(digest)), nil
+}
+
+// Forward implements the twirp service.
+func (s *server) Forward(ctx context.Context, in *cwpeerwire.ForwardRequest) (*cwpeerwire.ForwardAnswer, error) {
+	task := cwmodel.Task{
+		ID: cwmodel.TaskID(in.GetTask()), Profile: cwmodel.ProfileName(in.GetProfile()), Team: cwmodel.TeamName(in.GetTeam()),
+		Demand: resourcesFromWire(in.GetDemand()), Arrived: in.GetArrived().AsTime(),
+		Deadline: s.opts.Timer.Now().Add(in.GetTimeLeft().AsDuration()), Payload: in.GetPayload(),
+	}
+	answer, err := s.opts.Forward(ctx, task, int(in.GetHops()))
+	if cwfault.CodeOf(err) == cwfault.Unavailable {
+		return nil, twirp.NewError(twirp.FailedPrecondition, cwfault.MessageOf(err))
+	}
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return answerToWire(answer), nil
+}
+
+// GetConfiguration implements the twirp service.
+func (s *server) GetConfiguration(context.Context, *cwpeerwire.ConfigurationRequest) (*cwpeerwire.ConfigurationAnswer, error) {
+	document, err := cwcodec.EncodeConfiguration(s.opts.Configuration())
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &cwpeerwire.ConfigurationAnswer{Document: document}, nil
+}
--- /dev/null
+++ b/internal/app/cwcommand/command.go
@@ -0,0 +1,208 @@
+// Package cwcommand holds the subcommands of the command line.
+package cwcommand
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/valyala/fasthttp"
+
+	"currantward/internal/adapter/cwadmin"
+	"currantward/internal/app/cwdev"
+	"currantward/internal/app/cwsettings"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/base/cwtimer"
+)
+
+// Version is the version of this program.
+const Version = "currantward 0.1.0"
+
+// Exit codes of the program.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1 // the operation failed
+	ExitUsage    = 2 // the command line or a file is wrong
+	ExitConflict = 3 // another change came first
+	ExitNotRun   = 4 // the request was not run
+)
+
+// arguments is the command line.
+type arguments struct {
+	Serve    *serveArgs    `arg:"subcommand:serve" help:"run one entry host"`
+	Dev      *devArgs      `arg:"subcommand:dev" help:"run a whole deployment in this process and serve a file of requests"`
+	Submit   *submitArgs   `arg:"subcommand:submit" help:"submit one request or a file of requests"`
+	Profile  *profileArgs  `arg:"subcommand:profile" help:"list, get, put or delete profiles"`
+	Import   *fileArgs     `arg:"subcommand:import" help:"replace the whole configuration by that of a file"`
+	Totals   *totalsArgs   `arg:"subcommand:totals" help:"print the totals of one day"`
+	Status   *operatorArgs `arg:"subcommand:status" help:"print what an entry host says of itself and its peers"`
+	Drain    *operatorArgs `arg:"subcommand:drain" help:"shut one entry host down gracefully"`
+	Settings *checkArgs    `arg:"subcommand:check-settings" help:"check a settings file and name every fault"`
+}
+
+// Description is printed by --help.
+func (arguments) Description() string {
+	return "currantward schedules requests, batch runs, gangs and services on one shared fleet."
+}
+
+// Version is printed by --version.
+func (arguments) Version() string { return Version }
+
+// operatorArgs name the listener for operators.
+type operatorArgs struct {
+	Operators netip.AddrPort `arg:"--operators" default:"127.0.0.1:8081" help:"address of the entry host's listener for operators"`
+}
+
+type serveArgs struct {
+	Settings string `arg:"positional,required" help:"JSON settings file"`
+}
+
+type checkArgs struct {
+	Settings string `arg:"positional,required" help:"JSON settings file"`
+}
+
+// runtime is what the subcommands share.
+type runtime struct {
+	out    io.Writer
+	errors io.Writer
+	timer  *cwtimer.Service
+}
+
+// Run carries out one command line and returns its exit code.
+func Run(args []string, out, errors io.Writer) int {
+	var a arguments
+	parser, err := arg.NewParser(arg.Config{Program: "currantward"}, &a)
+	if err != nil {
+		fmt.Fprintln(errors, err)
+		return ExitUsage
+	}
+	if code, ended := parse(parser, args, out, errors); ended {
+		return code
+	}
+	timer, stop := cwtimer.New()
+	defer stop()
+	r := &runtime{out: out, errors: errors, timer: timer}
+	return r.exit(r.dispatch(&a))
+}
+
+func parse(parser *arg.Parser, args []string, out, errs io.Writer) (code int, ended bool) {
+	err := parser.Parse(args)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
+		return ExitOK, true
+	case errors.Is(err, arg.ErrVersion):
+		fmt.Fprintln(out, Version)
+		return ExitOK, true
+	case err == nil && parser.Subcommand() == nil:
+		parser.WriteHelp(errs)
+		return ExitUsage, true
+	case err != nil:
+		_ = parser.WriteUsageForSubcommand(errs, parser.SubcommandNames()...)
+		fmt.Fprintln(errs, "error:", err)
+		return ExitUsage, true
+	}
+	return ExitOK, false
+}
+
+func (r *runtime) dispatch(a *arguments) error {
+	switch {
+	case a.Serve != nil:
+		return r.serve(a.Serve)
+	case a.Dev != nil:
+		return r.dev(a.Dev)
+	case a.Submit != nil:
+		return r.submit(a.Submit)
+	case a.Profile != nil:
+		return r.profile(a.Profile)
+	case a.Import != nil:
+		return r.importConfiguration(a.Import)
+	case a.Totals != nil:
+		return r.totals(a.Totals)
+	case a.Status != nil:
+		return r.print(a.Status.Operators, fasthttp.MethodGet, cwadmin.PathStatus)
+	case a.Drain != nil:
+		return r.print(a.Drain.Operators, fasthttp.MethodPost, cwadmin.PathDrain)
+	}
+	return r.checkSettings(a.Settings)
+}
+
+// exit prints an error and returns the exit code that belongs to it.
+func (r *runtime) exit(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintf(r.errors, "error: %s: %s\n", cwfault.CodeOf(err), cwfault.MessageOf(err))
+	switch cwfault.CodeOf(err) {
+	case cwfault.Invalid:
+		return ExitUsage
+	case cwfault.Conflict:
+		return ExitConflict
+	case cwfault.Refused:
+		return ExitNotRun
+	}
+	return ExitFailed
+}
+
+func (r *runtime) checkSettings(a *checkArgs) error {
+	settings, err := cwsettings.Load(a.Settings)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(r.out, "settings of %s are valid\n", settings.HostID)
+	return nil
+}
+
+func (r *runtime) serve(a *serveArgs) error {
+	settings, err := cwsettings.Load(a.Settings)
+	if err != nil {
+		return err
+	}
+	log := cwlog.New(r.errors, settings.LogLevel)
+	entry, stop, err := cwdev.StartEntry(settings, r.timer, log)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	ctx, cancel := signalContext()
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-entry.Drained:
+	}
+	return nil
+}
+
+// signalContext ends at the first interrupt or termination signal.
+func signalContext() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
+
+// print calls one operation and prints its JSON answer.
+func (r *runtime) print(addr netip.AddrPort, method, path string) error {
+	var document json.RawMessage
+	if err := r.call(addr, method, path, nil, &document); err != nil {
+		return err
+	}
+	fmt.Fprintln(r.out, string(document))
+	return nil
+}
+
+func (r *runtime) call(addr netip.AddrPort, method, path string, in, out any) error {
+	const limit = 10 * time.Second
+	client, stop := cwhttp.NewClient(cwhttp.DefaultClientOptions())
+	defer stop()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return client.Call(ctx, method, addr, path, in, out)
+}
--- /dev/null
+++ b/internal/app/cwcommand/dev.go
@@ -0,0 +1,110 @@
+package cwcommand
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"currantward/internal/adapter/cwadmin"
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/app/cwdev"
+	"currantward/internal/app/cwsettings"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/core/cwpolicy"
+)
+
+// devArgs are the options of dev.
+type devArgs struct {
+	Examples []string `arg:"positional,required" help:"folders that hold deployment.json, configuration.json and requests.jsonl"`
+	Keep     bool     `arg:"--keep" help:"go on serving the last folder until interrupted"`
+	Parallel int      `arg:"--parallel" default:"32" help:"requests in flight at once"`
+	LogLevel string   `arg:"--log-level" default:"warning" help:"level of the log on standard error"`
+}
+
+// deployment is the file deployment.json: what dev starts.
+type deployment struct {
+	Settings       cwsettings.Document `json:"settings"`
+	Workers        int                 `json:"workers"`
+	WorkersPerRack int                 `json:"workers-per-rack"`
+	Capacity       cwcodec.Resources   `json:"capacity"`
+}
+
+func (r *runtime) dev(a *devArgs) error {
+	level, err := logrus.ParseLevel(a.LogLevel)
+	if err != nil {
+		return err
+	}
+	for n, folder := range a.Examples {
+		keep := a.Keep && n == len(a.Examples)-1
+		if err = r.runExample(folder, a.Parallel, keep, cwlog.New(r.errors, level)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// runExample starts one deployment, submits its file of requests and prints the totals.
+func (r *runtime) runExample(folder string, parallel int, keep bool, log *logrus.Logger) error {
+	opts, err := r.loadExample(folder)
+	if err != nil {
+		return err
+	}
+	opts.Log = log
+	requests, err := readFile(filepath.Join(folder, "requests.jsonl"))
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(r.errors, "%s: %d workers, one entry host\n", folder, opts.Workers)
+	deployment, stop, err := cwdev.New(opts)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	if _, err = r.submitAll(deployment.Entry.Callers, requests, parallel, true); err != nil {
+		return err
+	}
+	var totals cwcodec.Totals
+	if err = r.call(deployment.Entry.Operators, fasthttp.MethodGet, cwadmin.PathTotals, nil, &totals); err != nil {
+		return err
+	}
+	if _, err = r.out.Write(cwadmin.TotalsCSV(totals.Core())); err != nil {
+		return err
+	}
+	if keep {
+		fmt.Fprintf(r.errors, "callers %s, operators %s; interrupt to stop\n", deployment.Entry.Callers, deployment.Entry.Operators)
+		ctx, cancel := signalContext()
+		defer cancel()
+		<-ctx.Done()
+	}
+	return nil
+}
+
+func (r *runtime) loadExample(folder string) (opts cwdev.Options, err error) {
+	data, err := readFile(filepath.Join(folder, "deployment.json"))
+	if err != nil {
+		return opts, err
+	}
+	document := deployment{Settings: cwsettings.Defaults()}
+	if err = cwhttp.DecodeStrict(data, &document); err != nil {
+		return opts, err
+	}
+	settings, err := document.Settings.Check()
+	if err != nil {
+		return opts, err
+	}
+	data, err = readFile(filepath.Join(folder, "configuration.json"))
+	if err != nil {
+		return opts, err
+	}
+	var cfg cwpolicy.Configuration
+	if cfg, err = cwcodec.DecodeConfiguration(data); err != nil {
+		return opts, err
+	}
+	return cwdev.Options{
+		Timer: r.timer, Settings: settings, Configuration: cfg, Workers: document.Workers,
+		Capacity: document.Capacity.Core(), WorkersPerRow: document.WorkersPerRack,
+	}, nil
+}
--- /dev/null
+++ b/internal/app/cwdev/client.go
@@ -0,0 +1,41 @@
+package cwdev
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"currantward/internal/adapter/cwadmin"
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwpolicy"
+)
+
+// PutConfiguration commits cfg on top of what the entry host has.
+func PutConfiguration(ctx context.Context, operators netip.AddrPort, client *cwhttp.Client, cfg cwpolicy.Configuration) error {
+	var present cwcodec.Configuration
+	if err := client.Call(ctx, fasthttp.MethodGet, operators, cwadmin.PathConfiguration, nil, &present); err != nil {
+		return err
+	}
+	cfg.Version = cwpolicy.Version(present.Version + 1)
+	return client.Call(ctx, fasthttp.MethodPut, operators, cwadmin.PathConfiguration, cwcodec.ConfigurationOf(cfg), nil)
+}
+
+// AwaitWorkers waits until the entry host holds a configuration and owns at least the given number of workers.
+func AwaitWorkers(ctx context.Context, operators netip.AddrPort, client *cwhttp.Client, timer *cwtimer.Service, workers int) error {
+	const pause = 20 * time.Millisecond
+	for {
+		var status cwadmin.Status
+		err := client.Call(ctx, fasthttp.MethodGet, operators, cwadmin.PathStatus, nil, &status)
+		if err == nil && status.Workers >= workers && status.Configuration > 0 {
+			return nil
+		}
+		if !timer.Sleep(ctx.Done(), pause) {
+			return cwfault.New(cwfault.Unavailable, "the host owns %d of %d workers", status.Workers, workers)
+		}
+	}
+}
--- /dev/null
+++ b/internal/app/cwdev/dev.go
@@ -0,0 +1,119 @@
+// Package cwdev runs a whole deployment in one process over real loopback TCP.
+package cwdev
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"currantward/internal/adapter/cwplatform"
+	"currantward/internal/adapter/cwworker"
+	"currantward/internal/app/cwentry"
+	"currantward/internal/app/cwsettings"
+	"currantward/internal/base/cwduty"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwpolicy"
+	"currantward/internal/standin/cwrunner"
+	"currantward/internal/standin/cwstore"
+)
+
+// Options set up a deployment in one process.
+type Options struct {
+	Timer         *cwtimer.Service
+	Log           *logrus.Logger
+	Settings      cwsettings.Settings
+	Configuration cwpolicy.Configuration
+	Workers       int
+	Capacity      cwmodel.Resources
+	WorkersPerRow int // workers in one rack
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	Entry *cwentry.Entry
+}
+
+// anyPort lets the system choose a loopback port.
+var anyPort = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+
+// New starts the platform, the workers and one entry host, and returns the function that stops them all.
+func New(opts Options) (d *Deployment, stop func(), err error) {
+	defer func() { err = eris.Wrap(err, "start deployment") }()
+	var cleanup cwduty.Cleanup
+	defer func() {
+		if err != nil {
+			cleanup.Run()
+		}
+	}()
+	_, platform, stopStore, err := cwstore.New(cwstore.Options{Listen: anyPort, Timer: opts.Timer, Log: opts.Log})
+	if err != nil {
+		return nil, nil, err
+	}
+	cleanup.Add(stopStore)
+	if err = startWorkers(opts, platform, &cleanup); err != nil {
+		return nil, nil, err
+	}
+	opts.Settings.Platform = platform
+	entry, stopEntry, err := StartEntry(opts.Settings, opts.Timer, opts.Log)
+	if err != nil {
+		return nil, nil, err
+	}
+	cleanup.Add(stopEntry)
+	client, stopClient := cwhttp.NewClient(cwhttp.DefaultClientOptions())
+	cleanup.Add(stopClient)
+	if err = Prepare(entry.Operators, client, opts); err != nil {
+		return nil, nil, err
+	}
+	return &Deployment{Entry: entry}, cleanup.Run, nil
+}
+
+// StartEntry starts one entry host on the adapters that its settings name.
+func StartEntry(settings cwsettings.Settings, timer *cwtimer.Service, log *logrus.Logger) (e *cwentry.Entry, stop func(), err error) {
+	platform, stopPlatform := cwplatform.New(settings.Platform, cwhttp.DefaultClientOptions())
+	workers, stopWorkers := cwworker.New(cwhttp.DefaultClientOptions())
+	entry, stopEntry, err := cwentry.New(cwentry.Options{
+		Settings: settings, Timer: timer, Log: log, Table: platform.Table(), HostList: platform.HostList(), Workers: workers,
+	})
+	if err != nil {
+		stopWorkers()
+		stopPlatform()
+		return nil, nil, err
+	}
+	return entry, func() {
+		stopEntry()
+		stopWorkers()
+		stopPlatform()
+	}, nil
+}
+
+func startWorkers(opts Options, platform netip.AddrPort, cleanup *cwduty.Cleanup) error {
+	for n := range opts.Workers {
+		worker := cwmodel.Worker{
+			ID: cwmodel.HostID(fmt.Sprintf("worker-%03d", n)), DataCentre: opts.Settings.DataCentre,
+			Rack: fmt.Sprintf("rack-%02d", n/max(opts.WorkersPerRow, 1)), Capacity: opts.Capacity,
+		}
+		_, _, stop, err := cwrunner.New(cwrunner.Options{Listen: anyPort, Platform: platform, Worker: worker, Timer: opts.Timer, Log: opts.Log})
+		if err != nil {
+			return err
+		}
+		cleanup.Add(stop)
+	}
+	return nil
+}
+
+// Prepare puts the first configuration in and waits until the host has claimed its workers.
+func Prepare(operators netip.AddrPort, client *cwhttp.Client, opts Options) (err error) {
+	defer func() { err = eris.Wrap(err, "prepare deployment") }()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	if err = PutConfiguration(ctx, operators, client, opts.Configuration); err != nil {
+		return err
+	}
+	return AwaitWorkers(ctx, operators, client, opts.Timer, opts.Workers)
+}
--- /dev/null
+++ b/internal/app/cwentry/front.go
@@ -0,0 +1,91 @@
+package cwentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"currantward/internal/adapter/cwadmin"
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/adapter/cwfront"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/core/cwdecider"
+	"currantward/internal/core/cwmodel"
+)
+
+// actionOf shortens the name of the decider's action in this package.
+type actionOf = cwdecider.Action
+
+// startFronts starts the listeners for callers and operators.
+func (e *Entry) startFronts() (err error) {
+	o := e.opts
+	limits := cwhttp.DefaultServerOptions("callers", o.Log)
+	limits.MaxBodyBytes = o.Settings.MaxBodyBytes
+	limits.ShutdownTimeout = o.Settings.DrainTimeout
+	bound, stop, err := cwfront.New(cwfront.Options{
+		Listen: o.Settings.ListenCallers, Limits: limits, Log: o.Log, Run: e.run, Ready: e.ready,
+	})
+	if err != nil {
+		return err
+	}
+	e.Callers = bound
+	e.cleanup.Add(stop)
+	bound, stop, err = cwadmin.New(cwadmin.Options{
+		Listen: o.Settings.ListenOperators, Limits: cwhttp.DefaultServerOptions("operators", o.Log), Log: o.Log, Metrics: e.metrics.Handler(),
+		Configuration: e.operator.Configuration, Replace: e.operator.Replace, PutProfile: e.operator.PutProfile,
+		DeleteProfile: e.operator.DeleteProfile, Totals: e.totalsOf, Status: e.status, Drain: e.Drain,
+	})
+	if err != nil {
+		return err
+	}
+	e.Operators = bound
+	e.cleanup.Add(stop)
+	return nil
+}
+
+func (e *Entry) run(ctx context.Context, request cwmodel.Request) cwmodel.Answer {
+	return e.intake.Run(ctx, request)
+}
+
+// ready reports whether this host holds a configuration and is not leaving.
+func (e *Entry) ready() bool { return e.watcher.Present().Version > 0 && !e.intake.Leaving() }
+
+// Drain begins a graceful shutdown: the owner of this entry host is to call its clean-up function.
+func (e *Entry) Drain() {
+	e.drain.Do(func() {
+		e.intake.Leave()
+		close(e.Drained)
+	})
+}
+
+// shutDown refuses new requests, waits for those in flight and ends all duties.
+func (e *Entry) shutDown() {
+	e.Drain()
+	began := e.opts.Timer.Now()
+	for e.scheduler.Load().Running+e.scheduler.Load().Waiting > 0 && e.opts.Timer.Now().Sub(began) < e.opts.Settings.DrainTimeout {
+		e.opts.Timer.Sleep(nil, drainCheck)
+	}
+	left := e.scheduler.Load()
+	e.cleanup.Run()
+	e.opts.Log.WithFields(logrus.Fields{
+		"host-id": e.opts.Settings.HostID, "took": e.opts.Timer.Now().Sub(began).Round(time.Millisecond),
+		"waiting": left.Waiting, "running": left.Running,
+	}).Info("entry-host-stopped")
+}
+
+func (e *Entry) status(context.Context) (cwadmin.Status, error) {
+	load := e.scheduler.Load()
+	status := cwadmin.Status{
+		Host: string(e.opts.Settings.HostID), DataCentre: string(e.opts.Settings.DataCentre),
+		Configuration: uint64(e.watcher.Present().Version), Leaving: e.intake.Leaving(),
+		Workers: load.Workers, Waiting: load.Waiting, Running: load.Running, Free: cwcodec.ResourcesOf(load.Free),
+		Peers: []cwadmin.PeerStatus{},
+	}
+	for _, d := range e.member.Digests() {
+		status.Peers = append(status.Peers, cwadmin.PeerStatus{
+			Host: string(d.Host), DataCentre: string(d.DataCentre), Configuration: uint64(d.Configuration), Workers: d.Workers, Leaving: d.Leaving,
+		})
+	}
+	return status, nil
+}
--- /dev/null
+++ b/internal/app/cwintake/intake.go
@@ -0,0 +1,186 @@
+// Package cwintake takes requests in: it looks up the profile, routes the task and waits for the answer.
+package cwintake
+
+import (
+	"context"
+	"crypto/rand"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwpolicy"
+	"currantward/internal/port/cwport"
+)
+
+// maxHops is how often one request may be forwarded.
+const maxHops = 1
+
+// answerGrace is how long after its deadline a running request may still be answered.
+const answerGrace = 100 * time.Millisecond
+
+// Options set up an intake.
+type Options struct {
+	Timer *cwtimer.Service
+	Log   *logrus.Logger
+	Peers cwport.Peers
+	Self  cwmodel.HostID
+
+	// Configuration returns the configuration in force.
+	Configuration func() *cwpolicy.Configuration
+	// Submit hands a task to the scheduler; it returns false if there is no room.
+	Submit func(t cwmodel.Task, reply func(cwmodel.Answer)) bool
+	// Cancel ends a task.
+	Cancel func(ctx context.Context, id cwmodel.TaskID) error
+	// HasRoom reports whether a task of this demand would start here at once.
+	HasRoom func(demand cwmodel.Resources) bool
+	// Digests returns the latest digests of live peers.
+	Digests func() []cwport.Digest
+	// Told is called once for each answer that a caller of this host is given.
+	Told func(request cwmodel.Request, answer cwmodel.Answer, took time.Duration)
+}
+
+// Intake takes requests in at one entry host.
+type Intake struct {
+	opts    Options
+	leaving atomic.Bool
+}
+
+// New returns an intake.
+func New(opts Options) *Intake { return &Intake{opts: opts} }
+
+// Leave refuses all further requests of callers.
+func (i *Intake) Leave() { i.leaving.Store(true) }
+
+// Leaving reports whether the intake refuses requests.
+func (i *Intake) Leaving() bool { return i.leaving.Load() }
+
+// Run takes one request of a caller from its arrival to its answer.
+func (i *Intake) Run(ctx context.Context, request cwmodel.Request) cwmodel.Answer {
+	arrived := i.opts.Timer.Now()
+	answer := i.run(ctx, request, arrived)
+	took := i.opts.Timer.Now().Sub(arrived)
+	i.opts.Told(request, answer, took)
+	i.opts.Log.WithFields(logrus.Fields{
+		"request-id": answer.Task, "profile": request.Profile, "team": request.Team, "outcome": answer.Outcome,
+		"reason": answer.Reason, "attempts": answer.Attempts, "worker": answer.Worker, "took": took,
+	}).Info("request-answered")
+	return answer
+}
+
+func (i *Intake) run(ctx context.Context, request cwmodel.Request, arrived time.Time) cwmodel.Answer {
+	id := cwmodel.TaskID(rand.Text())
+	if i.leaving.Load() {
+		return refusal(id, cwmodel.ReasonShuttingDown)
+	}
+	task, reason := i.prepare(id, request, arrived)
+	if reason != cwmodel.ReasonNone {
+		return refusal(id, reason)
+	}
+	if !i.opts.HasRoom(task.Demand) {
+		if addr, ok := roomiest(i.opts.Digests(), task.Demand); ok {
+			return i.forward(ctx, addr, task)
+		}
+	}
+	return i.place(ctx, task)
+}
+
+// Accept runs a request that a peer handed over.
+func (i *Intake) Accept(ctx context.Context, task cwmodel.Task, hops int) (answer cwmodel.Answer, err error) {
+	if hops > maxHops {
+		return answer, cwfault.New(cwfault.Unavailable, "forwarded %d times", hops)
+	}
+	profile, ok := i.opts.Configuration().Profile(task.Profile)
+	if !ok {
+		return refusal(task.ID, cwmodel.ReasonUnknownProfile), nil
+	}
+	return i.place(ctx, withProfile(task, profile)), nil
+}
+
+// prepare makes a task of a request, or returns why that cannot be.
+func (i *Intake) prepare(id cwmodel.TaskID, request cwmodel.Request, arrived time.Time) (t cwmodel.Task, reason cwmodel.Reason) {
+	cfg := i.opts.Configuration()
+	if cfg.Version == 0 {
+		return t, cwmodel.ReasonNoConfiguration
+	}
+	profile, ok := cfg.Profile(request.Profile)
+	if !ok {
+		return t, cwmodel.ReasonUnknownProfile
+	}
+	if _, ok = cfg.Team(request.Team); !ok {
+		return t, cwmodel.ReasonUnknownTeam
+	}
+	t = withProfile(cwmodel.Task{ID: id, Team: request.Team, Demand: profile.Demand, Arrived: arrived, Payload: request.Payload}, profile)
+	if request.Demand != nil {
+		t.Demand = *request.Demand
+	}
+	deadline := request.Deadline
+	if deadline == 0 {
+		deadline = profile.Deadline
+	}
+	t.Deadline = arrived.Add(deadline)
+	if deadline < 0 {
+		return t, cwmodel.ReasonDeadlinePassed
+	}
+	return t, cwmodel.ReasonNone
+}
+
+func withProfile(t cwmodel.Task, p cwpolicy.Profile) cwmodel.Task {
+	t.Attempt = 1
+	t.Profile, t.Kind = p.Name, p.Kind
+	t.Lease, t.MaxAttempts = p.Lease, p.MaxAttempts
+	t.Repeatable, t.Checkpointable = p.Repeatable, p.Checkpointable
+	return t
+}
+
+// place runs a task by this host's own scheduler and waits for its answer.
+func (i *Intake) place(ctx context.Context, task cwmodel.Task) cwmodel.Answer {
+	replies := make(chan cwmodel.Answer, 1)
+	if !i.opts.Submit(task, func(answer cwmodel.Answer) { replies <- answer }) {
+		return refusal(task.ID, cwmodel.ReasonOverloaded)
+	}
+	late := make(chan struct{})
+	cancel := i.opts.Timer.After(task.Deadline.Sub(i.opts.Timer.Now())+answerGrace, func(time.Time) { close(late) })
+	defer cancel()
+	select {
+	case answer := <-replies:
+		return answer
+	case <-late:
+	}
+	_ = i.opts.Cancel(ctx, task.ID)
+	return cwmodel.Answer{Task: task.ID, Outcome: cwmodel.OutcomeUnknown, Reason: cwmodel.ReasonDeadlineExceeded}
+}
+
+// forward hands a task to a peer; only a refusal by the peer itself is known to have run nothing.
+func (i *Intake) forward(ctx context.Context, to cwport.Digest, task cwmodel.Task) cwmodel.Answer {
+	ctx, cancel := context.WithDeadline(ctx, task.Deadline.Add(2*answerGrace))
+	defer cancel()
+	answer, err := i.opts.Peers.Forward(ctx, to.Address, task, 1)
+	switch {
+	case err == nil:
+		return answer
+	case cwfault.CodeOf(err) == cwfault.Unavailable:
+		return i.place(ctx, task)
+	}
+	return cwmodel.Answer{Task: task.ID, Outcome: cwmodel.OutcomeUnknown, Message: cwfault.MessageOf(err)}
+}
+
+// roomiest returns the peer with the most room among those whose emptiest worker holds the demand.
+func roomiest(digests []cwport.Digest, demand cwmodel.Resources) (best cwport.Digest, ok bool) {
+	for _, d := range digests {
+		if d.Leaving || !demand.FitsIn(d.LargestFree) {
+			continue
+		}
+		if !ok || d.Free.Slots > best.Free.Slots {
+			best, ok = d, true
+		}
+	}
+	return best, ok
+}
+
+func refusal(id cwmodel.TaskID, reason cwmodel.Reason) cwmodel.Answer {
+	return cwmodel.Answer{Task: id, Outcome: cwmodel.OutcomeNotRun, Reason: reason}
+}
--- /dev/null
+++ b/internal/app/cwscheduler/scheduler.go
@@ -0,0 +1,173 @@
+// Package cwscheduler runs the decider as a duty: events come in by a ring, orders go out to a pool.
+package cwscheduler
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"currantward/internal/base/cwduty"
+	"currantward/internal/base/cwring"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwdecider"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwpolicy"
+	"currantward/internal/port/cwport"
+)
+
+// Options set up a scheduler.
+type Options struct {
+	Timer     *cwtimer.Service
+	Log       *logrus.Logger
+	InboxSize int
+	TickEvery time.Duration
+	Decider   cwdecider.Options
+
+	// Order sends a start or stop order; it must not block.
+	Order func(action cwdecider.Action)
+}
+
+// eventKind names what an event asks of the decider.
+type eventKind string
+
+const (
+	eventSubmit    eventKind = "submit"
+	eventCancel    eventKind = "cancel"
+	eventEnded     eventKind = "ended"
+	eventOwned     eventKind = "worker-owned"
+	eventLost      eventKind = "worker-lost"
+	eventDraining  eventKind = "worker-draining"
+	eventConfigure eventKind = "configure"
+	eventTick      eventKind = "tick"
+)
+
+// event is one item of the inbox; which fields are set depends on its kind.
+type event struct {
+	kind      eventKind
+	task      cwmodel.Task
+	reply     func(cwmodel.Answer)
+	result    cwmodel.Result
+	inventory cwport.Inventory
+	worker    cwmodel.HostID
+	cfg       cwpolicy.Configuration
+}
+
+// Scheduler owns the decider.
+type Scheduler struct {
+	opts    Options
+	inbox   *cwring.Ring[event]
+	decider *cwdecider.Decider
+	replies map[cwmodel.TaskID]func(cwmodel.Answer)
+	load    atomic.Pointer[cwdecider.Load]
+}
+
+// New starts the duty and returns the function that stops it.
+func New(opts Options) (s *Scheduler, stop func()) {
+	s = &Scheduler{
+		opts:    opts,
+		inbox:   cwring.New[event](opts.InboxSize),
+		decider: cwdecider.New(opts.Decider),
+		replies: map[cwmodel.TaskID]func(cwmodel.Answer){},
+	}
+	s.load.Store(&cwdecider.Load{})
+	cancel := opts.Timer.Every(opts.TickEvery, func(time.Time) { s.inbox.Offer(event{kind: eventTick}) })
+	stopDuty := cwduty.Start("scheduler", s.run)
+	return s, func() {
+		cancel()
+		stopDuty()
+	}
+}
+
+// Submit hands over one task; reply is called once, on the scheduler's goroutine, and must not block.
+//
+// It returns false if the inbox is full; reply is never called then.
+func (s *Scheduler) Submit(t cwmodel.Task, reply func(cwmodel.Answer)) bool {
+	return s.inbox.Offer(event{kind: eventSubmit, task: t, reply: reply})
+}
+
+// Cancel ends a task on its caller's demand.
+func (s *Scheduler) Cancel(ctx context.Context, id cwmodel.TaskID) error {
+	return s.inbox.Put(ctx, event{kind: eventCancel, task: cwmodel.Task{ID: id}})
+}
+
+// Ended hands over the result of an attempt and blocks while the inbox is full.
+func (s *Scheduler) Ended(ctx context.Context, r cwmodel.Result) error {
+	return s.inbox.Put(ctx, event{kind: eventEnded, result: r})
+}
+
+// Owned hands over a worker that was claimed, with its inventory.
+func (s *Scheduler) Owned(ctx context.Context, inventory cwport.Inventory) error {
+	return s.inbox.Put(ctx, event{kind: eventOwned, inventory: inventory})
+}
+
+// Lost takes a worker away whose claim has ended.
+func (s *Scheduler) Lost(ctx context.Context, worker cwmodel.HostID) error {
+	return s.inbox.Put(ctx, event{kind: eventLost, worker: worker})
+}
+
+// Draining stops placements on a worker that is leaving.
+func (s *Scheduler) Draining(ctx context.Context, worker cwmodel.HostID) error {
+	return s.inbox.Put(ctx, event{kind: eventDraining, worker: worker})
+}
+
+// Configure puts a configuration in force.
+func (s *Scheduler) Configure(ctx context.Context, cfg cwpolicy.Configuration) error {
+	return s.inbox.Put(ctx, event{kind: eventConfigure, cfg: cfg})
+}
+
+// Load returns the load after the latest batch of events.
+func (s *Scheduler) Load() cwdecider.Load { return *s.load.Load() }
+
+// Refused returns how many events found the inbox full.
+func (s *Scheduler) Refused() uint64 { return s.inbox.Refused() }
+
+func (s *Scheduler) run(ctx context.Context) {
+	var batch []event
+	for ctx.Err() == nil {
+		batch = s.inbox.Drain(ctx, batch[:0])
+		for _, e := range batch {
+			s.handle(s.opts.Timer.Now(), e)
+			s.carryOut(s.decider.Actions())
+		}
+		clear(batch)
+		load := s.decider.Load()
+		s.load.Store(&load)
+	}
+}
+
+func (s *Scheduler) handle(now time.Time, e event) {
+	switch e.kind {
+	case eventSubmit:
+		s.replies[e.task.ID] = e.reply
+		s.decider.Submit(now, e.task)
+	case eventCancel:
+		s.decider.Cancel(now, e.task.ID)
+	case eventEnded:
+		s.decider.Ended(now, e.result)
+	case eventOwned:
+		s.decider.AddWorker(now, e.inventory.Worker, e.inventory.Epoch, e.inventory.Running)
+	case eventLost:
+		s.decider.RemoveWorker(now, e.worker)
+	case eventDraining:
+		s.decider.DrainWorker(e.worker)
+	case eventConfigure:
+		s.decider.Configure(now, e.cfg)
+	case eventTick:
+		s.decider.Tick(now)
+	}
+}
+
+func (s *Scheduler) carryOut(actions []cwdecider.Action) {
+	for _, action := range actions {
+		if action.Kind != cwdecider.ActionAnswer {
+			s.opts.Order(action)
+			continue
+		}
+		if reply, ok := s.replies[action.Task.ID]; ok {
+			delete(s.replies, action.Task.ID)
+			reply(action.Answer)
+		}
+	}
+}
--- a/internal/base/cwhttp/client.go
+++ b/internal/base/cwhttp/client.go
@@ -87,11 +87,29 @@
 	return nil
 }
 
-// Do sends body and returns the status and body of the answer.
+// Do sends body and returns the status and body of the answer; it returns early if ctx is cancelled.
 func (c *Client) Do(ctx context.Context, method string, addr netip.AddrPort, path string, body []byte) (status int, answer []byte, err error) {
 	if err = ctx.Err(); err != nil {
 		return 0, nil, cwfault.New(cwfault.Unavailable, "call %s: %v", path, err)
 	}
+	done := make(chan exchange, 1)
+	go func() { done <- c.exchange(ctx, method, addr, path, body) }()
+	select {
+	case e := <-done:
+		return e.status, e.answer, e.err
+	case <-ctx.Done():
+		return 0, nil, cwfault.New(cwfault.Indefinite, "call %s: %v", path, ctx.Err())
+	}
+}
+
+// exchange is one request with its answer.
+type exchange struct {
+	status int
+	answer []byte
+	err    error
+}
+
+func (c *Client) exchange(ctx context.Context, method string, addr netip.AddrPort, path string, body []byte) exchange {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -104,10 +122,10 @@
 		request.Header.SetContentType("application/json")
 		request.SetBodyRaw(body)
 	}
-	if err = c.send(ctx, request, response); err != nil {
-		return 0, nil, transportError(path, err)
+	if err := c.send(ctx, request, response); err != nil {
+		return exchange{err: transportError(path, err)}
 	}
-	return response.StatusCode(), bytes.Clone(response.Body()), nil
+	return exchange{status: response.StatusCode(), answer: bytes.Clone(response.Body())}
 }
 
 func (c *Client) send(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) error {
--- a/internal/base/cwhttp/server.go
+++ b/internal/base/cwhttp/server.go
@@ -47,20 +47,19 @@
 	if err != nil {
 		return bound, nil, err
 	}
-	bound = listener.Addr().(*net.TCPAddr).AddrPort()
+	bound = BoundAddress(listener)
 	server := &fasthttp.Server{
-		Handler:                       handle,
-		ErrorHandler:                  rejectRequest,
-		Name:                          opts.Name,
-		MaxRequestBodySize:            opts.MaxBodyBytes,
-		ReadBufferSize:                opts.MaxHeaderBytes,
-		Concurrency:                   opts.MaxConnections,
-		ReadTimeout:                   opts.ReadTimeout,
-		IdleTimeout:                   opts.IdleTimeout,
-		NoDefaultServerHeader:         true,
-		CloseOnShutdown:               true,
-		DisableHeaderNamesNormalizing: false,
-		Logger:                        opts.Log,
+		Handler:               limitBody(handle, opts.MaxBodyBytes),
+		ErrorHandler:          rejectRequest,
+		Name:                  opts.Name,
+		MaxRequestBodySize:    opts.MaxBodyBytes * readableExcess,
+		ReadBufferSize:        opts.MaxHeaderBytes,
+		Concurrency:           opts.MaxConnections,
+		ReadTimeout:           opts.ReadTimeout,
+		IdleTimeout:           opts.IdleTimeout,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		Logger:                opts.Log,
 	}
 	ended := make(chan struct{})
 	go func() {
@@ -77,6 +76,25 @@
 	return bound, stop, nil
 }
 
+// readableExcess is how many times the limit of a body is still read, so that its sender sees the refusal.
+const readableExcess = 8
+
+// limitBody refuses bodies above the limit.
+func limitBody(handle fasthttp.RequestHandler, limit int) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if n := len(ctx.PostBody()); n > limit {
+			WriteError(ctx, cwfault.New(cwfault.TooLarge, "the body has %d bytes, above the limit of %d", n, limit))
+			return
+		}
+		handle(ctx)
+	}
+}
+
+// BoundAddress returns the address that a TCP listener is bound to.
+func BoundAddress(listener net.Listener) netip.AddrPort {
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
 // rejectRequest answers what could not be read as a request: too large, too slow or malformed.
 func rejectRequest(ctx *fasthttp.RequestCtx, err error) {
 	code := cwfault.Invalid
--- a/internal/base/cwtimer/timer_test.go
+++ b/internal/base/cwtimer/timer_test.go
@@ -43,7 +43,7 @@
 	is.Equal(calls, 1)
 }
 
-func TestServiceRunsOnSystemClock(t *testing.T) {
+func TestServiceRunsOnSystemClock(_ *testing.T) {
 	s, stop := cwtimer.New()
 	defer stop()
 	called := make(chan struct{})
--- /dev/null
+++ b/internal/bench/cwlatency/latency.go
@@ -0,0 +1,150 @@
+// Package cwlatency measures what the scheduler adds to the latency of a request.
+package cwlatency
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"currantward/internal/adapter/cwfront"
+	"currantward/internal/adapter/cwworker"
+	"currantward/internal/app/cwdev"
+	"currantward/internal/app/cwsettings"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwpolicy"
+	"currantward/internal/port/cwport"
+	"currantward/internal/standin/cwrunner"
+)
+
+// Arguments are the options of the measurement.
+type Arguments struct {
+	Requests int `arg:"--requests" default:"2000" help:"requests by either way"`
+	Workers  int `arg:"--workers" default:"8" help:"workers of the deployment"`
+}
+
+// payload makes the stand-in run for one millisecond.
+const payload = `{"simulate":{"run":"1ms"}}`
+
+// Run measures both ways in turn and prints their quantiles and ratios.
+func Run(a Arguments, w io.Writer) error {
+	timer, stopTimer := cwtimer.New()
+	defer stopTimer()
+	direct, err := measureDirect(a, timer)
+	if err != nil {
+		return err
+	}
+	through, err := measureThrough(a, timer)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "%-10s %12s %12s %8s\n", "quantile", "direct", "through", "ratio")
+	for _, q := range []float64{0.5, 0.9, 0.99} {
+		d, t := quantile(direct, q), quantile(through, q)
+		fmt.Fprintf(w, "%-10.2f %12s %12s %8.2f\n", q, d, t, float64(t)/float64(d))
+	}
+	return nil
+}
+
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	return sorted[int(q*float64(len(sorted)-1))].Round(time.Microsecond)
+}
+
+// collect times n calls, one after the other, after a warm-up, and returns the sorted durations.
+func collect(timer *cwtimer.Service, n int, call func(n int) error) (took []time.Duration, err error) {
+	const warmUp = 100
+	for k := range n + warmUp {
+		began := timer.Now()
+		if err = call(k); err != nil {
+			return nil, err
+		}
+		if k >= warmUp {
+			took = append(took, timer.Now().Sub(began))
+		}
+	}
+	slices.Sort(took)
+	return took, nil
+}
+
+// measureDirect starts a task on a worker and waits for its result without a scheduler.
+func measureDirect(a Arguments, timer *cwtimer.Service) (took []time.Duration, err error) {
+	log := cwlog.Discard()
+	worker := cwmodel.Worker{ID: "worker", DataCentre: "cairo-1", Capacity: capacity()}
+	_, addr, stop, err := cwrunner.New(cwrunner.Options{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Worker: worker, Timer: timer, Log: log})
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	workers, stopClient := cwworker.New(cwhttp.DefaultClientOptions())
+	defer stopClient()
+	ctx := context.Background()
+	if _, err = workers.Claim(ctx, addr, cwport.Claim{Owner: "bench", Epoch: 1, TTL: time.Hour}); err != nil {
+		return nil, err
+	}
+	var acks []cwmodel.Attempt
+	return collect(timer, a.Requests, func(n int) error {
+		id := cwmodel.TaskID(fmt.Sprint("task-", n))
+		attempt := cwmodel.Attempt{Task: id, Number: 1, Worker: "worker", Epoch: 1}
+		task := cwmodel.Task{ID: id, Kind: cwmodel.KindRequest, Demand: demand(), Lease: 10 * time.Second, Payload: []byte(payload)}
+		order := cwport.Start{Task: task, Attempt: attempt, NotAfter: timer.Now().Add(time.Second)}
+		if err := workers.Start(ctx, addr, order); err != nil {
+			return err
+		}
+		_, err := workers.Completions(ctx, addr, 1, acks, time.Second)
+		acks = []cwmodel.Attempt{attempt}
+		return err
+	})
+}
+
+// measureThrough sends requests to an entry host.
+func measureThrough(a Arguments, timer *cwtimer.Service) (took []time.Duration, err error) {
+	document := cwsettings.Defaults()
+	document.HostID, document.DataCentre, document.Platform = "entry", "cairo-1", "127.0.0.1:9000"
+	document.ListenCallers, document.ListenOperators, document.ListenPeers = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	settings, err := document.Check()
+	if err != nil {
+		return nil, err
+	}
+	deployment, stop, err := cwdev.New(cwdev.Options{
+		Timer: timer, Log: cwlog.Discard(), Settings: settings, Workers: a.Workers, Capacity: capacity(), Configuration: configuration(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	client, stopClient := cwhttp.NewClient(cwhttp.DefaultClientOptions())
+	defer stopClient()
+	body := []byte(`{"profile":"diagnostics","team":"riders","payload":` + payload + `}`)
+	return collect(timer, a.Requests, func(int) error {
+		status, answer, err := client.Do(context.Background(), fasthttp.MethodPost, deployment.Entry.Callers, cwfront.PathRequests, body)
+		if err == nil && status != fasthttp.StatusOK {
+			err = fmt.Errorf("status %d: %s", status, answer)
+		}
+		return err
+	})
+}
+
+func capacity() cwmodel.Resources {
+	return cwmodel.Resources{MilliProcessors: 64_000, MemoryBytes: 256 << 30, Slots: 8, Connections: 60}
+}
+
+func demand() cwmodel.Resources {
+	return cwmodel.Resources{MilliProcessors: 1000, MemoryBytes: 1 << 30, Slots: 1, Connections: 1}
+}
+
+func configuration() cwpolicy.Configuration {
+	return cwpolicy.Configuration{
+		Profiles: []cwpolicy.Profile{{
+			Name: "diagnostics", Kind: cwmodel.KindRequest, Class: cwmodel.ClassUrgent, Weight: 1, Ceiling: 1, QueueLimit: 100,
+			Deadline: 5 * time.Second, Lease: 10 * time.Second, MaxAttempts: 3, Repeatable: true, Demand: demand(),
+		}},
+		Teams: []cwpolicy.Team{{Name: "riders", Weight: 1}},
+	}
+}
--- a/internal/core/cwdecider/decider.go
+++ b/internal/core/cwdecider/decider.go
@@ -85,7 +85,7 @@
 }
 
 // Cancel ends a task on its caller's demand; a task that is not known is ignored.
-func (d *Decider) Cancel(now time.Time, id cwmodel.TaskID) {
+func (d *Decider) Cancel(_ time.Time, id cwmodel.TaskID) {
 	state, ok := d.tasks[id]
 	if !ok || state.cancelled {
 		return
--- a/internal/core/cwdecider/place.go
+++ b/internal/core/cwdecider/place.go
@@ -29,7 +29,7 @@
 }
 
 // RemoveWorker forgets a worker that is no longer owned.
-func (d *Decider) RemoveWorker(now time.Time, id cwmodel.HostID) {
+func (d *Decider) RemoveWorker(_ time.Time, id cwmodel.HostID) {
 	lost, ok := d.workers[id]
 	if !ok {
 		return
--- a/internal/core/cwmodel/model.go
+++ b/internal/core/cwmodel/model.go
@@ -229,3 +229,13 @@
 	DataCentre DataCentre
 	Rack       string
 }
+
+// Request is what a caller asks for, before a profile has made it a task.
+type Request struct {
+	Profile        ProfileName
+	Team           TeamName
+	Deadline       time.Duration // from the arrival; zero for the profile's own
+	IdempotencyKey string
+	Demand         *Resources // nil for the profile's own
+	Payload        []byte
+}
