Count the bytes of each link and publish the process's own cost

Ruled out: reading the kernel's counters, which mix the links and all processes of a host. Change: connections are wrapped with counters; client_golang's process and Go collectors are registered. Before and after: no figure was to be had before; currantward_bytes_total and process_* are served after.

--- a/internal/adapter/cwmetric/metric.go
+++ b/internal/adapter/cwmetric/metric.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"currantward/internal/base/cwhttp"
 	"currantward/internal/core/cwmodel"
 )
 
@@ -39,6 +41,7 @@
 		total:  histogram("currantward_answer_seconds", "Time from arrival to the answer."),
 	}
 	m.registry.MustRegister(m.answers, m.waited, m.ran, m.total)
+	m.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	return m
 }
 
@@ -58,6 +61,18 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 }
 
+// Traffic publishes the bytes of one link: with workers, the platform, peers or callers.
+func (m *Metrics) Traffic(link string, traffic *cwhttp.Traffic) {
+	counter := func(direction string, read func() int64) {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "currantward_bytes_total", Help: "Bytes of all connections of a link.",
+			ConstLabels: prometheus.Labels{"link": link, "direction": direction},
+		}, func() float64 { return float64(read()) }))
+	}
+	counter("sent", traffic.Sent)
+	counter("received", traffic.Received)
+}
+
 // Handler returns the handler that serves the metrics.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/adapter/cwpeer/client.go
+++ b/internal/adapter/cwpeer/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -14,6 +15,7 @@
 	"currantward/internal/adapter/cwcodec"
 	"currantward/internal/adapter/cwpeerwire"
 	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwhttp"
 	"currantward/internal/base/cwtimer"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwpolicy"
@@ -25,6 +27,7 @@
 	Timer           *cwtimer.Service
 	Timeout         time.Duration // of an exchange
 	MaxConnsPerPeer int
+	Traffic         *cwhttp.Traffic // nil: not counted
 }
 
 // client calls peers.
@@ -38,6 +41,7 @@
 // New returns the port to peers and the function that closes its connections.
 func New(opts ClientOptions) (port cwport.Peers, stop func()) {
 	transport := &http.Transport{
+		DialContext:         opts.dial,
 		MaxConnsPerHost:     opts.MaxConnsPerPeer,
 		MaxIdleConnsPerHost: opts.MaxConnsPerPeer,
 		IdleConnTimeout:     time.Minute,
@@ -46,6 +50,16 @@
 	return cwport.Peers{Exchange: c.exchange, Forward: c.forward, Configuration: c.configuration}, transport.CloseIdleConnections
 }
 
+// dial connects to a peer and counts the bytes of the connection.
+func (o ClientOptions) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: o.Timeout}
+	conn, err := dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return o.Traffic.Conn(conn), nil
+}
+
 func (c *client) peer(addr netip.AddrPort) cwpeerwire.Peer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/adapter/cwpeer/server.go
+++ b/internal/adapter/cwpeer/server.go
@@ -27,6 +27,7 @@
 	Timer           *cwtimer.Service
 	Log             *logrus.Logger
 	ShutdownTimeout time.Duration
+	Traffic         *cwhttp.Traffic // nil: not counted
 
 	// Exchange takes a peer's digest and returns ours.
 	Exchange func(theirs cwport.Digest) cwport.Digest
@@ -55,7 +56,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		if err := web.Serve(listener); !eris.Is(err, http.ErrServerClosed) {
+		if err := web.Serve(opts.Traffic.Listener(listener)); !eris.Is(err, http.ErrServerClosed) {
 			opts.Log.WithFields(logrus.Fields{"listener": "peers", "error": err.Error()}).Error("listener-failed")
 		}
 	}()
--- a/internal/app/cwcommand/submit.go
+++ b/internal/app/cwcommand/submit.go
@@ -57,9 +57,9 @@
 	if parallel < 1 || parallel > 1000 {
 		return nil, cwfault.New(cwfault.Invalid, "parallel: %d is not from 1 to 1000", parallel)
 	}
-	client, stop := cwhttp.NewClient(cwhttp.ClientOptions{
-		Timeout: time.Minute, MaxConnsPerHost: parallel, MaxResponseBytes: 16 << 20, MaxIdleConnection: 10 * time.Second,
-	})
+	opts := cwhttp.DefaultClientOptions()
+	opts.Timeout, opts.MaxConnsPerHost = time.Minute, parallel
+	client, stop := cwhttp.NewClient(opts)
 	defer stop()
 	s := &submission{client: client, callers: callers, counts: map[string]int{}}
 	s.print = func(answer []byte) {
--- a/internal/app/cwdev/dev.go
+++ b/internal/app/cwdev/dev.go
@@ -75,10 +75,14 @@
 
 // StartEntry starts one entry host on the adapters that its settings name.
 func StartEntry(settings cwsettings.Settings, timer *cwtimer.Service, log *logrus.Logger) (e *cwentry.Entry, stop func(), err error) {
-	platform, stopPlatform := cwplatform.New(settings.Platform, cwhttp.DefaultClientOptions())
-	workers, stopWorkers := cwworker.New(cwhttp.DefaultClientOptions())
+	var traffic cwentry.Traffic
+	platformOpts, workerOpts := cwhttp.DefaultClientOptions(), cwhttp.DefaultClientOptions()
+	traffic.Platform, traffic.Workers = &cwhttp.Traffic{}, &cwhttp.Traffic{}
+	platformOpts.Traffic, workerOpts.Traffic = traffic.Platform, traffic.Workers
+	platform, stopPlatform := cwplatform.New(settings.Platform, platformOpts)
+	workers, stopWorkers := cwworker.New(workerOpts)
 	entry, stopEntry, err := cwentry.New(cwentry.Options{
-		Settings: settings, Timer: timer, Log: log, Table: platform.Table(), HostList: platform.HostList(), Workers: workers,
+		Settings: settings, Timer: timer, Log: log, Table: platform.Table(), HostList: platform.HostList(), Workers: workers, Traffic: traffic,
 	})
 	if err != nil {
 		stopWorkers()
--- a/internal/app/cwentry/entry.go
+++ b/internal/app/cwentry/entry.go
@@ -24,6 +24,7 @@
 	"currantward/internal/app/cwtotals"
 	"currantward/internal/app/cwwatch"
 	"currantward/internal/base/cwduty"
+	"currantward/internal/base/cwhttp"
 	"currantward/internal/base/cwtimer"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwpolicy"
@@ -56,6 +57,13 @@
 	Table    cwport.Table
 	HostList cwport.HostList
 	Workers  cwport.Workers
+	Traffic  Traffic
+}
+
+// Traffic counts the bytes of each link; a nil field is not published.
+type Traffic struct {
+	Workers  *cwhttp.Traffic
+	Platform *cwhttp.Traffic
 }
 
 // Entry is a running entry host.
@@ -78,6 +86,7 @@
 	operator  *cwoperator.Operator
 	intake    *cwintake.Intake
 	peers     cwport.Peers
+	traffic   *cwhttp.Traffic // of all connections with peers
 	drain     sync.Once
 	started   chan struct{} // closed once all parts are set
 }
@@ -85,7 +94,7 @@
 // New starts an entry host and returns the function that shuts it down gracefully.
 func New(opts Options) (e *Entry, stop func(), err error) {
 	defer func() { err = eris.Wrap(err, "start entry host") }()
-	e = &Entry{opts: opts, Drained: make(chan struct{}), started: make(chan struct{}), metrics: cwmetric.New()}
+	e = &Entry{opts: opts, Drained: make(chan struct{}), started: make(chan struct{}), metrics: cwmetric.New(), traffic: &cwhttp.Traffic{}}
 	defer func() {
 		if err != nil {
 			e.cleanup.Run()
@@ -158,7 +167,7 @@
 // startPeers starts the listener for peers and membership.
 func (e *Entry) startPeers() error {
 	o := e.opts
-	peers, stopClient := cwpeer.New(cwpeer.ClientOptions{Timer: o.Timer, Timeout: peerTimeout, MaxConnsPerPeer: 256})
+	peers, stopClient := cwpeer.New(cwpeer.ClientOptions{Timer: o.Timer, Timeout: peerTimeout, MaxConnsPerPeer: 256, Traffic: e.traffic})
 	e.peers = peers
 	e.cleanup.Add(stopClient)
 	e.intake = cwintake.New(cwintake.Options{
@@ -168,7 +177,7 @@
 		Digests: e.digests, Told: e.told,
 	})
 	bound, stopServer, err := cwpeer.Serve(cwpeer.ServerOptions{
-		Listen: o.Settings.ListenPeers, Timer: o.Timer, Log: o.Log, ShutdownTimeout: o.Settings.DrainTimeout,
+		Listen: o.Settings.ListenPeers, Timer: o.Timer, Log: o.Log, ShutdownTimeout: o.Settings.DrainTimeout, Traffic: e.traffic,
 		Exchange: e.exchange, Forward: e.intake.Accept, Configuration: func() cwpolicy.Configuration { return *e.watcher.Present() },
 	})
 	if err != nil {
@@ -244,6 +253,13 @@
 }
 
 func (e *Entry) publishGauges() {
+	e.metrics.Traffic("peers", e.traffic)
+	if e.opts.Traffic.Workers != nil {
+		e.metrics.Traffic("workers", e.opts.Traffic.Workers)
+	}
+	if e.opts.Traffic.Platform != nil {
+		e.metrics.Traffic("platform", e.opts.Traffic.Platform)
+	}
 	e.metrics.Gauge("currantward_owned_workers", "Workers that this host owns.", func() float64 { return float64(e.scheduler.Load().Workers) })
 	e.metrics.Gauge("currantward_waiting_tasks", "Tasks that wait at this host.", func() float64 { return float64(e.scheduler.Load().Waiting) })
 	e.metrics.Gauge("currantward_running_tasks", "Tasks that run for this host.", func() float64 { return float64(e.scheduler.Load().Running) })
--- a/internal/base/cwhttp/client.go
+++ b/internal/base/cwhttp/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net"
 	"net/netip"
 	"time"
 
@@ -19,6 +20,8 @@
 	MaxConnsPerHost   int
 	MaxResponseBytes  int
 	MaxIdleConnection time.Duration
+	DialTimeout       time.Duration
+	Traffic           *Traffic // nil: not counted
 }
 
 // DefaultClientOptions returns limits that suit calls inside one data centre.
@@ -28,6 +31,7 @@
 		MaxConnsPerHost:   60,
 		MaxResponseBytes:  16 << 20,
 		MaxIdleConnection: 30 * time.Second,
+		DialTimeout:       time.Second,
 	}
 }
 
@@ -49,10 +53,22 @@
 		// Orders must not be sent twice without their sender knowing.
 		RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		NoDefaultUserAgentHeader: true,
+		Dial:                     dialer(opts),
 	}
 	return &Client{client: client, timeout: opts.Timeout}, client.CloseIdleConnections
 }
 
+// dialer returns the function that connects to a host and counts the bytes of the connection.
+func dialer(opts ClientOptions) fasthttp.DialFunc {
+	return func(addr string) (net.Conn, error) {
+		conn, err := net.DialTimeout("tcp", addr, opts.DialTimeout)
+		if err != nil {
+			return nil, err
+		}
+		return opts.Traffic.Conn(conn), nil
+	}
+}
+
 // WithToken returns a client that sends the given bearer token.
 func (c *Client) WithToken(token string) *Client {
 	copied := *c
--- a/internal/base/cwhttp/server.go
+++ b/internal/base/cwhttp/server.go
@@ -24,6 +24,7 @@
 	IdleTimeout     time.Duration
 	ShutdownTimeout time.Duration
 	Log             *logrus.Logger
+	Traffic         *Traffic // nil: not counted
 }
 
 // DefaultServerOptions returns limits that suit a listener for callers.
@@ -64,7 +65,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		if err := server.Serve(listener); err != nil {
+		if err := server.Serve(opts.Traffic.Listener(listener)); err != nil {
 			opts.Log.WithFields(logrus.Fields{"listener": opts.Name, "error": err.Error()}).Error("listener-failed")
 		}
 	}()
