Send the host list only when it has changed

Ruled out: a longer period, which delays the news of leaving hosts; a filter by data centre, which only divides the cost. Change: the list carries a version and the reader names the one it has.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -7,11 +7,19 @@
 
 	"github.com/alexflint/go-arg"
 
+	"currantward/internal/app/cwcommand"
+	"currantward/internal/bench/cwcapacity"
 	"currantward/internal/bench/cwlatency"
 )
 
 type arguments struct {
-	Latency *cwlatency.Arguments `arg:"subcommand:latency" help:"added latency of a request as a ratio to calling the worker directly"`
+	Latency   *cwlatency.Arguments  `arg:"subcommand:latency" help:"added latency of a request as a ratio to calling the worker directly"`
+	Capacity  *cwcapacity.Arguments `arg:"subcommand:capacity" help:"cost of an entry host for each worker, peer, running task and start"`
+	EntryHost *entryHostArgs        `arg:"subcommand:entry-host" help:"run one entry host; capacity uses it"`
+}
+
+type entryHostArgs struct {
+	Settings string `arg:"positional,required" help:"JSON settings file"`
 }
 
 func main() {
@@ -21,6 +29,10 @@
 	switch {
 	case a.Latency != nil:
 		err = cwlatency.Run(*a.Latency, os.Stdout)
+	case a.Capacity != nil:
+		err = cwcapacity.Run(*a.Capacity, os.Stdout)
+	case a.EntryHost != nil:
+		os.Exit(cwcommand.Run([]string{"serve", a.EntryHost.Settings}, os.Stdout, os.Stderr))
 	default:
 		parser.Fail("a subcommand is needed")
 	}
--- a/internal/adapter/cwcodec/platform.go
+++ b/internal/adapter/cwcodec/platform.go
@@ -101,9 +101,14 @@
 	Rack       string         `json:"rack,omitempty"`
 }
 
+// ParamKnown names the version of the host list that the reader has; an unchanged list is not sent again.
+const ParamKnown = "known"
+
 // HostsAnswer is the host list.
 type HostsAnswer struct {
-	Hosts []Host `json:"hosts"`
+	Version   uint64 `json:"version,omitempty"` // raised by each change of the list
+	Unchanged bool   `json:"unchanged,omitempty"`
+	Hosts     []Host `json:"hosts,omitempty"`
 }
 
 // Core returns the core type; an unknown role or state is an error.
--- a/internal/adapter/cwplatform/platform.go
+++ b/internal/adapter/cwplatform/platform.go
@@ -5,6 +5,9 @@
 	"context"
 	"net/netip"
 	"net/url"
+	"slices"
+	"strconv"
+	"sync"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
@@ -20,6 +23,9 @@
 type Platform struct {
 	client *cwhttp.Client
 	addr   netip.AddrPort
+	mu     sync.Mutex
+	known  uint64 // version of the host list that was read last
+	hosts  []cwmodel.Host
 }
 
 // New returns a client of the platform at addr and the function that closes its connections.
@@ -96,12 +102,22 @@
 	return answer, nil
 }
 
+// listHosts returns the host list; the platform sends it only if it has changed since the last call.
 func (p *Platform) listHosts(ctx context.Context) (hosts []cwmodel.Host, err error) {
 	defer func() { err = eris.Wrap(err, "list hosts") }()
+	p.mu.Lock()
+	known := p.known
+	p.mu.Unlock()
 	var document cwcodec.HostsAnswer
-	if err = p.client.Call(ctx, fasthttp.MethodGet, p.addr, cwcodec.PathHosts, nil, &document); err != nil {
+	path := cwcodec.PathHosts + "?" + cwcodec.ParamKnown + "=" + strconv.FormatUint(known, 10)
+	if err = p.client.Call(ctx, fasthttp.MethodGet, p.addr, path, nil, &document); err != nil {
 		return nil, err
 	}
+	if document.Unchanged {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return slices.Clone(p.hosts), nil
+	}
 	for _, row := range document.Hosts {
 		host, err := row.Core()
 		if err != nil {
@@ -109,5 +125,8 @@
 		}
 		hosts = append(hosts, host)
 	}
-	return hosts, nil
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.known, p.hosts = document.Version, hosts
+	return slices.Clone(hosts), nil
 }
--- /dev/null
+++ b/internal/bench/cwcapacity/report.go
@@ -0,0 +1,75 @@
+package cwcapacity
+
+import (
+	"fmt"
+	"io"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+const (
+	kibibyte = 1 << 10
+	mebibyte = 1 << 20
+)
+
+func printHeader(w io.Writer) {
+	fmt.Fprintf(w, "each cost is the mean of one entry host\n%5s %7s %7s %7s %5s | %7s %8s %8s %9s %9s %9s | %9s\n",
+		"hosts", "centres", "workers", "running", "rate", "core %", "RSS MiB", "heap MiB", "worker kB", "peer kB", "table kB", "in force")
+}
+
+func printSample(w io.Writer, s Sample) {
+	p, c := s.Point, s.Cost
+	fmt.Fprintf(w, "%5d %7d %7d %7d %5d | %7.2f %8.1f %8.1f %9.2f %9.2f %9.2f | %9s\n",
+		p.Hosts, p.Centres, p.Workers, p.Running, p.Rate, c.Processor*100, c.MemoryBytes/mebibyte, c.HeapBytes/mebibyte,
+		c.WorkerLink/1000, c.PeerLink/1000, c.TableLink/1000, s.InForce)
+}
+
+// slope is a cost as a straight line over one quantity, the others being held.
+type slope struct {
+	name string
+	x    func(p Point) float64
+	fits func(p Point) bool
+}
+
+func slopes() []slope {
+	perHost := func(n int, p Point) float64 { return float64(n) / float64(p.Hosts) }
+	return []slope{
+		{"owned worker", func(p Point) float64 { return perHost(p.Workers, p) }, func(p Point) bool { return p.Hosts == 3 && p.Running == 0 && p.Rate == 0 }},
+		{"peer", func(p Point) float64 { return float64(p.Hosts - 1) }, func(p Point) bool { return p.Workers == 17*p.Hosts && p.Running == 0 && p.Rate == 0 }},
+		{"running task", func(p Point) float64 { return perHost(p.Running, p) }, func(p Point) bool { return p.Hosts == 3 && p.Workers == 51 && p.Rate == 0 }},
+		{"start a second", func(p Point) float64 { return perHost(p.Rate, p) }, func(p Point) bool { return p.Hosts == 3 && p.Workers == 51 && p.Running == 0 }},
+	}
+}
+
+// printSlopes prints the least-squares slope of each cost over each quantity.
+func printSlopes(w io.Writer, samples []Sample) {
+	fmt.Fprintf(w, "\n%-16s %12s %12s %12s %12s %12s\n", "for each", "core %", "RSS KiB", "worker B/s", "peer B/s", "table B/s")
+	for _, s := range slopes() {
+		var x []float64
+		var costs []Cost
+		for _, sample := range samples {
+			if s.fits(sample.Point) {
+				x = append(x, s.x(sample.Point))
+				costs = append(costs, sample.Cost)
+			}
+		}
+		if len(x) < 2 {
+			continue
+		}
+		fmt.Fprintf(w, "%-16s %12.5f %12.2f %12.1f %12.1f %12.1f\n", s.name,
+			100*fit(x, costs, func(c Cost) float64 { return c.Processor }),
+			fit(x, costs, func(c Cost) float64 { return c.MemoryBytes })/kibibyte,
+			fit(x, costs, func(c Cost) float64 { return c.WorkerLink }),
+			fit(x, costs, func(c Cost) float64 { return c.PeerLink }),
+			fit(x, costs, func(c Cost) float64 { return c.TableLink }))
+	}
+}
+
+func fit(x []float64, costs []Cost, of func(Cost) float64) float64 {
+	y := make([]float64, len(costs))
+	for n, c := range costs {
+		y[n] = of(c)
+	}
+	_, beta := stat.LinearRegression(x, y, nil, false)
+	return beta
+}
--- a/internal/standin/cwstore/store.go
+++ b/internal/standin/cwstore/store.go
@@ -48,6 +48,7 @@
 	mu      sync.Mutex
 	faults  Faults
 	hosts   map[cwmodel.HostID]cwmodel.Host
+	version uint64 // of the host list
 }
 
 // New starts a stand-in platform and returns its address and the function that stops it.
@@ -71,6 +72,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.hosts[host.ID] = host
+		s.version++
 	}
 	if lag <= 0 {
 		apply(time.Time{})
@@ -201,8 +203,15 @@
 }
 
 func (s *Store) handleHosts(ctx *fasthttp.RequestCtx) {
-	answer := cwcodec.HostsAnswer{Hosts: []cwcodec.Host{}}
+	known, _ := ctx.QueryArgs().GetUint(cwcodec.ParamKnown)
 	s.mu.Lock()
+	answer := cwcodec.HostsAnswer{Version: s.version}
+	if known > 0 && uint64(known) == s.version {
+		s.mu.Unlock()
+		answer.Unchanged = true
+		cwhttp.WriteJSON(ctx, fasthttp.StatusOK, answer)
+		return
+	}
 	for _, host := range s.hosts {
 		answer.Hosts = append(answer.Hosts, cwcodec.HostOf(host))
 	}
