--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/base/cwduty"
 	"currantward/internal/base/cwhttp"
 	"currantward/internal/base/cwlog"
 	"currantward/internal/base/cwtimer"
@@ -113,6 +114,8 @@
 		Processors: a.Processors, MemoryMiB: a.MemoryMiB, Accelerators: a.Accelerators, Slots: a.Slots, Connections: a.Connections,
 	}
 	listen := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+	var stops []func()
+	defer func() { cwduty.Together(stops)() }()
 	for n := range a.Count {
 		worker := cwmodel.Worker{
 			ID: cwmodel.HostID(fmt.Sprintf("%s-%03d", a.Prefix, n)), DataCentre: cwmodel.DataCentre(a.DataCentre),
@@ -122,7 +125,7 @@
 		if err != nil {
 			return err
 		}
-		defer stop()
+		stops = append(stops, stop)
 		log.WithFields(logrus.Fields{"worker": worker.ID, "address": bound}).Info("worker-started")
 	}
 	awaitSignal()
--- a/internal/app/cwcommand/dev.go
+++ b/internal/app/cwcommand/dev.go
@@ -105,6 +105,6 @@
 	}
 	return cwdev.Options{
 		Timer: r.timer, Settings: settings, Configuration: cfg, Workers: document.Workers,
-		Capacity: document.Capacity.Core(), WorkersPerRow: document.WorkersPerRack,
+		Capacity: document.Capacity.Core(), WorkersPerRack: document.WorkersPerRack,
 	}, nil
 }
--- a/internal/app/cwdev/dev.go
+++ b/internal/app/cwdev/dev.go
@@ -25,13 +25,13 @@
 
 // Options set up a deployment in one process.
 type Options struct {
-	Timer         *cwtimer.Service
-	Log           *logrus.Logger
-	Settings      cwsettings.Settings
-	Configuration cwpolicy.Configuration
-	Workers       int
-	Capacity      cwmodel.Resources
-	WorkersPerRow int // workers in one rack
+	Timer          *cwtimer.Service
+	Log            *logrus.Logger
+	Settings       cwsettings.Settings
+	Configuration  cwpolicy.Configuration
+	Workers        int
+	Capacity       cwmodel.Resources
+	WorkersPerRack int
 }
 
 // Deployment is a running deployment.
@@ -96,17 +96,19 @@
 	}, nil
 }
 
-func startWorkers(opts Options, platform netip.AddrPort, cleanup *cwduty.Cleanup) error {
+func startWorkers(opts Options, platform netip.AddrPort, cleanup *cwduty.Cleanup) (err error) {
+	var stops []func()
+	defer func() { cleanup.Add(cwduty.Together(stops)) }()
 	for n := range opts.Workers {
 		worker := cwmodel.Worker{
 			ID: cwmodel.HostID(fmt.Sprintf("worker-%03d", n)), DataCentre: opts.Settings.DataCentre,
-			Rack: fmt.Sprintf("rack-%02d", n/max(opts.WorkersPerRow, 1)), Capacity: opts.Capacity,
+			Rack: fmt.Sprintf("rack-%02d", n/max(opts.WorkersPerRack, 1)), Capacity: opts.Capacity,
 		}
 		_, _, stop, err := cwrunner.New(cwrunner.Options{Listen: anyPort, Platform: platform, Worker: worker, Timer: opts.Timer, Log: opts.Log})
 		if err != nil {
 			return err
 		}
-		cleanup.Add(stop)
+		stops = append(stops, stop)
 	}
 	return nil
 }
--- a/internal/base/cwduty/duty.go
+++ b/internal/base/cwduty/duty.go
@@ -78,3 +78,14 @@
 	}
 	return names
 }
+
+// Together returns a function that calls all clean-up functions at once and waits for them.
+func Together(calls []func()) func() {
+	return func() {
+		var ended sync.WaitGroup
+		for _, call := range calls {
+			ended.Go(call)
+		}
+		ended.Wait()
+	}
+}
--- a/internal/bench/cwcapacity/fleet.go
+++ b/internal/bench/cwcapacity/fleet.go
@@ -57,17 +57,21 @@
 		return nil, nil, err
 	}
 	cleanup.Add(func() { _ = os.RemoveAll(f.folder) })
+	var workers []func()
+	cleanup.Add(func() { cwduty.Together(workers)() })
 	for n := range point.Workers {
 		if stop, err = f.startWorker(n, point); err != nil {
 			return nil, nil, err
 		}
-		cleanup.Add(stop)
+		workers = append(workers, stop)
 	}
+	var hosts []func()
+	cleanup.Add(func() { cwduty.Together(hosts)() })
 	for n := range point.Hosts {
 		if stop, err = f.startHost(n, point); err != nil {
 			return nil, nil, err
 		}
-		cleanup.Add(stop)
+		hosts = append(hosts, stop)
 	}
 	return f, cleanup.Run, nil
 }
