Let claims extend only durable tasks and tasks of the same epoch

Cause: the worker extended every lease on each claim and renewal, so the owner that began a request's attempt could never tell when it is over once the worker had another owner. The map of attempts grew for ever, and a throttle order ended the task that it should slow.

Attempts are remembered in two generations: a start order names a latest time at most 30 s ahead, so an order sent before its attempt ended or was refused is refused by age long before the attempt is forgotten (2 to 4 min); running and unacknowledged attempts are carried over. Capacity is asserted on each begin. A repeated stop of a refused attempt says never-began again. The epoch of a stop is the sender's fencing token, so a later owner can stop what an earlier one began. A leaving worker is still renewed: its owner has to extend the leases and collect the results of what still runs there.

--- a/internal/adapter/cwmemory/worker.go
+++ b/internal/adapter/cwmemory/worker.go
@@ -1,6 +1,7 @@
 package cwmemory
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -27,6 +28,9 @@
 	Execute func(t cwmodel.Task) Execution // nil: ends at once as done
 }
 
+// MaxStartWindow is how far ahead the latest time to begin of a start order may lie.
+const MaxStartWindow = 30 * time.Second
+
 // Worker is a worker in memory: it runs tasks under leases and refuses what is stale or does not fit.
 type Worker struct {
 	opts      WorkerOptions
@@ -36,8 +40,8 @@
 	claimEnds time.Time
 	leaving   bool
 	running   map[cwmodel.TaskID]*execution
-	newest    map[cwmodel.TaskID]int // highest attempt that was seen, whether begun or refused
-	results   []cwmodel.Result       // not acknowledged, in order of their ends
+	seen      attempts         // highest attempt of each task, whether begun or refused
+	results   []cwmodel.Result // not acknowledged, in order of their ends
 	used      cwmodel.Resources
 	changed   chan struct{} // closed and replaced when a result is added
 	begun     int
@@ -58,7 +62,7 @@
 	return &Worker{
 		opts:    opts,
 		running: map[cwmodel.TaskID]*execution{},
-		newest:  map[cwmodel.TaskID]int{},
+		seen:    newAttempts(opts.Now()),
 		changed: make(chan struct{}),
 	}
 }
@@ -109,7 +113,7 @@
 	return w.inventory(), nil
 }
 
-// Renew extends the claim and all leases.
+// Renew extends the claim, the leases of durable tasks and those of tasks of this epoch.
 func (w *Worker) Renew(epoch cwmodel.Epoch, ttl time.Duration) (renewal cwport.Renewal, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -151,7 +155,7 @@
 		return e.plan.RunTime, nil
 	}
 	if reason := w.refusal(order); reason != "" {
-		w.newest[order.Attempt.Task] = max(w.newest[order.Attempt.Task], order.Attempt.Number)
+		w.seen.refuse(order.Attempt)
 		return 0, cwfault.New(cwfault.Refused, "%s", reason)
 	}
 	return w.begin(order), nil
@@ -165,10 +169,12 @@
 		return "the order is for another worker"
 	case runs:
 		return "another attempt of this task is running"
-	case order.Attempt.Number <= w.newest[order.Attempt.Task]:
+	case order.Attempt.Number <= w.seen.highest(order.Attempt.Task):
 		return "this attempt is over or was refused"
 	case now.After(order.NotAfter):
 		return "the latest time to begin has passed"
+	case order.NotAfter.Sub(now) > MaxStartWindow:
+		return "the latest time to begin is too far ahead"
 	case w.leaving:
 		return "the worker is leaving"
 	case !order.Task.Demand.FitsIn(w.opts.Worker.Capacity.Minus(w.used)):
@@ -190,13 +196,16 @@
 		e.ends = now.Add(e.plan.RunTime)
 	}
 	w.running[t.ID] = e
-	w.newest[t.ID] = order.Attempt.Number
+	w.seen.note(order.Attempt)
 	w.used = w.used.Plus(t.Demand)
 	w.begun++
+	w.check()
 	return e.plan.RunTime
 }
 
 // Stop ends an attempt; one that never began is refused for good from then on.
+//
+// The epoch of attempt is the fencing token of the sender; the attempt itself may have begun under an earlier one.
 func (w *Worker) Stop(attempt cwmodel.Attempt, mode cwmodel.StopMode) (result cwmodel.Result, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -206,6 +215,9 @@
 	}
 	now := w.opts.Now()
 	if e, ok := w.running[attempt.Task]; ok && e.Attempt.Number == attempt.Number {
+		if mode == cwmodel.StopThrottle {
+			return cwmodel.Result{Attempt: e.Attempt}, nil
+		}
 		end := cwmodel.EndStopped
 		if mode == cwmodel.StopCheckpoint {
 			end = cwmodel.EndCheckpoint
@@ -217,10 +229,10 @@
 			return r, nil
 		}
 	}
-	if attempt.Number <= w.newest[attempt.Task] {
+	if attempt.Number <= w.seen.highest(attempt.Task) && !w.seen.isRefused(attempt) {
 		return result, cwfault.New(cwfault.NotFound, "attempt %d of %s is over and acknowledged", attempt.Number, attempt.Task)
 	}
-	w.newest[attempt.Task] = attempt.Number
+	w.seen.refuse(attempt)
 	return cwmodel.Result{Attempt: attempt, End: cwmodel.EndNeverBegan, Ended: now}, nil
 }
 
@@ -232,7 +244,13 @@
 	if err = w.checkEpoch(epoch); err != nil {
 		return nil, nil, err
 	}
-	w.results = slices.DeleteFunc(w.results, func(r cwmodel.Result) bool { return slices.Contains(acks, r.Attempt) })
+	w.results = slices.DeleteFunc(w.results, func(r cwmodel.Result) bool {
+		if !slices.Contains(acks, r.Attempt) {
+			return false
+		}
+		w.seen.note(r.Attempt)
+		return true
+	})
 	return slices.Clone(w.results), w.changed, nil
 }
 
@@ -245,6 +263,7 @@
 
 func (w *Worker) advance() {
 	now := w.opts.Now()
+	w.forget(now)
 	for _, e := range w.inOrder() {
 		isDue := !e.ends.IsZero() && !e.ends.After(now)
 		lapsed := !e.LeaseEnds.After(now)
@@ -276,9 +295,38 @@
 	return nil
 }
 
+// renewLeases extends the leases of durable tasks and of those that began under the present epoch.
+//
+// Any other task belongs to an earlier owner, which counts on its end once the lease has passed.
 func (w *Worker) renewLeases(now time.Time) {
 	for _, e := range w.running {
-		e.LeaseEnds = now.Add(e.Lease)
+		if e.Durable || e.Attempt.Epoch == w.epoch {
+			e.LeaseEnds = now.Add(e.Lease)
+		}
+	}
+}
+
+// forget drops attempts that no order can name any more, but keeps those that run or are not acknowledged.
+func (w *Worker) forget(now time.Time) {
+	if !w.seen.rotate(now) {
+		return
+	}
+	for _, e := range w.running {
+		w.seen.note(e.Attempt)
+	}
+	for _, r := range w.results {
+		w.seen.note(r.Attempt)
+	}
+}
+
+// check asserts that what runs never exceeds the capacity and that the sum of demands is right.
+func (w *Worker) check() {
+	var sum cwmodel.Resources
+	for _, e := range w.running {
+		sum = sum.Plus(e.Demand)
+	}
+	if sum != w.used || !sum.FitsIn(w.opts.Worker.Capacity) {
+		panic(fmt.Sprintf("worker %s runs %+v, counts %+v and holds %+v", w.opts.Worker.ID, sum, w.used, w.opts.Worker.Capacity))
 	}
 }
 
--- /dev/null
+++ b/internal/adapter/cwmemory/worker_test.go
@@ -0,0 +1,196 @@
+package cwmemory_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"currantward/internal/adapter/cwmemory"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwport"
+)
+
+// Operations of a step.
+const (
+	opClaim   = "claim"
+	opRenew   = "renew"
+	opRelease = "release"
+	opStart   = "start"
+	opDurable = "start durable"
+	opStop    = "stop"
+	opAck     = "acknowledge"
+	opRunning = "running" // counts what runs
+	opBegun   = "begun"   // counts what has ever begun
+	opResults = "results" // counts what is not acknowledged
+	opDrain   = "drain"
+)
+
+// step is one operation with what it must answer.
+type step struct {
+	op     string
+	epoch  cwmodel.Epoch
+	number int           // of the attempt, or the count that is wanted
+	wait   time.Duration // before the operation
+	owner  cwmodel.HostID
+	task   cwmodel.TaskID // "task" if left out
+	late   time.Duration  // by how much the latest time to begin has passed
+	slots  int64          // demand; 1 if left out
+	code   cwfault.Code
+	end    cwmodel.End
+}
+
+const (
+	claimTTL  = 6 * time.Second
+	taskLease = 10 * time.Second
+)
+
+func TestWorkerStateMachine(t *testing.T) {
+	claimed := step{op: opClaim, epoch: 1, owner: "a"}
+	started := step{op: opStart, epoch: 1, number: 1}
+	cases := []struct {
+		name  string
+		steps []step
+	}{
+		{"a stale epoch is refused", []step{
+			claimed, started, {op: opClaim, epoch: 2, owner: "b", wait: claimTTL},
+			{op: opStart, epoch: 1, number: 1, task: "other", code: cwfault.StaleEpoch},
+			{op: opStop, epoch: 1, number: 1, code: cwfault.StaleEpoch},
+			{op: opRenew, epoch: 1, code: cwfault.StaleEpoch},
+			{op: opRelease, epoch: 1, code: cwfault.StaleEpoch},
+			{op: opAck, epoch: 1, number: 1, code: cwfault.StaleEpoch},
+			{op: opClaim, epoch: 2, owner: "a", code: cwfault.StaleEpoch},
+			{op: opBegun, number: 1},
+		}},
+		{"a claim conflicts while another holds", []step{
+			claimed, {op: opClaim, epoch: 2, owner: "b", wait: claimTTL - time.Second, code: cwfault.Conflict},
+			{op: opRenew, epoch: 1}, {op: opClaim, epoch: 2, owner: "b", wait: claimTTL - 1, code: cwfault.Conflict},
+			{op: opClaim, epoch: 2, owner: "b", wait: 1},
+		}},
+		{"the holder itself may claim again", []step{claimed, {op: opClaim, epoch: 2, owner: "a"}, {op: opRenew, epoch: 2}}},
+		{"a released claim is free at once", []step{claimed, {op: opRelease, epoch: 1}, {op: opClaim, epoch: 2, owner: "b"}}},
+		{"a start after its latest time never begins", []step{
+			claimed, {op: opStart, epoch: 1, number: 1, late: 1, code: cwfault.Refused},
+			{op: opStart, epoch: 1, number: 1, code: cwfault.Refused}, {op: opBegun, number: 0},
+			{op: opStart, epoch: 1, number: 2}, {op: opBegun, number: 1},
+		}},
+		{"a latest time too far ahead is refused", []step{
+			claimed, {op: opStart, epoch: 1, number: 1, late: -cwmemory.MaxStartWindow - time.Second, code: cwfault.Refused},
+		}},
+		{"a repeated start of a running attempt succeeds and begins once", []step{claimed, started, started, {op: opBegun, number: 1}}},
+		{"a second attempt of a running task is refused", []step{
+			claimed, started, {op: opStart, epoch: 1, number: 2, code: cwfault.Refused}, {op: opStop, epoch: 1, number: 1, end: cwmodel.EndStopped},
+		}},
+		{"an attempt that is over never begins again", []step{
+			claimed, started, {op: opStop, epoch: 1, number: 1, end: cwmodel.EndStopped}, {op: opStart, epoch: 1, number: 1, code: cwfault.Refused},
+			{op: opAck, epoch: 1, number: 1}, {op: opStart, epoch: 1, number: 1, code: cwfault.Refused},
+			{op: opStop, epoch: 1, number: 1, code: cwfault.NotFound}, {op: opBegun, number: 1},
+		}},
+		{"a stop of an unseen attempt refuses it for good", []step{
+			claimed, {op: opStop, epoch: 1, number: 1, end: cwmodel.EndNeverBegan}, {op: opStart, epoch: 1, number: 1, code: cwfault.Refused},
+			{op: opStop, epoch: 1, number: 1, end: cwmodel.EndNeverBegan}, {op: opBegun, number: 0},
+		}},
+		{"a later owner may stop what began earlier", []step{
+			claimed, started, {op: opClaim, epoch: 2, owner: "b", wait: claimTTL}, {op: opStop, epoch: 2, number: 1, end: cwmodel.EndStopped},
+		}},
+		{"capacity is never exceeded", []step{
+			claimed, {op: opStart, epoch: 1, number: 1, task: "big", slots: 3}, {op: opStart, epoch: 1, number: 1, task: "wide", slots: 2, code: cwfault.Refused},
+			{op: opStart, epoch: 1, number: 1, task: "small"}, {op: opStart, epoch: 1, number: 1, task: "none", code: cwfault.Refused}, {op: opRunning, number: 2},
+		}},
+		{"results are kept until they are acknowledged, also for a later owner", []step{
+			claimed, started, {op: opStop, epoch: 1, number: 1, end: cwmodel.EndStopped}, {op: opResults, epoch: 1, number: 1}, {op: opResults, epoch: 1, number: 1},
+			{op: opClaim, epoch: 2, owner: "b", wait: time.Hour}, {op: opResults, epoch: 2, number: 1},
+			{op: opAck, epoch: 2, number: 1}, {op: opResults, epoch: 2, number: 0},
+		}},
+		{"a renewal extends the lease of a task of its epoch", []step{
+			claimed, started, {op: opRenew, epoch: 1, wait: taskLease - time.Second}, {op: opRunning, number: 1, wait: taskLease - 1}, {op: opRunning, number: 0, wait: 1},
+		}},
+		{"a claim does not extend the lease of an earlier epoch's task", []step{
+			claimed, started, {op: opClaim, epoch: 2, owner: "b", wait: claimTTL}, {op: opRenew, epoch: 2, wait: time.Second},
+			{op: opRunning, number: 0, wait: taskLease - claimTTL - time.Second},
+		}},
+		{"a claim and its renewals extend the lease of a durable task", []step{
+			claimed, {op: opDurable, epoch: 1, number: 1}, {op: opClaim, epoch: 2, owner: "b", wait: taskLease - time.Second},
+			{op: opRenew, epoch: 2, wait: taskLease - time.Second}, {op: opRunning, number: 1, wait: taskLease - time.Second},
+		}},
+		{"a leaving worker begins nothing", []step{claimed, {op: opDrain}, {op: opStart, epoch: 1, number: 1, code: cwfault.Refused}, {op: opRenew, epoch: 1}}},
+		{"an unacknowledged attempt is remembered however long", []step{
+			claimed, started, {op: opStop, epoch: 1, number: 1, end: cwmodel.EndStopped}, {op: opRenew, epoch: 1, wait: time.Hour}, {op: opRenew, epoch: 1, wait: time.Hour},
+			{op: opStart, epoch: 1, number: 1, code: cwfault.Refused}, {op: opBegun, number: 1},
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			clock := cwtimer.NewManual(time.Unix(1000, 0))
+			w := cwmemory.NewWorker(cwmemory.WorkerOptions{
+				Worker: cwmodel.Worker{ID: "worker-1", Capacity: cwmodel.Resources{Slots: 4}}, Now: clock.Now,
+				Execute: func(cwmodel.Task) cwmemory.Execution { return cwmemory.Execution{} },
+			})
+			for n, s := range c.steps {
+				t.Logf("step %d: %+v", n, s)
+				clock.Advance(s.wait)
+				s.carryOut(is, w, clock.Now())
+			}
+		})
+	}
+}
+
+func (s step) carryOut(is *is.I, w *cwmemory.Worker, now time.Time) {
+	is.Helper()
+	if s.task == "" {
+		s.task = "task"
+	}
+	attempt := cwmodel.Attempt{Task: s.task, Number: s.number, Worker: "worker-1", Epoch: s.epoch}
+	var err error
+	switch s.op {
+	case opClaim:
+		_, err = w.Claim(cwport.Claim{Owner: s.owner, Epoch: s.epoch, TTL: claimTTL})
+	case opRenew:
+		_, err = w.Renew(s.epoch, claimTTL)
+	case opRelease:
+		err = w.Release(s.epoch)
+	case opStart, opDurable:
+		task := cwmodel.Task{ID: s.task, Demand: cwmodel.Resources{Slots: max(s.slots, 1)}, Lease: taskLease, Durable: s.op == opDurable}
+		_, err = w.Start(cwport.Start{Task: task, Attempt: attempt, NotAfter: now.Add(-s.late)})
+	case opStop:
+		var result cwmodel.Result
+		result, err = w.Stop(attempt, cwmodel.StopNow)
+		is.Equal(result.End, s.end)
+	case opAck:
+		attempt.Epoch = 1
+		_, _, err = w.Completions(s.epoch, []cwmodel.Attempt{attempt})
+	case opResults:
+		results, _, failure := w.Completions(s.epoch, nil)
+		is.NoErr(failure)
+		is.Equal(len(results), s.number)
+	case opRunning:
+		is.Equal(len(w.Inspect().Running), s.number)
+	case opBegun:
+		is.Equal(w.Begun(), s.number)
+	case opDrain:
+		w.Drain()
+	}
+	is.Equal(cwfault.CodeOf(err), s.code)
+}
+
+func TestWorkerMemoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	clock := cwtimer.NewManual(time.Unix(1000, 0))
+	w := cwmemory.NewWorker(cwmemory.WorkerOptions{Worker: cwmodel.Worker{ID: "worker-1", Capacity: cwmodel.Resources{Slots: 4}}, Now: clock.Now})
+	_, err := w.Claim(cwport.Claim{Owner: "a", Epoch: 1, TTL: time.Hour})
+	is.NoErr(err)
+	most := 0
+	for n := range 3600 {
+		attempt := cwmodel.Attempt{Task: cwmodel.TaskID(time.Duration(n).String()), Number: 1, Worker: "worker-1", Epoch: 1}
+		_, err = w.Start(cwport.Start{Task: cwmodel.Task{ID: attempt.Task, Lease: taskLease}, Attempt: attempt, NotAfter: clock.Now()})
+		is.NoErr(err)
+		clock.Advance(time.Second)
+		_, _, err = w.Completions(1, []cwmodel.Attempt{attempt})
+		is.NoErr(err)
+		most = max(most, w.Remembered())
+	}
+	is.True(most <= 2*120+2) // two generations at one task a second
+}
--- a/internal/adapter/cwworker/worker.go
+++ b/internal/adapter/cwworker/worker.go
@@ -69,6 +69,9 @@
 func (c *client) stop(ctx context.Context, addr netip.AddrPort, attempt cwmodel.Attempt, mode cwmodel.StopMode) (result cwmodel.Result, err error) {
 	defer func() { err = eris.Wrap(err, "stop task") }()
 	in := cwcodec.StopRequest{Attempt: cwcodec.AttemptOf(attempt), Mode: string(mode)}
+	if mode == cwmodel.StopThrottle { // the attempt runs on, so there is no result
+		return cwmodel.Result{Attempt: attempt}, c.http.Call(ctx, fasthttp.MethodPost, addr, cwcodec.PathStop, in, nil)
+	}
 	var document cwcodec.Result
 	if err = c.http.Call(ctx, fasthttp.MethodPost, addr, cwcodec.PathStop, in, &document); err != nil {
 		return result, err
