Group small writes into few transactions of the table

Cause: jobs, attempts and intents must last, the table takes several hundred writes a second, has long outages and loses answers after the write. Ruled out: a row of its own for each transaction (a second write and a later delete for each); comparing contents (a later write of another host hides ours); sending an unsettled transaction again as it is (harmless, but a conflict then cannot be told from our own success). Change: cwledger, a duty with one transaction in flight. Every transaction moves the writer's own row by one version. A lost answer is settled by reading that row; one that does not show is fenced off by moving the row before the retry, so a delayed transaction can never land later. A conflict halves the group. Backoff is decorrelated jitter with a cap; what is held is bounded in entries and bytes; a full ledger refuses. cwmemory.Faulty injects faults at the ports; the stand-in platform takes a rate of lost answers and a stretch of outage.

--- /dev/null
+++ b/internal/adapter/cwmemory/faulty.go
@@ -0,0 +1,119 @@
+package cwmemory
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/port/cwport"
+)
+
+// Faults are the ways in which a table or an object store misbehaves.
+type Faults struct {
+	Down       bool          // every call fails and has no effect
+	Delay      time.Duration // of every call
+	LoseAnswer float64       // probability that a commit takes effect but answers Indefinite
+	LoseCall   float64       // probability that a commit has no effect and answers Indefinite
+}
+
+// Faulty injects faults at the ports of the platform.
+type Faulty struct {
+	timer  *cwtimer.Service
+	mu     sync.Mutex
+	random *rand.Rand
+	faults Faults
+}
+
+// NewFaulty returns an injector without faults; seed decides which answers are lost.
+func NewFaulty(timer *cwtimer.Service, seed uint64) *Faulty {
+	return &Faulty{timer: timer, random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// Set replaces the faults.
+func (f *Faulty) Set(faults Faults) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = faults
+}
+
+// Table wraps a table.
+func (f *Faulty) Table(t cwport.Table) cwport.Table {
+	return cwport.Table{
+		Read: func(ctx context.Context, key string) (row cwport.Row, err error) {
+			if err = f.pass(ctx); err != nil {
+				return row, err
+			}
+			return t.Read(ctx, key)
+		},
+		Scan: func(ctx context.Context, prefix, after string, limit int) (rows []cwport.Row, err error) {
+			if err = f.pass(ctx); err != nil {
+				return nil, err
+			}
+			return t.Scan(ctx, prefix, after, limit)
+		},
+		Commit: func(ctx context.Context, txn cwport.Txn) (err error) {
+			if err = f.pass(ctx); err != nil {
+				return err
+			}
+			return f.commit(ctx, t, txn)
+		},
+	}
+}
+
+// Objects wraps an object store.
+func (f *Faulty) Objects(o cwport.Objects) cwport.Objects {
+	return cwport.Objects{
+		Put: func(ctx context.Context, key string, body []byte) (err error) {
+			if err = f.pass(ctx); err != nil {
+				return err
+			}
+			return o.Put(ctx, key, body)
+		},
+		Get: func(ctx context.Context, key string) (body []byte, err error) {
+			if err = f.pass(ctx); err != nil {
+				return nil, err
+			}
+			return o.Get(ctx, key)
+		},
+		Delete: func(ctx context.Context, key string) (err error) {
+			if err = f.pass(ctx); err != nil {
+				return err
+			}
+			return o.Delete(ctx, key)
+		},
+	}
+}
+
+// pass delays a call and fails it while the platform is down.
+func (f *Faulty) pass(ctx context.Context) error {
+	f.mu.Lock()
+	faults := f.faults
+	f.mu.Unlock()
+	if faults.Delay > 0 && !f.timer.Sleep(ctx.Done(), faults.Delay) {
+		return cwfault.New(cwfault.Indefinite, "%v", ctx.Err())
+	}
+	if faults.Down {
+		return cwfault.New(cwfault.Unavailable, "the platform is down")
+	}
+	return nil
+}
+
+func (f *Faulty) commit(ctx context.Context, t cwport.Table, txn cwport.Txn) error {
+	f.mu.Lock()
+	loseCall := f.random.Float64() < f.faults.LoseCall
+	loseAnswer := f.random.Float64() < f.faults.LoseAnswer
+	f.mu.Unlock()
+	if loseCall {
+		return cwfault.New(cwfault.Indefinite, "the call was lost")
+	}
+	if err := t.Commit(ctx, txn); err != nil {
+		return err
+	}
+	if loseAnswer {
+		return cwfault.New(cwfault.Indefinite, "the answer was lost")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/app/cwledger/ledger_test.go
@@ -0,0 +1,125 @@
+package cwledger
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/panjf2000/ants/v2"
+
+	"currantward/internal/adapter/cwmemory"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/port/cwport"
+)
+
+// The seed of rapid is fixed unless the command line names another.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+func startLedger(t testing.TB, opts Options, seed uint64) (*Ledger, *cwmemory.Table, *cwmemory.Faulty) {
+	t.Helper()
+	timer, stopTimer := cwtimer.New()
+	t.Cleanup(stopTimer)
+	pool, err := ants.NewPool(16, ants.WithNonblocking(true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(pool.Release)
+	table, faulty := cwmemory.NewTable(), cwmemory.NewFaulty(timer, seed)
+	opts.Timer, opts.Log, opts.Pool, opts.Table = timer, cwlog.Discard(), pool, faulty.Table(table.Port())
+	opts.Writer, opts.Seed = "entry-1-1", seed
+	l, stop := New(opts)
+	t.Cleanup(stop)
+	return l, table, faulty
+}
+
+func TestLedgerThroughOutages(t *testing.T) {
+	cases := []struct {
+		name     string
+		faults   cwmemory.Faults
+		deadline time.Duration
+		recovers bool
+		want     []Verdict
+	}{
+		{"no fault", cwmemory.Faults{}, 0, false, []Verdict{Committed}},
+		{"down until a deadline", cwmemory.Faults{Down: true}, 30 * time.Millisecond, false, []Verdict{Refused}},
+		{"down for a while", cwmemory.Faults{Down: true}, 0, true, []Verdict{Committed}},
+		{"slow", cwmemory.Faults{Delay: 20 * time.Millisecond}, 0, false, []Verdict{Committed}},
+		{"slow beyond a deadline", cwmemory.Faults{Delay: 300 * time.Millisecond}, 20 * time.Millisecond, false, []Verdict{Unknown, Committed}},
+		{"answers lost", cwmemory.Faults{LoseAnswer: 0.5}, 0, false, []Verdict{Committed}},
+		{"calls lost", cwmemory.Faults{LoseCall: 0.5}, 0, false, []Verdict{Committed}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			opts := DefaultOptions()
+			opts.BackoffBase, opts.BackoffCap = 2*time.Millisecond, 10*time.Millisecond
+			l, table, faulty := startLedger(t, opts, 7)
+			faulty.Set(c.faults)
+			const entries = 20
+			verdicts := make([]chan Verdict, entries)
+			for n := range entries {
+				verdicts[n] = make(chan Verdict, 3)
+				e := Entry{Puts: []cwport.Put{{Key: fmt.Sprintf("row/%d", n)}}, Done: func(v Verdict) { verdicts[n] <- v }}
+				e.Checks = []cwport.Check{{Key: e.Puts[0].Key}}
+				if c.deadline > 0 {
+					e.Deadline = l.opts.Timer.Now().Add(c.deadline)
+				}
+				l.Write(e)
+			}
+			if c.recovers {
+				l.opts.Timer.Sleep(nil, 50*time.Millisecond)
+				is.Equal(len(verdicts[0]), 0) // nobody is told anything while the table is away
+				faulty.Set(cwmemory.Faults{})
+			}
+			for n := range entries {
+				got := <-verdicts[n]
+				for got == Unknown {
+					got = <-verdicts[n]
+				}
+				is.Equal(got, c.want[len(c.want)-1])
+				written := table.Read(fmt.Sprintf("row/%d", n)).Version == 1
+				is.Equal(written, got == Committed)
+			}
+		})
+	}
+}
+
+func TestFullLedgerRefuses(t *testing.T) {
+	is := is.New(t)
+	opts := DefaultOptions()
+	opts.InboxSize, opts.MaxEntries = 4, 8
+	l, table, faulty := startLedger(t, opts, 7)
+	faulty.Set(cwmemory.Faults{Down: true})
+	const entries = 200
+	verdicts := make(chan Verdict, entries)
+	for n := range entries {
+		l.Write(Entry{Puts: []cwport.Put{{Key: fmt.Sprintf("row/%d", n)}}, Done: func(v Verdict) { verdicts <- v }})
+	}
+	for range entries - opts.MaxEntries - opts.InboxSize {
+		is.Equal(<-verdicts, Refused)
+	}
+	is.Equal(len(table.Scan("row/", "", entries)), 0)
+}
+
+// BenchmarkLedger offers writes as fast as they are settled, over a table that answers after 2 ms.
+func BenchmarkLedger(b *testing.B) {
+	l, _, faulty := startLedger(b, DefaultOptions(), 7)
+	faulty.Set(cwmemory.Faults{Delay: 2 * time.Millisecond})
+	settled := make(chan Verdict, 256)
+	began := l.opts.Timer.Now()
+	for n := range b.N {
+		if n >= cap(settled) {
+			<-settled
+		}
+		l.Write(Entry{Puts: []cwport.Put{{Key: fmt.Sprintf("row/%d", n)}}, Done: func(v Verdict) { settled <- v }})
+	}
+	for range min(b.N, cap(settled)) {
+		<-settled
+	}
+	stats, took := l.Stats(), l.opts.Timer.Now().Sub(began).Seconds()
+	b.ReportMetric(float64(stats.Entries)/float64(stats.Transactions), "entries/transaction")
+	b.ReportMetric(float64(stats.Transactions)/took, "transactions/s")
+}
--- a/internal/standin/cwstore/store.go
+++ b/internal/standin/cwstore/store.go
@@ -2,6 +2,7 @@
 package cwstore
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -30,6 +31,9 @@
 	Down       bool             `json:"down,omitempty"`
 	Delay      cwcodec.Duration `json:"delay,omitempty"`
 	LoseAnswer int              `json:"lose-answer,omitempty"` // this many commits take effect but answer an error
+	LoseRate   float64          `json:"lose-rate,omitempty"`   // part of the commits that take effect but answer an error
+	Seed       uint64           `json:"seed,omitempty"`        // of the commits whose answers are lost at that rate
+	DownFor    cwcodec.Duration `json:"down-for,omitempty"`    // down until this much later
 	HostLag    cwcodec.Duration `json:"host-lag,omitempty"`    // changes of the host list show this much later
 }
 
@@ -47,6 +51,8 @@
 	timer   *cwtimer.Service
 	mu      sync.Mutex
 	faults  Faults
+	random  *rand.Rand
+	downTo  time.Time
 	hosts   map[cwmodel.HostID]cwmodel.Host
 }
 
@@ -84,6 +90,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = faults
+	s.random = rand.New(rand.NewPCG(faults.Seed, faults.Seed))
+	s.downTo = s.timer.Now().Add(time.Duration(faults.DownFor))
 }
 
 func (s *Store) handle(ctx *fasthttp.RequestCtx) {
@@ -123,7 +131,9 @@
 func (s *Store) present() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.faults
+	faults := s.faults
+	faults.Down = faults.Down || s.timer.Now().Before(s.downTo)
+	return faults
 }
 
 func (s *Store) handleRegister(ctx *fasthttp.RequestCtx) {
@@ -193,6 +203,9 @@
 func (s *Store) losesAnswer() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.faults.LoseRate > 0 && s.random.Float64() < s.faults.LoseRate {
+		return true
+	}
 	if s.faults.LoseAnswer <= 0 {
 		return false
 	}
