Prove the promises on separate processes under faults

Cause: nothing showed that answers are whole, that work runs at most once and that capacity holds when processes are killed, paused or cut off.

Ruled out: an endpoint for the attempts of a worker, since it is gone with a killed worker. The stand-in logs each attempt that begins and ends instead, and the checker reads the log.

--- a/internal/adapter/cwmemory/worker.go
+++ b/internal/adapter/cwmemory/worker.go
@@ -25,6 +25,7 @@
 	Worker  cwmodel.Worker
 	Now     func() time.Time
 	Execute func(t cwmodel.Task) Execution // nil: ends at once as done
+	Ended   func(r cwmodel.Result)         // nil: nobody is told; it must not block
 }
 
 // Worker is a worker in memory: it runs tasks under leases and refuses what is stale or does not fit.
@@ -264,6 +265,9 @@
 		Attempt: e.Attempt, End: end, Message: message, Answer: answer, Began: e.Began, Ended: at, Used: e.plan.Used,
 	}
 	w.results = append(w.results, result)
+	if w.opts.Ended != nil {
+		w.opts.Ended(result)
+	}
 	close(w.changed)
 	w.changed = make(chan struct{})
 	return result
--- /dev/null
+++ b/internal/proof/cwprocess/check.go
@@ -0,0 +1,196 @@
+package cwprocess
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/standin/cwrunner"
+)
+
+// Span is one attempt as its worker's journal has it.
+type Span struct {
+	Worker     string
+	Task       string
+	Digest     string // of the payload
+	Repeatable bool
+	Demand     cwmodel.Resources
+	Began      time.Time
+	Ended      time.Time // the kill of its worker, or zero if it runs on
+}
+
+// Report counts what a check has looked at.
+type Report struct {
+	Exchanges  int
+	Outcomes   map[string]int
+	NoAnswer   int
+	Attempts   int
+	Violations []string
+}
+
+// Err returns one error that lists all violations, or nil.
+func (r *Report) Err() error {
+	if len(r.Violations) == 0 {
+		return nil
+	}
+	const most = 10
+	return errors.New(strings.Join(r.Violations[:min(len(r.Violations), most)], "\n"))
+}
+
+func (r *Report) violate(format string, args ...any) {
+	r.Violations = append(r.Violations, fmt.Sprintf(format, args...))
+}
+
+// Check compares what callers saw with what the workers' journals say.
+//
+// A request to a host that was killed, or that reached a host after its shutdown began, may go without an answer.
+func Check(c *Cluster, exchanges []Exchange, shutdowns map[cwmodel.HostID]time.Time) *Report {
+	r := &Report{Exchanges: len(exchanges), Outcomes: map[string]int{}}
+	spans := c.Spans()
+	r.Attempts = len(spans)
+	r.checkSpans(spans)
+	r.checkCapacity(spans, c.opts.Capacity.Core())
+	byTask, byDigest := map[string]bool{}, map[string]bool{}
+	for _, s := range spans {
+		byTask[s.Task], byDigest[s.Digest] = true, true
+	}
+	seen := map[string]bool{}
+	for _, e := range exchanges {
+		digest := cwrunner.AnswerTo("", e.Payload).Digest
+		if e.Err != nil {
+			r.NoAnswer++
+			r.checkUnanswered(c, e, byDigest[digest], shutdowns)
+			continue
+		}
+		r.Outcomes[e.Answer.Outcome]++
+		if seen[e.Answer.RequestID] {
+			r.violate("request %s was answered twice", e.Answer.RequestID)
+		}
+		seen[e.Answer.RequestID] = true
+		r.checkAnswer(e, byTask[e.Answer.RequestID])
+	}
+	return r
+}
+
+func (r *Report) checkUnanswered(c *Cluster, e Exchange, began bool, shutdowns map[cwmodel.HostID]time.Time) {
+	at := slices.IndexFunc(c.Hosts, func(h *EntryHost) bool { return h.ID == e.Host })
+	shutdown, leaving := shutdowns[e.Host]
+	switch {
+	case !c.Hosts[at].Killed.IsZero():
+	case cwfault.CodeOf(e.Err) == cwfault.Unavailable && !began:
+	case leaving && e.Sent.After(shutdown) && !began:
+	default:
+		r.violate("a %s request to %s got no answer (began: %t): %v", e.Profile, e.Host, began, e.Err)
+	}
+}
+
+func (r *Report) checkAnswer(e Exchange, began bool) {
+	id := e.Answer.RequestID
+	switch cwmodel.Outcome(e.Answer.Outcome) {
+	case cwmodel.OutcomeDone:
+		var answer cwrunner.Answer
+		if json.Unmarshal(e.Answer.Answer, &answer) != nil || answer != cwrunner.AnswerTo(cwmodel.TaskID(id), e.Payload) {
+			r.violate("request %s got an answer that is not its own: %s", id, e.Answer.Answer)
+		}
+		if !began {
+			r.violate("request %s is done but no worker began it", id)
+		}
+	case cwmodel.OutcomeNotRun:
+		if began {
+			r.violate("request %s was said not to have run but began (reason %s)", id, e.Answer.Reason)
+		}
+	case cwmodel.OutcomeFailed, cwmodel.OutcomeUnknown, cwmodel.OutcomeCancelled:
+	default:
+		r.violate("request %s has the outcome %q", id, e.Answer.Outcome)
+	}
+}
+
+// checkSpans demands that no task runs in two places and that what is not repeatable begins at most once.
+func (r *Report) checkSpans(spans []Span) {
+	last := map[string]Span{}
+	for _, s := range spans {
+		before, ok := last[s.Task]
+		switch {
+		case ok && !s.Repeatable:
+			r.violate("task %s is not repeatable but began on %s and on %s", s.Task, before.Worker, s.Worker)
+		case ok && (before.Ended.IsZero() || before.Ended.After(s.Began)):
+			r.violate("task %s ran on %s and on %s at once", s.Task, before.Worker, s.Worker)
+		}
+		last[s.Task] = s
+	}
+}
+
+// checkCapacity adds up the demands that run at each moment on each worker.
+func (r *Report) checkCapacity(spans []Span, capacity cwmodel.Resources) {
+	byWorker := map[string][]Span{}
+	for _, s := range spans {
+		running := slices.DeleteFunc(byWorker[s.Worker], func(o Span) bool { return !o.Ended.IsZero() && !o.Ended.After(s.Began) })
+		running = append(running, s)
+		byWorker[s.Worker] = running
+		var used cwmodel.Resources
+		for _, o := range running {
+			used = used.Plus(o.Demand)
+		}
+		if !used.FitsIn(capacity) {
+			r.violate("worker %s held %+v, above its capacity", s.Worker, used)
+		}
+	}
+}
+
+// Spans returns all attempts of all workers in the order in which they began.
+func (c *Cluster) Spans() (spans []Span) {
+	for _, rack := range c.Racks {
+		ends := map[string]time.Time{}
+		for _, line := range rack.Lines(cwrunner.EventEnded) {
+			ends[line.Get("worker")+line.Get("task")+line.Get("number")] = timeOf(line)
+		}
+		for _, line := range rack.Lines(cwrunner.EventBegan) {
+			s := Span{
+				Worker: line.Get("worker"), Task: line.Get("task"), Digest: line.Get("digest"), Repeatable: line.Get("repeatable") == "true",
+				Began: timeOf(line), Ended: ends[line.Get("worker")+line.Get("task")+line.Get("number")],
+				Demand: cwmodel.Resources{
+					MilliProcessors: integer(line, "milli-processors"), MemoryBytes: integer(line, "memory-bytes"),
+					Slots: integer(line, "slots"), Connections: integer(line, "connections"),
+				},
+			}
+			if s.Ended.IsZero() {
+				s.Ended = rack.Killed
+			}
+			spans = append(spans, s)
+		}
+	}
+	slices.SortFunc(spans, func(a, b Span) int { return a.Began.Compare(b.Began) })
+	return spans
+}
+
+func timeOf(line Line) time.Time {
+	at, _ := time.Parse(time.RFC3339Nano, line.Get("at"))
+	return at
+}
+
+func integer(line Line, key string) int64 {
+	n, _ := strconv.ParseInt(line.Get(key), 10, 64)
+	return n
+}
+
+// ProofConfiguration is what clusters under proof run: one repeatable and one not repeatable profile.
+func ProofConfiguration() (document cwcodec.Configuration) {
+	demand := cwcodec.Resources{Processors: 1, MemoryMiB: 256, Slots: 1, Connections: 1}
+	profile := cwcodec.Profile{
+		Kind: string(cwmodel.KindRequest), Class: string(cwmodel.ClassUrgent), QueueLimit: 1000,
+		Deadline: cwcodec.Duration(4 * time.Second), Lease: cwcodec.Duration(2 * time.Second), Demand: demand,
+	}
+	for _, name := range []string{"check", "filing"} {
+		profile.Name, profile.Repeatable = name, name == "check"
+		document.Profiles = append(document.Profiles, profile)
+	}
+	document.Teams = []cwcodec.Team{{Name: "intake"}}
+	return document
+}
--- /dev/null
+++ b/internal/proof/cwprocess/cluster.go
@@ -0,0 +1,252 @@
+package cwprocess
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"currantward/internal/adapter/cwadmin"
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/app/cwdev"
+	"currantward/internal/app/cwsettings"
+	"currantward/internal/base/cwduty"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwpolicy"
+	"currantward/internal/standin/cwstore"
+)
+
+// Options set up a cluster of processes.
+type Options struct {
+	Programs      Programs
+	Folder        string // of the settings
+	Timer         *cwtimer.Service
+	DataCentres   int
+	EntryHosts    int // in each data centre
+	Workers       int // in each data centre, all in one process
+	Capacity      cwcodec.Resources
+	Configuration cwpolicy.Configuration
+	ClaimTTL      time.Duration
+}
+
+// EntryHost is one entry host's process.
+type EntryHost struct {
+	*Process
+	ID         cwmodel.HostID
+	DataCentre cwmodel.DataCentre
+	Callers    netip.AddrPort
+	Operators  netip.AddrPort
+	Platform   *Relay // its way to the platform
+}
+
+// Rack is the one process of a data centre's workers.
+type Rack struct {
+	*Process
+	DataCentre cwmodel.DataCentre
+}
+
+// Cluster is a platform, workers and entry hosts, each a process of its own.
+type Cluster struct {
+	opts     Options
+	client   *cwhttp.Client
+	cleanup  cwduty.Cleanup
+	platform netip.AddrPort
+	Hosts    []*EntryHost
+	Racks    []*Rack
+}
+
+// New starts a cluster, waits until it serves and returns the function that ends it.
+func New(ctx context.Context, opts Options) (c *Cluster, stop func(), err error) {
+	defer func() { err = eris.Wrap(err, "start cluster") }()
+	c = &Cluster{opts: opts}
+	defer func() {
+		if err != nil {
+			c.cleanup.Run()
+		}
+	}()
+	client, stopClient := cwhttp.NewClient(cwhttp.DefaultClientOptions())
+	c.client = client
+	c.cleanup.Add(stopClient)
+	if err = c.startPlatform(ctx); err != nil {
+		return nil, nil, err
+	}
+	for n := range opts.DataCentres {
+		dataCentre := cwmodel.DataCentre(fmt.Sprintf("khomas-%d", n+1))
+		if err = c.startRack(ctx, dataCentre); err != nil {
+			return nil, nil, err
+		}
+		for k := range opts.EntryHosts {
+			if err = c.startHost(ctx, dataCentre, cwmodel.HostID(fmt.Sprintf("%s-entry-%d", dataCentre, k+1))); err != nil {
+				return nil, nil, err
+			}
+		}
+	}
+	if err = cwdev.PutConfiguration(ctx, c.Hosts[0].Operators, client, opts.Configuration); err != nil {
+		return nil, nil, err
+	}
+	return c, c.cleanup.Run, c.AwaitOwned(ctx)
+}
+
+func (c *Cluster) start(name, program string, args ...string) (*Process, error) {
+	p, err := Start(name, program, args...)
+	if err == nil {
+		c.cleanup.Add(p.Kill)
+	}
+	return p, err
+}
+
+func (c *Cluster) startPlatform(ctx context.Context) error {
+	p, err := c.start("platform", c.opts.Programs.StandIn, "platform", "--listen", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	line, err := p.Await(ctx, "platform-started")
+	if err != nil {
+		return err
+	}
+	c.platform, err = netip.ParseAddrPort(line.Get("address"))
+	return err
+}
+
+func (c *Cluster) startRack(ctx context.Context, dataCentre cwmodel.DataCentre) error {
+	capacity := c.opts.Capacity
+	p, err := c.start("rack-"+string(dataCentre), c.opts.Programs.StandIn, "workers", "--platform", c.platform.String(),
+		"--data-centre", string(dataCentre), "--count", fmt.Sprint(c.opts.Workers), "--prefix", string(dataCentre)+"-worker",
+		"--processors", fmt.Sprint(capacity.Processors), "--memory-mib", fmt.Sprint(capacity.MemoryMiB),
+		"--slots", fmt.Sprint(capacity.Slots), "--connections", fmt.Sprint(capacity.Connections))
+	if err != nil {
+		return err
+	}
+	c.Racks = append(c.Racks, &Rack{Process: p, DataCentre: dataCentre})
+	_, err = p.Await(ctx, "worker-started")
+	return err
+}
+
+func (c *Cluster) startHost(ctx context.Context, dataCentre cwmodel.DataCentre, id cwmodel.HostID) error {
+	relay, stop, err := NewRelay(c.platform)
+	if err != nil {
+		return err
+	}
+	c.cleanup.Add(stop)
+	settings := cwsettings.Defaults()
+	settings.HostID, settings.DataCentre, settings.Platform = string(id), string(dataCentre), relay.Address.String()
+	settings.ListenCallers, settings.ListenOperators, settings.ListenPeers = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	settings.ClaimTTL = cwcodec.Duration(c.opts.ClaimTTL)
+	data, err := json.Marshal(settings)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(c.opts.Folder, string(id)+".json")
+	if err = os.WriteFile(path, data, 0o600); err != nil {
+		return err
+	}
+	p, err := c.start(string(id), c.opts.Programs.Currantward, "serve", path)
+	if err != nil {
+		return err
+	}
+	line, err := p.Await(ctx, "entry-host-started")
+	if err != nil {
+		return err
+	}
+	host := &EntryHost{Process: p, ID: id, DataCentre: dataCentre, Platform: relay}
+	var peers netip.AddrPort
+	for _, address := range []struct {
+		key string
+		to  *netip.AddrPort
+	}{{"callers", &host.Callers}, {"operators", &host.Operators}, {"peers", &peers}} {
+		if *address.to, err = netip.ParseAddrPort(line.Get(address.key)); err != nil {
+			return err
+		}
+	}
+	c.Hosts = append(c.Hosts, host)
+	row := cwmodel.Host{ID: id, Role: cwmodel.RoleEntryHost, State: cwmodel.HostLive, Address: peers, DataCentre: dataCentre}
+	return c.client.Call(ctx, fasthttp.MethodPost, c.platform, cwstore.PathRegister, cwcodec.HostOf(row), nil)
+}
+
+// Kill ends a process at once and notes when.
+func (c *Cluster) Kill(p *Process) {
+	p.Killed = c.opts.Timer.Now()
+	p.Kill()
+}
+
+// SetFaults replaces the faults of the platform.
+func (c *Cluster) SetFaults(ctx context.Context, faults cwstore.Faults) error {
+	return c.client.Call(ctx, fasthttp.MethodPost, c.platform, cwstore.PathFaults, faults, nil)
+}
+
+// Status returns what an entry host says of itself.
+func (c *Cluster) Status(ctx context.Context, host *EntryHost) (status cwadmin.Status, err error) {
+	err = c.client.Call(ctx, fasthttp.MethodGet, host.Operators, cwadmin.PathStatus, nil, &status)
+	return status, err
+}
+
+// Drain begins a graceful shutdown of an entry host and waits for its end.
+func (c *Cluster) Drain(ctx context.Context, host *EntryHost) error {
+	if err := c.client.Call(ctx, fasthttp.MethodPost, host.Operators, cwadmin.PathDrain, struct{}{}, nil); err != nil {
+		return err
+	}
+	code, err := host.Wait(ctx)
+	if err == nil && code != 0 {
+		err = fmt.Errorf("%s ended with code %d", host.ID, code)
+	}
+	return err
+}
+
+// AwaitOwned waits until all hosts that run hold a configuration and own all workers that run.
+func (c *Cluster) AwaitOwned(ctx context.Context) error { return c.await(ctx, c.missing) }
+
+// AwaitConfiguration waits until all hosts that run have at least the given version in force.
+func (c *Cluster) AwaitConfiguration(ctx context.Context, version cwpolicy.Version) error {
+	return c.await(ctx, func(ctx context.Context) string {
+		for _, host := range c.Hosts {
+			if status, err := c.Status(ctx, host); !host.IsEnded() && (err != nil || status.Configuration < uint64(version)) {
+				return fmt.Sprintf("%s has configuration %d", host.ID, status.Configuration)
+			}
+		}
+		return ""
+	})
+}
+
+// await asks again and again until nothing is missing.
+func (c *Cluster) await(ctx context.Context, ask func(ctx context.Context) (missing string)) error {
+	const pause = 50 * time.Millisecond
+	for {
+		missing := ask(ctx)
+		if missing == "" {
+			return nil
+		}
+		if !c.opts.Timer.Sleep(ctx.Done(), pause) {
+			return cwfault.New(cwfault.Unavailable, "not ready in time: %s", missing)
+		}
+	}
+}
+
+// missing says what the cluster still lacks to serve with all that runs.
+func (c *Cluster) missing(ctx context.Context) string {
+	owned := map[cwmodel.DataCentre]int{}
+	for _, host := range c.Hosts {
+		if host.IsEnded() {
+			continue
+		}
+		status, err := c.Status(ctx, host)
+		if err != nil || status.Configuration == 0 {
+			return fmt.Sprintf("%s has no configuration: %v", host.ID, err)
+		}
+		owned[host.DataCentre] += status.Workers
+	}
+	for _, rack := range c.Racks {
+		if !rack.IsEnded() && owned[rack.DataCentre] != c.opts.Workers {
+			return fmt.Sprintf("%d of %d workers of %s are owned", owned[rack.DataCentre], c.opts.Workers, rack.DataCentre)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/proof/cwprocess/process.go
@@ -0,0 +1,187 @@
+// Package cwprocess runs the programs as separate processes, injects faults and checks what must always hold.
+package cwprocess
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Line is one event of a process's log.
+type Line struct{ text string }
+
+// Get returns the value of one key of the line, or "".
+func (l Line) Get(key string) string {
+	for _, field := range strings.Fields(l.text) {
+		if name, value, ok := strings.Cut(field, "="); ok && name == key {
+			return strings.Trim(value, `"`)
+		}
+	}
+	return ""
+}
+
+// journal collects the lines of one process's log.
+type journal struct {
+	mu      sync.Mutex
+	rest    []byte
+	lines   []Line
+	changed chan struct{}
+}
+
+// Write takes what the process wrote; it is called by package exec.
+func (j *journal) Write(data []byte) (int, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.rest = append(j.rest, data...)
+	for {
+		line, rest, ok := bytes.Cut(j.rest, []byte("\n"))
+		if !ok {
+			break
+		}
+		j.lines, j.rest = append(j.lines, Line{string(line)}), rest
+	}
+	close(j.changed)
+	j.changed = make(chan struct{})
+	return len(data), nil
+}
+
+// after returns the lines from index n on and a channel that closes when more come.
+func (j *journal) after(n int) ([]Line, <-chan struct{}) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.lines[n:len(j.lines):len(j.lines)], j.changed
+}
+
+// Process is one started program.
+type Process struct {
+	Name    string
+	Killed  time.Time // zero unless it was killed
+	command *exec.Cmd
+	journal *journal
+	ended   chan struct{}
+	code    int
+}
+
+// Start starts a program and collects its log.
+func Start(name, program string, args ...string) (p *Process, err error) {
+	defer func() { err = eris.Wrapf(err, "start %s", name) }()
+	p = &Process{Name: name, journal: &journal{changed: make(chan struct{})}, ended: make(chan struct{})}
+	p.command = exec.Command(program, args...)
+	p.command.Stderr = p.journal
+	if err = p.command.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		defer close(p.ended)
+		_ = p.command.Wait()
+		p.code = p.command.ProcessState.ExitCode()
+	}()
+	return p, nil
+}
+
+// Lines returns all events of one kind that the process has logged.
+func (p *Process) Lines(event string) (lines []Line) {
+	all, _ := p.journal.after(0)
+	for _, line := range all {
+		if line.Get("msg") == event {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+// Await returns the first event of one kind, and an error if the process ends before.
+func (p *Process) Await(ctx context.Context, event string) (Line, error) {
+	for n := 0; ; {
+		lines, changed := p.journal.after(n)
+		for _, line := range lines {
+			if line.Get("msg") == event {
+				return line, nil
+			}
+		}
+		n += len(lines)
+		select {
+		case <-changed:
+		case <-p.ended:
+			return Line{}, fmt.Errorf("%s ended with code %d before %s: %s", p.Name, p.code, event, p.tail())
+		case <-ctx.Done():
+			return Line{}, fmt.Errorf("%s: no %s in time: %s", p.Name, event, p.tail())
+		}
+	}
+}
+
+// tail returns the end of the log for an error message.
+func (p *Process) tail() string {
+	const most = 5
+	lines, _ := p.journal.after(0)
+	var text []string
+	for _, line := range lines[max(len(lines)-most, 0):] {
+		text = append(text, line.text)
+	}
+	return strings.Join(text, "\n")
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	_ = p.command.Process.Kill()
+	<-p.ended
+}
+
+// Pause stops the process until Resume.
+func (p *Process) Pause() error { return p.command.Process.Signal(syscall.SIGSTOP) }
+
+// Resume lets a paused process go on.
+func (p *Process) Resume() error { return p.command.Process.Signal(syscall.SIGCONT) }
+
+// Terminate asks the process to end and waits for its exit code.
+func (p *Process) Terminate(ctx context.Context) (code int, err error) {
+	_ = p.command.Process.Signal(syscall.SIGTERM)
+	return p.Wait(ctx)
+}
+
+// Wait returns the exit code once the process has ended.
+func (p *Process) Wait(ctx context.Context) (code int, err error) {
+	select {
+	case <-p.ended:
+		return p.code, nil
+	case <-ctx.Done():
+		return 0, fmt.Errorf("%s did not end in time: %s", p.Name, p.tail())
+	}
+}
+
+// Programs are the paths of the built programs.
+type Programs struct{ Currantward, StandIn string }
+
+// Build builds the programs of the module into a folder.
+func Build(folder string) (programs Programs, err error) {
+	defer func() { err = eris.Wrap(err, "build programs") }()
+	module, err := exec.Command("go", "env", "GOMOD").Output()
+	if err != nil {
+		return programs, err
+	}
+	command := exec.Command("go", "build", "-o", folder+string(os.PathSeparator), "./cmd/currantward", "./cmd/standin")
+	command.Dir = filepath.Dir(strings.TrimSpace(string(module)))
+	if out, err := command.CombinedOutput(); err != nil {
+		return programs, fmt.Errorf("%w: %s", err, out)
+	}
+	return Programs{filepath.Join(folder, "currantward"), filepath.Join(folder, "standin")}, nil
+}
+
+// IsEnded reports whether the process has ended.
+func (p *Process) IsEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/standin/cwrunner/runner.go
+++ b/internal/standin/cwrunner/runner.go
@@ -40,7 +40,10 @@
 // New starts a stand-in worker and returns its address and the function that stops it.
 func New(opts Options) (r *Runner, bound netip.AddrPort, stop func(), err error) {
 	r = &Runner{timer: opts.Timer}
-	r.worker = cwmemory.NewWorker(cwmemory.WorkerOptions{Worker: opts.Worker, Now: opts.Timer.Now, Execute: Plan})
+	journal := journal{worker: opts.Worker.ID, now: opts.Timer.Now, log: opts.Log}
+	r.worker = cwmemory.NewWorker(cwmemory.WorkerOptions{
+		Worker: opts.Worker, Now: opts.Timer.Now, Execute: journal.begin, Ended: journal.end,
+	})
 	limits := cwhttp.DefaultServerOptions("worker-stand-in", opts.Log)
 	limits.MaxBodyBytes = 4 << 20
 	bound, stopServer, err := cwhttp.Serve(opts.Listen, r.handle, limits)
