--- a/internal/adapter/cwmemory/worker.go
+++ b/internal/adapter/cwmemory/worker.go
@@ -26,6 +26,7 @@
 	Worker  cwmodel.Worker
 	Now     func() time.Time
 	Execute func(t cwmodel.Task) Execution // nil: ends at once as done
+	Ended   func(r cwmodel.Result)         // nil: nobody is told; it must not block
 }
 
 // MaxStartWindow is how far ahead the latest time to begin of a start order may lie.
@@ -283,6 +284,9 @@
 		Attempt: e.Attempt, End: end, Message: message, Answer: answer, Began: e.Began, Ended: at, Used: e.plan.Used,
 	}
 	w.results = append(w.results, result)
+	if w.opts.Ended != nil {
+		w.opts.Ended(result)
+	}
 	close(w.changed)
 	w.changed = make(chan struct{})
 	return result
