Build the decider whole: fairness, gangs, holds, lost workers, retries

Cause: the first decider served strict class order only; a flood of the most urgent work starved the rest, a lost worker's tasks were answered unknown at once, and jobs had no gangs, holds or adoption.

Change: capacity index (cwcapacity), shares and floors (cwfairness), learned run times and sizes (cwestimate), circuit breaker (cwquarantine), retries (cwretry), composed by cwdecider. Added events: SubmitGang, Hold, CommitHold, ReleaseHold, Observe, LoseWorker, SetQuotaShare, Knows, Verify; added actions lost and orphan; cwscheduler carries them.

Ruled out: dropping the capacity of an answered task at its answer (it may run on until its worker says otherwise); members of a gang that retry one by one.

Found by the random test before this commit, and mended: a gang member was retried after its worker was lost; a checkpointed request was answered not-run; a worker on probation without probes stayed closed for ever; a gang above what unused guarantees leave was admitted and never started.

--- a/internal/app/cwscheduler/scheduler.go
+++ b/internal/app/cwscheduler/scheduler.go
@@ -27,6 +27,10 @@
 
 	// Order sends a start or stop order; it must not block.
 	Order func(action cwdecider.Action)
+	// Durable takes the answers of durable tasks that came without a reply, and the tasks of lost workers; it must not block.
+	Durable func(action cwdecider.Action)
+	// Orphan takes results of attempts that are not known here or that nobody waits for; it must not block.
+	Orphan func(result cwmodel.Result)
 }
 
 // eventKind names what an event asks of the decider.
@@ -41,6 +45,12 @@
 	eventDraining  eventKind = "worker-draining"
 	eventConfigure eventKind = "configure"
 	eventTick      eventKind = "tick"
+	eventGang      eventKind = "gang"
+	eventUsage     eventKind = "usage"
+	eventHold      eventKind = "hold"
+	eventCommit    eventKind = "commit-hold"
+	eventRelease   eventKind = "release-hold"
+	eventQuota     eventKind = "quota-share"
 )
 
 // event is one item of the inbox; which fields are set depends on its kind.
@@ -52,6 +62,13 @@
 	inventory cwport.Inventory
 	worker    cwmodel.HostID
 	cfg       cwpolicy.Configuration
+	tasks     []cwmodel.Task
+	usage     []cwmodel.Usage
+	job       cwmodel.JobID
+	at        time.Time // last renewal of a lost worker; expiry of a hold
+	share     float64
+	held      func(count int)
+	committed func(ok bool)
 }
 
 // Scheduler owns the decider.
@@ -104,7 +121,12 @@
 
 // Lost takes a worker away whose claim has ended.
 func (s *Scheduler) Lost(ctx context.Context, worker cwmodel.HostID) error {
-	return s.inbox.Put(ctx, event{kind: eventLost, worker: worker})
+	return s.LostSince(ctx, worker, s.opts.Timer.Now())
+}
+
+// LostSince takes a worker away whose claim has ended and whose last renewal was sent at the given time.
+func (s *Scheduler) LostSince(ctx context.Context, worker cwmodel.HostID, renewed time.Time) error {
+	return s.inbox.Put(ctx, event{kind: eventLost, worker: worker, at: renewed})
 }
 
 // Draining stops placements on a worker that is leaving.
@@ -140,8 +162,7 @@
 func (s *Scheduler) handle(now time.Time, e event) {
 	switch e.kind {
 	case eventSubmit:
-		s.replies[e.task.ID] = e.reply
-		s.decider.Submit(now, e.task)
+		s.submit(now, e)
 	case eventCancel:
 		s.decider.Cancel(now, e.task.ID)
 	case eventEnded:
@@ -149,25 +170,63 @@
 	case eventOwned:
 		s.decider.AddWorker(now, e.inventory.Worker, e.inventory.Epoch, e.inventory.Running)
 	case eventLost:
-		s.decider.RemoveWorker(now, e.worker)
+		s.decider.LoseWorker(now, e.worker, e.at)
 	case eventDraining:
 		s.decider.DrainWorker(e.worker)
 	case eventConfigure:
 		s.decider.Configure(now, e.cfg)
 	case eventTick:
 		s.decider.Tick(now)
+	case eventUsage:
+		s.decider.Observe(now, e.usage)
+	case eventQuota:
+		s.decider.SetQuotaShare(e.share)
+	default:
+		s.handleGang(now, e)
+	}
+}
+
+// submit keeps the reply of a task unless the task is known already; its first reply stays then.
+func (s *Scheduler) submit(now time.Time, e event) {
+	if s.decider.Knows(e.task.ID) {
+		return
+	}
+	if e.reply != nil {
+		s.replies[e.task.ID] = e.reply
 	}
+	s.decider.Submit(now, e.task)
 }
 
 func (s *Scheduler) carryOut(actions []cwdecider.Action) {
 	for _, action := range actions {
-		if action.Kind != cwdecider.ActionAnswer {
+		switch action.Kind {
+		case cwdecider.ActionStart, cwdecider.ActionStop:
 			s.opts.Order(action)
-			continue
-		}
-		if reply, ok := s.replies[action.Task.ID]; ok {
+		case cwdecider.ActionAnswer:
+			s.reply(action)
+		case cwdecider.ActionLost:
 			delete(s.replies, action.Task.ID)
-			reply(action.Answer)
+			s.handBack(action)
+		case cwdecider.ActionOrphan:
+			if s.opts.Orphan != nil {
+				s.opts.Orphan(action.Result)
+			}
 		}
 	}
 }
+
+func (s *Scheduler) reply(action cwdecider.Action) {
+	reply, ok := s.replies[action.Task.ID]
+	if !ok {
+		s.handBack(action)
+		return
+	}
+	delete(s.replies, action.Task.ID)
+	reply(action.Answer)
+}
+
+func (s *Scheduler) handBack(action cwdecider.Action) {
+	if action.Task.Durable && s.opts.Durable != nil {
+		s.opts.Durable(action)
+	}
+}
--- /dev/null
+++ b/internal/base/cwheap/heap.go
@@ -0,0 +1,84 @@
+// Package cwheap provides a binary heap whose items know their place, so that any item can be removed.
+package cwheap
+
+// Heap is a priority queue of pointers; the least item comes first.
+type Heap[T any] struct {
+	items []*T
+
+	// Less orders the items.
+	Less func(a, b *T) bool
+	// Place returns the field of an item that holds its index; it is -1 while the item is in no heap.
+	Place func(item *T) *int
+}
+
+// Len returns the number of items.
+func (h *Heap[T]) Len() int { return len(h.items) }
+
+// First returns the least item, or nil.
+func (h *Heap[T]) First() *T {
+	if len(h.items) == 0 {
+		return nil
+	}
+	return h.items[0]
+}
+
+// Last returns an item without children, or nil.
+func (h *Heap[T]) Last() *T {
+	if len(h.items) == 0 {
+		return nil
+	}
+	return h.items[len(h.items)-1]
+}
+
+// Push adds an item.
+func (h *Heap[T]) Push(item *T) {
+	h.items = append(h.items, item)
+	*h.Place(item) = len(h.items) - 1
+	h.up(len(h.items) - 1)
+}
+
+// Remove takes an item out.
+func (h *Heap[T]) Remove(item *T) {
+	at, last := *h.Place(item), len(h.items)-1
+	h.swap(at, last)
+	h.items[last] = nil
+	h.items = h.items[:last]
+	*h.Place(item) = -1
+	if at < last {
+		h.down(at)
+		h.up(at)
+	}
+}
+
+func (h *Heap[T]) swap(a, b int) {
+	h.items[a], h.items[b] = h.items[b], h.items[a]
+	*h.Place(h.items[a]) = a
+	*h.Place(h.items[b]) = b
+}
+
+func (h *Heap[T]) up(at int) {
+	for at > 0 {
+		parent := (at - 1) / 2
+		if !h.Less(h.items[at], h.items[parent]) {
+			return
+		}
+		h.swap(at, parent)
+		at = parent
+	}
+}
+
+func (h *Heap[T]) down(at int) {
+	for {
+		least := at
+		for child := 2*at + 1; child <= 2*at+2 && child < len(h.items); child++ {
+			if h.Less(h.items[child], h.items[least]) {
+				least = child
+			}
+		}
+		if least == at {
+			return
+		}
+		h.swap(at, least)
+		at = least
+	}
+}
--- a/internal/core/cwdecider/decider.go
+++ b/internal/core/cwdecider/decider.go
@@ -5,10 +5,14 @@
 package cwdecider
 
 import (
+	"math/rand/v2"
 	"time"
 
+	"currantward/internal/base/cwheap"
+	"currantward/internal/core/cwcapacity"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwpolicy"
+	"currantward/internal/core/cwquarantine"
 )
 
 // ActionKind says what the owner of a decider has to carry out.
@@ -19,43 +23,110 @@
 	ActionStart  ActionKind = "start"  // send a start order to a worker
 	ActionStop   ActionKind = "stop"   // stop, checkpoint or throttle an attempt
 	ActionAnswer ActionKind = "answer" // tell the caller the outcome
+	ActionLost   ActionKind = "lost"   // the worker of a durable attempt is no longer owned
+	ActionOrphan ActionKind = "orphan" // a result came of an attempt that is not known here
 )
 
 // Action is one thing to carry out.
 type Action struct {
 	Kind    ActionKind
-	Task    cwmodel.Task
+	Task    cwmodel.Task // of a start: its demand is what is reserved
 	Attempt cwmodel.Attempt
 	Mode    cwmodel.StopMode
 	Answer  cwmodel.Answer
+	Result  cwmodel.Result // of an answer: the end of its last attempt, if that is known; of an orphan: the result
 }
 
-// Options set up a decider.
+// Options set up a decider; zero fields take their defaults.
 type Options struct {
-	Seed uint64 // of all random choices
+	Seed             uint64        // of all random choices
+	AnswerGrace      time.Duration // how long a stopped request may take to confirm its end
+	ClockMargin      time.Duration // by how much clocks may drift over one lease
+	StartWindow      time.Duration // how long after its decision a start may begin
+	GangPatience     time.Duration // how long a blocked task waits before capacity is reserved for it
+	ReservationLimit time.Duration // how long capacity is reserved for one task or gang
+	QuotaShare       float64       // part of each team's quota that this decider gives out
+
+	// Violated is told of a broken invariant; nil panics.
+	Violated func(message string)
+
+	// Switches for measurements of the policy without one of its parts.
+	WithoutRetryBudget bool
+	WithoutJitter      bool
+	WithoutBreaker     bool
+	WithoutEstimates   bool
+	WithoutFloors      bool
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.AnswerGrace, defaultAnswerGrace)
+	setDefault(&o.ClockMargin, defaultClockMargin)
+	setDefault(&o.StartWindow, defaultStartWindow)
+	setDefault(&o.GangPatience, defaultGangPatience)
+	setDefault(&o.ReservationLimit, defaultReservationLimit)
+	setDefault(&o.QuotaShare, 1)
+	if o.Violated == nil {
+		o.Violated = func(message string) { panic(message) }
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
 }
 
 // Decider holds the queues, the workers and what runs on them.
 type Decider struct {
-	opts    Options
-	cfg     cwpolicy.Configuration
-	workers map[cwmodel.HostID]*worker
-	order   []*worker // by identifier, for determinism
-	queues  map[cwmodel.ProfileName]*queue
-	tasks   map[cwmodel.TaskID]*task
-	actions []Action
+	opts     Options
+	random   *rand.Rand
+	cfg      cwpolicy.Configuration
+	fleet    cwcapacity.Fleet
+	workers  map[cwmodel.HostID]*worker
+	breakers map[cwmodel.HostID]*cwquarantine.Breaker
+	suspects []*worker // workers whose breaker is not closed
+	racks    []string
+	profiles []*profile // by class, then name
+	byName   map[cwmodel.ProfileName]*profile
+	teams    map[cwmodel.TeamName]*team
+	tasks    map[cwmodel.TaskID]*task    // not answered yet
+	strays   map[cwmodel.Attempt]*task   // hold capacity though nobody waits for their answer
+	holds    map[cwmodel.JobID]*hold     // parts of gangs that wait for their commit
+	spread   map[cwmodel.JobID]rackCount // where gangs and services run
+	alarms   cwheap.Heap[task]
+	reserved *reservation
+	revoked  tombstones
+	waiting  int
+	running  int
+	pass     uint64
+	misfits  []cwmodel.Resources // demands that found no worker in the present pass
+	free     []*task             // records for reuse
+	actions  []Action
 }
 
 // New returns a decider without workers or configuration.
 func New(opts Options) *Decider {
-	return &Decider{
-		opts:    opts,
-		workers: map[cwmodel.HostID]*worker{},
-		queues:  map[cwmodel.ProfileName]*queue{},
-		tasks:   map[cwmodel.TaskID]*task{},
+	opts.setDefaults()
+	d := &Decider{
+		opts:     opts,
+		random:   rand.New(rand.NewPCG(opts.Seed, seedStream)),
+		workers:  map[cwmodel.HostID]*worker{},
+		breakers: map[cwmodel.HostID]*cwquarantine.Breaker{},
+		byName:   map[cwmodel.ProfileName]*profile{},
+		teams:    map[cwmodel.TeamName]*team{},
+		tasks:    map[cwmodel.TaskID]*task{},
+		strays:   map[cwmodel.Attempt]*task{},
+		holds:    map[cwmodel.JobID]*hold{},
+		spread:   map[cwmodel.JobID]rackCount{},
 	}
+	d.fleet.Violated = opts.Violated
+	d.alarms = cwheap.Heap[task]{Less: alarmsEarlier, Place: func(t *task) *int { return &t.alarmAt }}
+	return d
 }
 
+const seedStream = 0x63757272616e74
+
 // Actions returns the actions decided since the last call; the slice is valid until the next event.
 func (d *Decider) Actions() []Action {
 	actions := d.actions
@@ -69,95 +140,104 @@
 		return
 	}
 	d.cfg = cfg
+	d.applyProfiles()
+	d.applyTeams()
 	d.place(now)
 }
 
-// Submit takes one task into its queue or answers at once why it never will run.
+// SetQuotaShare states which part of each team's quota this decider gives out; all owners' parts add up to at most one.
+func (d *Decider) SetQuotaShare(share float64) {
+	d.opts.QuotaShare = share
+	d.applyTeams()
+}
+
+// Knows reports whether a task waits or runs here and is not answered yet.
+func (d *Decider) Knows(id cwmodel.TaskID) bool {
+	_, ok := d.tasks[id]
+	return ok
+}
+
+// Submit takes one task into its queue or answers at once why it never will run; a task that is known is ignored.
 func (d *Decider) Submit(now time.Time, t cwmodel.Task) {
-	if reason := d.admit(now, t); reason != cwmodel.ReasonNone {
-		d.answer(t, cwmodel.Answer{Outcome: cwmodel.OutcomeNotRun, Reason: reason})
+	if d.Knows(t.ID) {
 		return
 	}
-	state := &task{Task: t}
-	d.tasks[t.ID] = state
-	d.queueOf(t.Profile).push(state)
-	d.place(now)
+	if d.revoked.has(t.ID) {
+		d.answer(t, refusal(cwmodel.ReasonCancelled))
+		return
+	}
+	if reason := d.admit(now, t, t.Demand); reason != cwmodel.ReasonNone {
+		d.answer(t, refusal(reason))
+		return
+	}
+	state := d.adopt(t)
+	d.enqueue(state)
+	if state.queue.First() == state {
+		d.placeQueue(now, state.queue)
+	}
 }
 
-// Cancel ends a task on its caller's demand; a task that is not known is ignored.
-func (d *Decider) Cancel(_ time.Time, id cwmodel.TaskID) {
+// Cancel ends a task on its caller's demand; one that is not known yet is refused when it comes.
+func (d *Decider) Cancel(now time.Time, id cwmodel.TaskID) {
 	state, ok := d.tasks[id]
-	if !ok || state.cancelled {
+	if !ok {
+		d.revoked.add(id)
+		return
+	}
+	if state.cancelled {
+		return
+	}
+	if state.gang != nil && state.phase == phaseWaiting {
+		d.cancelGang(state.gang)
 		return
 	}
 	state.cancelled = true
-	if state.worker == nil {
-		d.queueOf(state.Profile).remove(state)
+	switch state.phase {
+	case phaseWaiting, phaseDelayed:
+		d.withdraw(state)
 		d.finish(state, cwmodel.Answer{Outcome: cwmodel.OutcomeCancelled, Reason: cwmodel.ReasonCancelled})
-		return
+	case phaseRunning:
+		d.stop(now, state, cwmodel.StopNow)
+	case phaseLost:
 	}
-	d.actions = append(d.actions, Action{Kind: ActionStop, Task: state.Task, Attempt: state.attempt, Mode: cwmodel.StopNow})
 }
 
-// Ended takes the result of an attempt; a result of any other attempt than the present one is ignored.
+// Ended takes the result of an attempt.
 func (d *Decider) Ended(now time.Time, r cwmodel.Result) {
 	state, ok := d.tasks[r.Attempt.Task]
-	if !ok || state.worker == nil || state.attempt != r.Attempt {
-		return
+	switch {
+	case ok && state.attempt == r.Attempt && state.phase == phaseRunning:
+		d.endRunning(now, state, r)
+	case ok && state.attempt == r.Attempt && state.phase == phaseLost:
+		d.setAlarm(state, time.Time{})
+		d.settle(now, state, r)
+	case d.endStray(r):
+	case ok && r.End == cwmodel.EndDone && r.Attempt.Number < state.Attempt && state.phase != phaseRunning:
+		d.withdraw(state)
+		d.finish(state, d.report(state, r, cwmodel.OutcomeDone, cwmodel.ReasonNone))
+	case ok && r.End == cwmodel.EndDone && r.Attempt.Number < state.Attempt:
+		d.answerEarly(now, state, d.report(state, r, cwmodel.OutcomeDone, cwmodel.ReasonNone))
+	default:
+		d.actions = append(d.actions, Action{Kind: ActionOrphan, Attempt: r.Attempt, Result: r})
 	}
-	d.vacate(state)
-	d.settle(now, state, r)
 	d.place(now)
 }
 
-// Tick answers what can no longer start in time and places what can.
+// Tick carries out what has fallen due and places what can be placed.
 func (d *Decider) Tick(now time.Time) {
-	for _, q := range d.queues {
-		for _, state := range q.expire(now) {
-			d.finish(state, cwmodel.Answer{Outcome: cwmodel.OutcomeNotRun, Reason: cwmodel.ReasonDeadlinePassed})
+	d.ringAlarms(now)
+	d.expireHolds(now)
+	d.review(now)
+	for _, p := range d.profiles {
+		p.noteWork(now)
+		p.measureRate(now)
+		for _, q := range p.queues {
+			d.dropHopeless(now, q)
 		}
 	}
 	d.place(now)
-}
-
-func (d *Decider) settle(now time.Time, state *task, r cwmodel.Result) {
-	answer := cwmodel.Answer{
-		Attempts: state.Attempt - 1,
-		Worker:   r.Attempt.Worker,
-		Message:  r.Message,
-		Waited:   state.started.Sub(state.Arrived),
-		Ran:      max(r.Ended.Sub(r.Began), 0),
-	}
-	switch {
-	case r.End == cwmodel.EndDone:
-		answer.Outcome, answer.Payload = cwmodel.OutcomeDone, r.Answer
-	case state.cancelled:
-		answer.Outcome, answer.Reason = cwmodel.OutcomeCancelled, cwmodel.ReasonCancelled
-	case d.mayRetry(now, state, r.End):
-		d.queueOf(state.Profile).push(state)
-		return
-	case r.End == cwmodel.EndNeverBegan:
-		answer.Outcome, answer.Reason = cwmodel.OutcomeNotRun, cwmodel.ReasonRefusedByWorker
-	default:
-		answer.Outcome, answer.Reason = cwmodel.OutcomeFailed, cwmodel.ReasonTaskFailed
-	}
-	d.finish(state, answer)
-}
-
-// mayRetry reports whether a further attempt is allowed after one that ended with end.
-func (d *Decider) mayRetry(now time.Time, state *task, end cwmodel.End) bool {
-	if !state.Deadline.IsZero() && !state.Deadline.After(now) {
-		return false
-	}
-	if end == cwmodel.EndNeverBegan {
-		return true
-	}
-	return state.Repeatable && end != cwmodel.EndFailed && state.Attempt <= state.MaxAttempts
-}
-
-func (d *Decider) finish(state *task, answer cwmodel.Answer) {
-	delete(d.tasks, state.ID)
-	d.answer(state.Task, answer)
+	d.reserve(now)
+	d.preempt(now)
 }
 
 func (d *Decider) answer(t cwmodel.Task, answer cwmodel.Answer) {
--- a/internal/core/cwdecider/place.go
+++ b/internal/core/cwdecider/place.go
@@ -1,167 +1,328 @@
 package cwdecider
 
 import (
-	"fmt"
 	"slices"
-	"strings"
 	"time"
 
+	"currantward/internal/core/cwcapacity"
 	"currantward/internal/core/cwmodel"
 )
 
-// worker is an owned worker with what it has free.
-type worker struct {
-	cwmodel.Worker
-	epoch   cwmodel.Epoch
-	free    cwmodel.Resources
-	leaving bool
+// place starts waiting tasks in the order of fairness until nothing more fits.
+func (d *Decider) place(now time.Time) {
+	d.pass++
+	d.misfits = d.misfits[:0]
+	if d.waiting == 0 {
+		return
+	}
+	for {
+		p := d.nextProfile()
+		if p == nil {
+			return
+		}
+		q := d.nextQueue(p)
+		if q == nil {
+			p.blocked = d.pass
+			continue
+		}
+		if !d.tryFirst(now, q) {
+			q.blocked = d.pass
+		}
+	}
 }
 
-// AddWorker takes an owned worker with its inventory; what runs there is counted before anything is placed.
-func (d *Decider) AddWorker(now time.Time, w cwmodel.Worker, epoch cwmodel.Epoch, running []cwmodel.Running) {
-	state := &worker{Worker: w, epoch: epoch, free: w.Capacity}
-	for _, r := range running {
-		state.free = state.free.Minus(r.Demand)
+// placeQueue starts what it can of one queue after a task has come to its head.
+func (d *Decider) placeQueue(now time.Time, q *queue) {
+	d.pass++
+	d.misfits = d.misfits[:0]
+	for q.Len() > 0 && d.tryFirst(now, q) {
+		continue
 	}
-	d.workers[w.ID] = state
-	d.sortWorkers()
-	d.place(now)
 }
 
-// RemoveWorker forgets a worker that is no longer owned.
-func (d *Decider) RemoveWorker(_ time.Time, id cwmodel.HostID) {
-	lost, ok := d.workers[id]
-	if !ok {
-		return
-	}
-	delete(d.workers, id)
-	d.sortWorkers()
-	for _, state := range d.tasks {
-		if state.worker == lost {
-			d.finish(state, cwmodel.Answer{Outcome: cwmodel.OutcomeUnknown, Reason: cwmodel.ReasonWorkerLost, Attempts: state.Attempt - 1, Worker: id})
+// nextProfile returns the profile that is served next: those below their floors by class,
+// then the others by class and weighted dominant share.
+func (d *Decider) nextProfile() (best *profile) {
+	total := d.fleet.Total()
+	var bestBelow bool
+	var bestShare float64
+	for _, p := range d.profiles {
+		if p.waiting == 0 || p.blocked == d.pass {
+			continue
+		}
+		below := p.account.IsBelowFloor(total)
+		share := p.account.Weighted(total)
+		if best == nil || goesFirst(below, p.rank, share, bestBelow, best.rank, bestShare) {
+			best, bestBelow, bestShare = p, below, share
 		}
 	}
+	return best
 }
 
-// DrainWorker stops placing on a worker that is leaving.
-func (d *Decider) DrainWorker(id cwmodel.HostID) {
-	if w, ok := d.workers[id]; ok {
-		w.leaving = true
+func goesFirst(below bool, rank int, share float64, otherBelow bool, otherRank int, otherShare float64) bool {
+	if below != otherBelow {
+		return below
+	}
+	if rank != otherRank {
+		return rank < otherRank
 	}
+	return share < otherShare
 }
 
-func (d *Decider) sortWorkers() {
-	d.order = d.order[:0]
-	for _, w := range d.workers {
-		d.order = append(d.order, w)
+// nextQueue returns the queue of the team with the least weighted dominant share.
+func (d *Decider) nextQueue(p *profile) (best *queue) {
+	total := d.fleet.Total()
+	var least float64
+	for _, q := range p.queues {
+		if q.Len() == 0 || q.blocked == d.pass {
+			continue
+		}
+		share := q.team.account.Weighted(total)
+		if best == nil || share < least {
+			best, least = q, share
+		}
 	}
-	slices.SortFunc(d.order, func(a, b *worker) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return best
 }
 
-// admit returns why a task can never run here, or no reason.
-func (d *Decider) admit(now time.Time, t cwmodel.Task) cwmodel.Reason {
-	profile, ok := d.cfg.Profile(t.Profile)
-	if !ok {
-		return cwmodel.ReasonUnknownProfile
+// tryFirst starts or answers the first task of a queue and returns false if it has to go on waiting.
+func (d *Decider) tryFirst(now time.Time, q *queue) bool {
+	state := q.First()
+	if d.isHopeless(now, state) {
+		d.dequeue(state)
+		d.finishGroup(state, d.lateAnswer(now, state))
+		return true
 	}
-	if !t.Deadline.IsZero() && !t.Deadline.After(now) {
-		return cwmodel.ReasonDeadlinePassed
+	if d.isReserved(state) {
+		return false
 	}
-	if len(d.order) == 0 {
-		return cwmodel.ReasonNoWorkers
+	if state.gang != nil {
+		return d.tryGang(now, q, state.gang)
 	}
-	if len(d.queueOf(t.Profile).waiting) >= profile.QueueLimit {
-		return cwmodel.ReasonQueueFull
+	demand := d.reservation(state)
+	if !d.mayUse(state, demand) {
+		return false
 	}
-	for _, w := range d.order {
-		if t.Demand.FitsIn(w.Capacity) {
-			return cwmodel.ReasonNone
-		}
+	w := d.findWorker(now, state, demand)
+	if w == nil {
+		return false
 	}
-	return cwmodel.ReasonTooLarge
+	d.dequeue(state)
+	d.fleet.Take(w.node, demand)
+	d.start(now, state, w, demand)
+	return true
 }
 
-// place starts waiting tasks, the most urgent class first, until nothing fits.
-func (d *Decider) place(now time.Time) {
-	for _, class := range cwmodel.Classes() {
-		for _, profile := range d.cfg.Profiles {
-			if profile.Class == class {
-				d.placeQueue(now, d.queueOf(profile.Name))
-			}
-		}
+// mayUse reports whether ceiling, quota and the guarantees of others allow a demand.
+func (d *Decider) mayUse(state *task, demand cwmodel.Resources) bool {
+	return state.profile.account.Allows(demand, d.fleet.Total()) &&
+		state.team.account.InQuota(demand) &&
+		d.mayBorrow(state, demand)
+}
+
+// longRunTime is a run time above which work does not borrow what others are guaranteed.
+const longRunTime = 10 * time.Second
+
+// mayBorrow reports whether a task may take capacity that others are guaranteed but do not use now.
+//
+// Work that ends soon or can be preempted may; long work that cannot leaves the guarantees free.
+func (d *Decider) mayBorrow(state *task, demand cwmodel.Resources) bool {
+	p := state.profile
+	if d.opts.WithoutFloors || isPreemptible(state) || p.account.IsBelowFloor(d.fleet.Total()) {
+		return true
+	}
+	expected := p.estimate.LongRunTime(p.RunTime)
+	if state.Kind == cwmodel.KindRequest || (expected > 0 && expected <= longRunTime) {
+		return true
 	}
+	return demand.Plus(d.unusedGuarantees(p)).FitsIn(d.fleet.Free())
 }
 
-func (d *Decider) placeQueue(now time.Time, q *queue) {
-	for len(q.waiting) > 0 {
-		state := q.waiting[0]
-		w := d.bestFit(state.Demand)
-		if w == nil {
-			return
+// unusedGuarantees returns what the guaranteed shares of all other profiles that had work of late leave unused.
+func (d *Decider) unusedGuarantees(except *profile) (sum cwmodel.Resources) {
+	total := d.fleet.Total()
+	for _, p := range d.profiles {
+		unused := p.GuaranteedShare - p.account.Share(total)
+		if p == except || p.retired || !p.isActive || unused <= 0 {
+			continue
+		}
+		one := p.Demand.DominantShare(total)
+		if one > 0 {
+			sum = sum.Plus(p.Demand.Times(int64(unused / one)))
 		}
-		q.remove(state)
-		d.start(now, state, w)
 	}
+	return sum
 }
 
-// bestFit returns the worker whose dominant free share after the placement is smallest.
-func (d *Decider) bestFit(demand cwmodel.Resources) (best *worker) {
-	var least float64
-	for _, w := range d.order {
-		if w.leaving || !demand.FitsIn(w.free) {
-			continue
+// reservation returns what is reserved for a task: the learned size, or the declared one where that fits nowhere.
+//
+// A gang is admitted by its declared sizes, so that its members never reserve more than these.
+func (d *Decider) reservation(state *task) cwmodel.Resources {
+	if d.opts.WithoutEstimates {
+		return state.Demand
+	}
+	learned := state.profile.estimate.Reservation(state.Demand)
+	if state.Kind == cwmodel.KindGang {
+		return learned.Least(state.Demand)
+	}
+	if learned != state.Demand && !d.fleet.CouldHold(learned) {
+		return state.Demand
+	}
+	return learned
+}
+
+// findWorker returns the worker for one task, or nil.
+func (d *Decider) findWorker(now time.Time, state *task, demand cwmodel.Resources) *worker {
+	if w := d.findProbe(now, state, demand); w != nil {
+		return w
+	}
+	if d.isMisfit(demand) {
+		return nil
+	}
+	n := d.findNode(state, demand)
+	if n == nil {
+		d.misfits = append(d.misfits, demand)
+		return nil
+	}
+	return d.workers[n.Worker().ID]
+}
+
+// findNode prefers racks without tasks of the same job, then workers where the task did not fail before.
+func (d *Decider) findNode(state *task, demand cwmodel.Resources) *cwcapacity.Node {
+	if isSpread(state) {
+		limit := d.leastCrowded(state.Job)
+		counts := d.spread[state.Job]
+		n := d.fleet.Find(demand, func(n *cwcapacity.Node) bool { return counts[n.Worker().Rack] <= limit })
+		if n != nil {
+			return n
 		}
-		left := w.free.Minus(demand).DominantShare(w.Capacity)
-		if best == nil || left < least {
-			best, least = w, left
+	}
+	if avoid := state.attempt.Worker; avoid != "" && !state.preempted {
+		if n := d.fleet.Find(demand, func(n *cwcapacity.Node) bool { return n.Worker().ID != avoid }); n != nil {
+			return n
 		}
 	}
-	return best
+	return d.fleet.Find(demand, nil)
+}
+
+// findTightest packs without regard to racks.
+func (d *Decider) findTightest(_ *task, demand cwmodel.Resources) *cwcapacity.Node {
+	return d.fleet.Find(demand, nil)
 }
 
-func (d *Decider) start(now time.Time, state *task, w *worker) {
-	w.free = w.free.Minus(state.Demand)
-	if !w.free.IsNonNegative() {
-		panic(fmt.Sprintf("worker %s is given more than its capacity", w.ID))
+const maxMisfits = 8
+
+// isMisfit reports whether this demand, or a smaller one, found no worker in the present pass.
+func (d *Decider) isMisfit(demand cwmodel.Resources) bool {
+	for _, m := range d.misfits[:min(len(d.misfits), maxMisfits)] {
+		if m.FitsIn(demand) {
+			return true
+		}
 	}
-	state.worker, state.started = w, now
-	state.attempt = cwmodel.Attempt{Task: state.ID, Number: state.Attempt, Worker: w.ID, Epoch: w.epoch}
+	return false
+}
+
+// start records a task on a worker where its demand is taken already, and orders its start.
+func (d *Decider) start(now time.Time, state *task, w *worker, demand cwmodel.Resources) {
+	state.attempt = cwmodel.Attempt{Task: state.ID, Number: state.Attempt, Worker: w.node.Worker().ID, Epoch: w.epoch}
 	state.Attempt++
-	d.actions = append(d.actions, Action{Kind: ActionStart, Task: state.Task, Attempt: state.attempt})
+	state.started, state.stopMode, state.preempted, state.relief = now, "", false, time.Time{}
+	state.profile.rate.starts++
+	d.settleOn(state, w, demand)
+	d.setAlarm(state, state.Deadline)
+	ordered := state.Task
+	ordered.Demand = demand
+	d.actions = append(d.actions, Action{Kind: ActionStart, Task: ordered, Attempt: state.attempt})
 }
 
+// settleOn counts a task on a worker whose node holds its demand already.
+func (d *Decider) settleOn(state *task, w *worker, demand cwmodel.Resources) {
+	if state.worker != nil {
+		d.opts.Violated("task " + string(state.ID) + " runs in two places")
+	}
+	state.phase, state.worker, state.reserved = phaseRunning, w, demand
+	state.workerAt = len(w.tasks)
+	w.tasks = append(w.tasks, state)
+	d.running++
+	if isPreemptible(state) {
+		state.victimAt = len(state.profile.victims)
+		state.profile.victims = append(state.profile.victims, state)
+	}
+	d.charge(state, w, 1)
+}
+
+// vacate gives back what a task holds.
 func (d *Decider) vacate(state *task) {
-	state.worker.free = state.worker.free.Plus(state.Demand)
+	d.fleet.Give(state.worker.node, state.reserved)
+	d.unsettle(state)
+}
+
+func (d *Decider) unsettle(state *task) {
+	w := state.worker
+	w.tasks = swapRemove(w.tasks, state.workerAt, func(t *task, at int) { t.workerAt = at })
+	state.workerAt = nowhere
+	if state.victimAt != nowhere {
+		p := state.profile
+		p.victims = swapRemove(p.victims, state.victimAt, func(t *task, at int) { t.victimAt = at })
+		state.victimAt = nowhere
+	}
+	d.charge(state, w, -1)
+	d.running--
+	if state.probe {
+		w.probing, state.probe = false, false
+	}
 	state.worker = nil
 }
 
-// CanStart reports whether a task of this demand would start at once.
-func (d *Decider) CanStart(demand cwmodel.Resources) bool { return d.bestFit(demand) != nil }
+// swapRemove removes one task by putting the last one in its place.
+func swapRemove(list []*task, at int, moved func(t *task, at int)) []*task {
+	last := len(list) - 1
+	list[at] = list[last]
+	moved(list[at], at)
+	list[last] = nil
+	return list[:last]
+}
+
+// rackCount counts the tasks of one job in each rack.
+type rackCount map[string]int
 
-// Load is what a decider tells about itself.
-type Load struct {
-	Workers     int
-	Free        cwmodel.Resources
-	LargestFree cwmodel.Resources
-	Waiting     int
-	Running     int
+func isSpread(state *task) bool {
+	return state.Job != "" && (state.Kind == cwmodel.KindGang || state.Kind == cwmodel.KindService)
 }
 
-// Load returns the present load.
-func (d *Decider) Load() (load Load) {
-	load.Workers = len(d.order)
-	for _, w := range d.order {
-		if w.leaving {
-			continue
-		}
-		load.Free = load.Free.Plus(w.free)
-		if w.free.DominantShare(w.Capacity) > load.LargestFree.DominantShare(w.Capacity) {
-			load.LargestFree = w.free
-		}
+func (d *Decider) countRack(state *task, w *worker, by int) {
+	if !isSpread(state) {
+		return
 	}
-	for _, q := range d.queues {
-		load.Waiting += len(q.waiting)
+	counts, ok := d.spread[state.Job]
+	if !ok {
+		counts = rackCount{}
+		d.spread[state.Job] = counts
+	}
+	rack := w.node.Worker().Rack
+	if counts[rack] += by; counts[rack] <= 0 {
+		delete(counts, rack)
+	}
+	if len(counts) == 0 {
+		delete(d.spread, state.Job)
+	}
+}
+
+// leastCrowded returns the least number of tasks of a job in any rack.
+func (d *Decider) leastCrowded(job cwmodel.JobID) int {
+	counts := d.spread[job]
+	if len(d.racks) == 0 {
+		return 0
+	}
+	least := counts[d.racks[0]]
+	for _, rack := range d.racks {
+		least = min(least, counts[rack])
+	}
+	return least
+}
+
+func (d *Decider) addRack(rack string) {
+	if at, ok := slices.BinarySearch(d.racks, rack); !ok {
+		d.racks = slices.Insert(d.racks, at, rack)
 	}
-	load.Running = len(d.tasks) - load.Waiting
-	return load
 }
--- /dev/null
+++ b/internal/core/cwdecider/preempt.go
@@ -0,0 +1,135 @@
+package cwdecider
+
+import (
+	"time"
+
+	"currantward/internal/core/cwmodel"
+)
+
+// Bounds of one round of preemption.
+const (
+	maxPreemptions = 16              // tasks that one round makes room for
+	maxCandidates  = 64              // victims that are looked at for one of them
+	reliefLimit    = 2 * time.Second // how long a preemption may take before it is tried again
+)
+
+// isPreemptible reports whether a running task may be ended in favour of others: what can be checkpointed,
+// and of the least urgent class what can be repeated.
+func isPreemptible(state *task) bool {
+	if state.gang != nil || state.Kind == cwmodel.KindGang {
+		return false
+	}
+	if state.Checkpointable {
+		return true
+	}
+	return state.profile.Class == cwmodel.ClassBestEffort && state.Repeatable && state.Kind != cwmodel.KindRequest
+}
+
+// preempt makes room for first tasks of queues that are entitled to more than they have.
+func (d *Decider) preempt(now time.Time) {
+	if d.waiting == 0 {
+		return
+	}
+	made := 0
+	for _, p := range d.profiles {
+		if p.waiting == 0 || !d.hasVictims(p) {
+			continue
+		}
+		for _, q := range p.queues {
+			if made >= maxPreemptions {
+				return
+			}
+			if state := q.First(); state != nil && d.makeWay(now, state) {
+				made++
+			}
+		}
+	}
+}
+
+func (d *Decider) hasVictims(p *profile) bool {
+	for _, v := range d.profiles {
+		if len(v.victims) > 0 && d.mayPreempt(p, v) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayPreempt reports whether p may take capacity from v: never from what v is entitled to.
+func (d *Decider) mayPreempt(p, v *profile) bool {
+	total := d.fleet.Total()
+	if p == v || v.account.IsBelowFloor(total) {
+		return false
+	}
+	return p.rank < v.rank || p.account.IsBelowFloor(total)
+}
+
+// makeWay preempts tasks on one worker so that a blocked task fits there.
+func (d *Decider) makeWay(now time.Time, state *task) bool {
+	if state.relief.After(now) || state.gang != nil || d.isReserved(state) {
+		return false
+	}
+	demand := d.reservation(state)
+	if !state.profile.account.Allows(demand, d.fleet.Total()) || !state.team.account.InQuota(demand) || d.CanStart(demand) {
+		return false
+	}
+	for n := len(d.profiles) - 1; n >= 0; n-- {
+		v := d.profiles[n]
+		if len(v.victims) == 0 || !d.mayPreempt(state.profile, v) {
+			continue
+		}
+		if d.makeWayFrom(now, state, demand, v) {
+			return true
+		}
+	}
+	return false
+}
+
+// makeWayFrom looks at the latest started victims of one profile, which lose the least work.
+func (d *Decider) makeWayFrom(now time.Time, state *task, demand cwmodel.Resources, v *profile) bool {
+	for n := len(v.victims) - 1; n >= max(len(v.victims)-maxCandidates, 0); n-- {
+		candidate := v.victims[n]
+		w := candidate.worker
+		if candidate.stopMode != "" || !w.node.IsOpen() {
+			continue
+		}
+		victims := d.chooseVictims(state.profile, candidate, demand)
+		for _, victim := range victims {
+			victim.preempted = true
+			d.stop(now, victim, stopModeOf(victim))
+			d.setAlarm(victim, earlier(victim.alarm, victim.Deadline))
+		}
+		if len(victims) > 0 {
+			state.relief = now.Add(reliefLimit)
+			return true
+		}
+	}
+	return false
+}
+
+func stopModeOf(victim *task) cwmodel.StopMode {
+	if victim.Checkpointable {
+		return cwmodel.StopCheckpoint
+	}
+	return cwmodel.StopNow
+}
+
+// chooseVictims returns tasks on the candidate's worker, the candidate first, whose end makes room for the demand.
+func (d *Decider) chooseVictims(p *profile, candidate *task, demand cwmodel.Resources) (victims []*task) {
+	w := candidate.worker
+	free := w.node.Free().Plus(candidate.reserved)
+	victims = append(victims, candidate)
+	for _, other := range w.tasks {
+		if demand.FitsIn(free) {
+			return victims
+		}
+		if other != candidate && other.victimAt != nowhere && other.stopMode == "" && !other.answered && d.mayPreempt(p, other.profile) {
+			free = free.Plus(other.reserved)
+			victims = append(victims, other)
+		}
+	}
+	if demand.FitsIn(free) {
+		return victims
+	}
+	return nil
+}
--- a/internal/core/cwdecider/queue.go
+++ b/internal/core/cwdecider/queue.go
@@ -1,56 +1,31 @@
 package cwdecider
 
 import (
-	"container/heap"
+	"slices"
 	"time"
 
+	"currantward/internal/base/cwheap"
 	"currantward/internal/core/cwmodel"
 )
 
-// task is a task with its place in the decider.
-type task struct {
-	cwmodel.Task
-	attempt   cwmodel.Attempt // the present one; meaningful while worker is set
-	worker    *worker
-	started   time.Time
-	cancelled bool
-	index     int // in its queue
+// queue holds the waiting tasks of one team in one profile, earliest deadline first; a gang waits as its first task.
+type queue struct {
+	cwheap.Heap[task]
+	profile *profile
+	team    *team
+	blocked uint64    // the pass in which its first task found no place
+	notTill time.Time // when its first task, of a gang, is tried again
 }
 
-// queue holds the waiting tasks of one profile, earliest deadline first.
-type queue struct{ waiting waiting }
-
-func (d *Decider) queueOf(name cwmodel.ProfileName) *queue {
-	q, ok := d.queues[name]
-	if !ok {
-		q = &queue{}
-		d.queues[name] = q
-	}
-	return q
-}
-
-func (q *queue) push(state *task)   { heap.Push(&q.waiting, state) }
-func (q *queue) remove(state *task) { heap.Remove(&q.waiting, state.index) }
-
-// expire removes and returns the tasks whose deadline has passed.
-func (q *queue) expire(now time.Time) (expired []*task) {
-	for len(q.waiting) > 0 {
-		first := q.waiting[0]
-		if first.Deadline.IsZero() || first.Deadline.After(now) {
-			return expired
-		}
-		q.remove(first)
-		expired = append(expired, first)
+func newQueue(p *profile, t *team) *queue {
+	return &queue{
+		Heap:    cwheap.Heap[task]{Less: dueEarlier, Place: func(t *task) *int { return &t.queueAt }},
+		profile: p, team: t,
 	}
-	return expired
 }
 
-// waiting is a heap ordered by deadline, then arrival; tasks without a deadline come last.
-type waiting []*task
-
-func (h waiting) Len() int { return len(h) }
-func (h waiting) Less(i, j int) bool {
-	a, b := h[i], h[j]
+// dueEarlier orders by deadline, then arrival; tasks without a deadline come last.
+func dueEarlier(a, b *task) bool {
 	if a.Deadline.IsZero() != b.Deadline.IsZero() {
 		return b.Deadline.IsZero()
 	}
@@ -62,23 +37,69 @@
 	}
 	return a.ID < b.ID
 }
-func (h waiting) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
+
+// enqueue puts a task into the queue of its profile and team.
+func (d *Decider) enqueue(state *task) {
+	state.phase = phaseWaiting
+	state.queue = state.profile.queueOf(state.team)
+	state.queue.Push(state)
+	state.profile.waiting++
+	d.waiting++
+}
+
+// dequeue takes a task out of its queue and gives back what was reserved for it.
+func (d *Decider) dequeue(state *task) {
+	d.releaseReservationOf(state)
+	state.queue.Remove(state)
+	state.profile.waiting--
+	d.waiting--
 }
 
-// Push adds a task; it is called by package heap.
-func (h *waiting) Push(x any) {
-	state := x.(*task)
-	state.index = len(*h)
-	*h = append(*h, state)
+// queueOf returns the queue of a team in this profile.
+func (p *profile) queueOf(t *team) *queue {
+	if q, ok := p.byTeam[t.name]; ok {
+		return q
+	}
+	q := newQueue(p, t)
+	p.byTeam[t.name] = q
+	at, _ := slices.BinarySearchFunc(p.queues, q, func(a, b *queue) int {
+		return compareNames(a.team.name, b.team.name)
+	})
+	p.queues = slices.Insert(p.queues, at, q)
+	return q
 }
 
-// Pop removes the last task; it is called by package heap.
-func (h *waiting) Pop() any {
-	last := len(*h) - 1
-	state := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return state
+// dropHopeless answers the first tasks of a queue that can no longer end before their deadlines.
+func (d *Decider) dropHopeless(now time.Time, q *queue) {
+	for state := q.First(); state != nil && d.isHopeless(now, state); state = q.First() {
+		d.dequeue(state)
+		d.finishGroup(state, d.lateAnswer(now, state))
+	}
+}
+
+// isHopeless reports whether a task that starts now would most likely pass its deadline.
+func (d *Decider) isHopeless(now time.Time, state *task) bool {
+	if state.Deadline.IsZero() {
+		return false
+	}
+	return !state.Deadline.After(now.Add(d.shortRunTime(state.profile, state.Task)))
+}
+
+// shortRunTime returns a run time that most tasks exceed, and at most half the time that the task was given.
+func (d *Decider) shortRunTime(p *profile, t cwmodel.Task) time.Duration {
+	if d.opts.WithoutEstimates || t.Deadline.IsZero() {
+		return 0
+	}
+	return min(p.estimate.ShortRunTime(), t.Deadline.Sub(t.Arrived)/2)
+}
+
+func (d *Decider) lateAnswer(now time.Time, state *task) cwmodel.Answer {
+	reason := cwmodel.ReasonNoTimeLeft
+	if isPast(state.Deadline, now) {
+		reason = cwmodel.ReasonDeadlinePassed
+	}
+	if state.ran == 0 {
+		return d.summary(state, cwmodel.OutcomeNotRun, reason)
+	}
+	return d.summary(state, cwmodel.OutcomeFailed, cwmodel.ReasonDeadlineExceeded)
 }
--- /dev/null
+++ b/internal/core/cwdecider/settle.go
@@ -0,0 +1,135 @@
+package cwdecider
+
+import (
+	"time"
+
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwretry"
+)
+
+// endRunning takes the end of a running attempt.
+func (d *Decider) endRunning(now time.Time, state *task, r cwmodel.Result) {
+	d.setAlarm(state, time.Time{})
+	w := state.worker
+	d.vacate(state)
+	d.learn(state, r)
+	d.judge(now, state, w, r.End)
+	d.settle(now, state, r)
+}
+
+// endStray frees what an attempt held for whose answer nobody waits.
+func (d *Decider) endStray(r cwmodel.Result) bool {
+	state, ok := d.strays[r.Attempt]
+	if !ok {
+		return false
+	}
+	delete(d.strays, r.Attempt)
+	d.setAlarm(state, time.Time{})
+	d.vacate(state)
+	d.actions = append(d.actions, Action{Kind: ActionOrphan, Task: state.Task, Attempt: r.Attempt, Result: r})
+	d.recycle(state)
+	return true
+}
+
+// learn takes run time and size from an attempt that ran to its end or to its deadline.
+func (d *Decider) learn(state *task, r cwmodel.Result) {
+	if r.End == cwmodel.EndDone || (r.End == cwmodel.EndStopped && state.expired) {
+		if ran := r.Ended.Sub(r.Began); !r.Began.IsZero() && ran > 0 {
+			state.profile.estimate.Ran(ran)
+		}
+	}
+	if r.End == cwmodel.EndDone {
+		state.profile.estimate.Used(state.Demand, r.Used)
+		state.profile.budget.Earn()
+	}
+}
+
+// settle answers a task after the end of its attempt, or arranges a further attempt.
+func (d *Decider) settle(now time.Time, state *task, r cwmodel.Result) {
+	if r.End == cwmodel.EndNeverBegan {
+		state.refusals++
+	} else {
+		state.ran++
+	}
+	if d.mayGoOn(now, state, r.End) {
+		return
+	}
+	gang := state.gang
+	failed := r.End != cwmodel.EndDone
+	outcome, reason := d.verdict(state, r.End)
+	d.finishWith(state, d.report(state, r, outcome, reason), r)
+	if gang != nil && failed {
+		d.stopGang(now, gang)
+	}
+}
+
+// verdict returns what the caller is told after the last attempt.
+func (d *Decider) verdict(state *task, end cwmodel.End) (cwmodel.Outcome, cwmodel.Reason) {
+	switch {
+	case end == cwmodel.EndDone:
+		return cwmodel.OutcomeDone, cwmodel.ReasonNone
+	case state.cancelled:
+		return cwmodel.OutcomeCancelled, cwmodel.ReasonCancelled
+	case state.expired && state.ran == 0:
+		return cwmodel.OutcomeNotRun, cwmodel.ReasonDeadlinePassed
+	case state.expired:
+		return cwmodel.OutcomeFailed, cwmodel.ReasonDeadlineExceeded
+	case state.ran == 0:
+		return cwmodel.OutcomeNotRun, cwmodel.ReasonRefusedByWorker
+	case end == cwmodel.EndLapsed:
+		return cwmodel.OutcomeFailed, cwmodel.ReasonWorkerLost
+	case end == cwmodel.EndCheckpoint || state.preempted:
+		return cwmodel.OutcomeFailed, cwmodel.ReasonPreempted
+	case end != cwmodel.EndFailed && state.ran > 1:
+		return cwmodel.OutcomeFailed, cwmodel.ReasonAttemptsSpent
+	}
+	return cwmodel.OutcomeFailed, cwmodel.ReasonTaskFailed
+}
+
+// maxRefusals is how many attempts of one task may find workers that refuse it.
+const maxRefusals = 20
+
+// mayGoOn arranges a further attempt where the end of the last one allows it.
+func (d *Decider) mayGoOn(now time.Time, state *task, end cwmodel.End) bool {
+	if state.cancelled || state.expired || state.Durable || state.gang != nil {
+		return false
+	}
+	switch cwretry.Classify(end) {
+	case cwretry.VerdictMigrate:
+		state.moved++
+		d.enqueue(state)
+		return true
+	case cwretry.VerdictAgain:
+		return state.refusals <= maxRefusals && d.retry(now, state, false)
+	case cwretry.VerdictRepeat:
+		return d.retry(now, state, true)
+	case cwretry.VerdictFinal:
+		if end == cwmodel.EndStopped && state.preempted && state.Repeatable {
+			state.moved++
+			d.enqueue(state)
+			return true
+		}
+	}
+	return false
+}
+
+// retry arranges a further attempt after a delay, inside the deadline and the budget of the profile.
+func (d *Decider) retry(now time.Time, state *task, ran bool) bool {
+	if ran && (!state.Repeatable || state.ran-state.moved >= state.MaxAttempts) {
+		return false
+	}
+	delay := cwretry.Base
+	if !d.opts.WithoutJitter {
+		delay = cwretry.Delay(d.random, state.delay)
+	}
+	due := now.Add(delay)
+	if !state.Deadline.IsZero() && !due.Add(d.shortRunTime(state.profile, state.Task)).Before(state.Deadline) {
+		return false
+	}
+	if !d.opts.WithoutRetryBudget && !state.profile.budget.Spend() {
+		return false
+	}
+	state.delay, state.phase = delay, phaseDelayed
+	d.setAlarm(state, due)
+	return true
+}
--- /dev/null
+++ b/internal/core/cwdecider/tombstone.go
@@ -0,0 +1,35 @@
+package cwdecider
+
+import "currantward/internal/core/cwmodel"
+
+// tombstones remember the latest cancellations of tasks that were not known, so that a late submission is refused.
+type tombstones struct {
+	ids  map[cwmodel.TaskID]struct{}
+	ring []cwmodel.TaskID
+	next int
+}
+
+const maxTombstones = 4096
+
+func (t *tombstones) add(id cwmodel.TaskID) {
+	if t.ids == nil {
+		t.ids = make(map[cwmodel.TaskID]struct{}, maxTombstones)
+	}
+	if _, ok := t.ids[id]; ok {
+		return
+	}
+	t.ids[id] = struct{}{}
+	if len(t.ring) < maxTombstones {
+		t.ring = append(t.ring, id)
+		return
+	}
+	delete(t.ids, t.ring[t.next])
+	t.ring[t.next] = id
+	t.next = (t.next + 1) % maxTombstones
+}
+
+// has reports whether a task was cancelled before it came.
+func (t *tombstones) has(id cwmodel.TaskID) bool {
+	_, ok := t.ids[id]
+	return ok
+}
--- /dev/null
+++ b/internal/core/cwdecider/verify.go
@@ -0,0 +1,73 @@
+package cwdecider
+
+import (
+	"fmt"
+
+	"currantward/internal/core/cwmodel"
+)
+
+// Verify walks all state and returns the first broken invariant, or "".
+func (d *Decider) Verify() string {
+	running := 0
+	for id, w := range d.workers {
+		sum := d.takenOn(w)
+		for _, state := range w.tasks {
+			sum = sum.Plus(state.reserved)
+			if state.worker != w || state.phase != phaseRunning {
+				return fmt.Sprintf("task %s is listed on worker %s but is not there", state.ID, id)
+			}
+		}
+		running += len(w.tasks)
+		if sum != w.node.Used() {
+			return fmt.Sprintf("worker %s has %+v reserved but its tasks hold %+v", id, w.node.Used(), sum)
+		}
+		if w.node.Free().Plus(w.node.Used()) != w.node.Worker().Capacity {
+			return fmt.Sprintf("free and used capacity of worker %s do not add up", id)
+		}
+	}
+	if running != d.running {
+		return fmt.Sprintf("%d tasks run on workers but %d are counted", running, d.running)
+	}
+	return d.verifyTasks()
+}
+
+// takenOn returns what holds and the reservation have taken on a worker.
+func (d *Decider) takenOn(w *worker) (sum cwmodel.Resources) {
+	add := func(tasks []*task, places []*worker) {
+		for n, place := range places {
+			if place == w {
+				sum = sum.Plus(tasks[n].reserved)
+			}
+		}
+	}
+	for _, h := range d.holds {
+		add(h.tasks, h.places)
+	}
+	if d.reserved != nil {
+		add(d.reserved.tasks, d.reserved.places)
+	}
+	return sum
+}
+
+func (d *Decider) verifyTasks() string {
+	waiting := 0
+	for id, state := range d.tasks {
+		isQueued := state.queueAt != nowhere
+		isMember := state.gang != nil && state.gang.members[0] != state
+		switch {
+		case state.answered:
+			return fmt.Sprintf("task %s is answered and still known", id)
+		case (state.phase == phaseRunning) != (state.worker != nil):
+			return fmt.Sprintf("task %s is %s with worker set: %v", id, state.phase, state.worker != nil)
+		case (state.phase == phaseWaiting && !isMember) != isQueued:
+			return fmt.Sprintf("task %s is %s with a queue: %v", id, state.phase, isQueued)
+		}
+		if isQueued {
+			waiting++
+		}
+	}
+	if waiting != d.waiting {
+		return fmt.Sprintf("%d tasks wait but %d are counted", waiting, d.waiting)
+	}
+	return ""
+}
--- a/internal/core/cwmodel/resources.go
+++ b/internal/core/cwmodel/resources.go
@@ -29,6 +29,17 @@
 	return r
 }
 
+// Least returns the smaller of r and o in each dimension.
+func (r Resources) Least(o Resources) Resources {
+	return Resources{
+		MilliProcessors: min(r.MilliProcessors, o.MilliProcessors),
+		MemoryBytes:     min(r.MemoryBytes, o.MemoryBytes),
+		Accelerators:    min(r.Accelerators, o.Accelerators),
+		Slots:           min(r.Slots, o.Slots),
+		Connections:     min(r.Connections, o.Connections),
+	}
+}
+
 // Times returns r scaled by n.
 func (r Resources) Times(n int64) Resources {
 	r.MilliProcessors *= n
