--- a/internal/adapter/cwadmin/admin.go
+++ b/internal/adapter/cwadmin/admin.go
@@ -2,22 +2,20 @@
 package cwadmin
 
 import (
-	"bytes"
 	"context"
-	"encoding/csv"
+	"crypto/rand"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"strings"
 
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
-	"currantward/internal/adapter/cwcodec"
 	"currantward/internal/base/cwfault"
 	"currantward/internal/base/cwhttp"
-	"currantward/internal/core/cwmodel"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwchange"
 	"currantward/internal/core/cwpolicy"
 	"currantward/internal/core/cwtally"
 )
@@ -25,52 +23,35 @@
 // Paths of the operators' protocol.
 const (
 	PathConfiguration = "/v1/configuration"
+	PathHistory       = "/v1/configuration/history"
+	PathDiff          = "/v1/configuration/diff"
 	PathProfiles      = "/v1/profiles/"
+	PathTeams         = "/v1/teams/"
 	PathTotals        = "/v1/totals"
 	PathStatus        = "/v1/status"
 	PathDrain         = "/v1/drain"
 	PathMetrics       = "/metrics"
 )
 
-// Status is what one entry host says of itself.
-type Status struct {
-	Host          string            `json:"host"`
-	DataCentre    string            `json:"data-centre"`
-	Configuration uint64            `json:"configuration"`
-	Leaving       bool              `json:"leaving"`
-	Workers       int               `json:"workers"`
-	Waiting       int               `json:"waiting"`
-	Running       int               `json:"running"`
-	Free          cwcodec.Resources `json:"free"`
-	Peers         []PeerStatus      `json:"peers"`
-}
-
-// PeerStatus is what is known of one live peer.
-type PeerStatus struct {
-	Host          string `json:"host"`
-	DataCentre    string `json:"data-centre"`
-	Configuration uint64 `json:"configuration"`
-	Workers       int    `json:"workers"`
-	Leaving       bool   `json:"leaving,omitempty"`
-}
-
 // Options set up the listener.
 type Options struct {
-	Listen  netip.AddrPort
-	Limits  cwhttp.ServerOptions
-	Log     *logrus.Logger
-	Metrics http.Handler
+	Listen    netip.AddrPort
+	Limits    cwhttp.ServerOptions
+	Timer     *cwtimer.Service
+	Log       *logrus.Logger
+	Metrics   http.Handler
+	Operators []Operator // empty for a listener that asks for no token
 
 	// Configuration returns the configuration in the table.
 	Configuration func(ctx context.Context) (cwpolicy.Configuration, error)
-	// Replace commits a whole configuration on top of the version before it.
-	Replace func(ctx context.Context, cfg cwpolicy.Configuration) error
-	// PutProfile commits one profile.
-	PutProfile func(ctx context.Context, p cwpolicy.Profile) (cwpolicy.Version, error)
-	// DeleteProfile commits the removal of one profile.
-	DeleteProfile func(ctx context.Context, name cwmodel.ProfileName) (cwpolicy.Version, error)
+	// Change commits one edit.
+	Change func(ctx context.Context, edit cwchange.Edit, terms cwchange.Terms) (cwchange.Accepted, error)
+	// History returns the records of the latest changes.
+	History func(ctx context.Context) ([]cwchange.Record, error)
+	// Versions returns two kept versions.
+	Versions func(ctx context.Context, from, to cwpolicy.Version) (before, after cwpolicy.Configuration, err error)
 	// Totals returns the sums of one day; an empty day is today.
-	Totals func(ctx context.Context, day string) ([]cwtally.Line, error)
+	Totals func(ctx context.Context, day string) (cwtally.Day, error)
 	// Status returns what this host says of itself.
 	Status func(ctx context.Context) (Status, error)
 	// Drain begins a graceful shutdown.
@@ -81,126 +62,118 @@
 type admin struct {
 	opts    Options
 	metrics fasthttp.RequestHandler
+	routes  []route
+}
+
+// route is one operation; a path that ends in a slash is followed by a name.
+type route struct {
+	method string
+	path   string
+	role   Role
+	handle func(c call)
+}
+
+// call is one request of an operator.
+type call struct {
+	*fasthttp.RequestCtx
+	who  string
+	name string // what follows the path of the route
 }
 
 // New starts the listener and returns its address and the function that ends it.
 func New(opts Options) (bound netip.AddrPort, stop func(), err error) {
 	a := &admin{opts: opts, metrics: fasthttpadaptor.NewFastHTTPHandler(opts.Metrics)}
+	a.routes = []route{
+		{fasthttp.MethodGet, PathConfiguration, RoleRead, a.getConfiguration},
+		{fasthttp.MethodPut, PathConfiguration, RoleWrite, a.putConfiguration},
+		{fasthttp.MethodGet, PathHistory, RoleRead, a.getHistory},
+		{fasthttp.MethodGet, PathDiff, RoleRead, a.getDiff},
+		{fasthttp.MethodGet, PathProfiles, RoleRead, a.getProfile},
+		{fasthttp.MethodPut, PathProfiles, RoleWrite, a.putProfile},
+		{fasthttp.MethodDelete, PathProfiles, RoleWrite, a.deleteProfile},
+		{fasthttp.MethodGet, PathTeams, RoleRead, a.getTeam},
+		{fasthttp.MethodPut, PathTeams, RoleWrite, a.putTeam},
+		{fasthttp.MethodDelete, PathTeams, RoleWrite, a.deleteTeam},
+		{fasthttp.MethodGet, PathTotals, RoleRead, a.getTotals},
+		{fasthttp.MethodGet, PathStatus, RoleRead, a.getStatus},
+		{fasthttp.MethodPost, PathDrain, RoleWrite, a.drain},
+		{fasthttp.MethodGet, PathMetrics, RoleRead, func(c call) { a.metrics(c.RequestCtx) }},
+	}
 	return cwhttp.Serve(opts.Listen, a.handle, opts.Limits)
 }
 
+// handle authorises, carries out and logs one request.
 func (a *admin) handle(ctx *fasthttp.RequestCtx) {
-	path, method := string(ctx.Path()), string(ctx.Method())
-	name, isProfile := strings.CutPrefix(path, PathProfiles)
-	switch {
-	case path == PathConfiguration && method == fasthttp.MethodGet:
-		a.getConfiguration(ctx)
-	case path == PathConfiguration && method == fasthttp.MethodPut:
-		a.putConfiguration(ctx)
-	case isProfile && method == fasthttp.MethodGet:
-		a.getProfile(ctx, name)
-	case isProfile && method == fasthttp.MethodPut:
-		a.putProfile(ctx, name)
-	case isProfile && method == fasthttp.MethodDelete:
-		version, err := a.opts.DeleteProfile(ctx, cwmodel.ProfileName(name))
-		respond(ctx, VersionAnswer{uint64(version)}, err)
-	case path == PathTotals && method == fasthttp.MethodGet:
-		a.getTotals(ctx)
-	case path == PathStatus && method == fasthttp.MethodGet:
-		status, err := a.opts.Status(ctx)
-		respond(ctx, status, err)
-	case path == PathDrain && method == fasthttp.MethodPost:
-		a.opts.Drain()
-		respond(ctx, struct{}{}, nil)
-	case path == PathMetrics:
-		a.metrics(ctx)
-	default:
-		cwhttp.WriteError(ctx, cwfault.New(cwfault.NotFound, "no such operation %s %s", method, path))
-	}
+	began := a.opts.Timer.Now()
+	id := rand.Text()
+	ctx.Response.Header.Set("X-Request-Id", id)
+	who := a.serve(ctx)
+	a.opts.Log.WithFields(logrus.Fields{
+		"request-id": id, "who": who, "method": string(ctx.Method()), "path": string(ctx.Path()),
+		"status": ctx.Response.StatusCode(), "from": ctx.RemoteAddr().String(), "took": a.opts.Timer.Now().Sub(began),
+	}).Log(levelOf(ctx), "operator-answered")
 }
 
-// VersionAnswer names the version of an accepted change.
-type VersionAnswer struct {
-	Version uint64 `json:"version"`
+// levelOf returns the level at which an answer is logged; scrapes are too frequent for info.
+func levelOf(ctx *fasthttp.RequestCtx) logrus.Level {
+	switch {
+	case ctx.Response.StatusCode() == fasthttp.StatusUnauthorized:
+		return logrus.WarnLevel
+	case string(ctx.Path()) == PathMetrics:
+		return logrus.DebugLevel
+	}
+	return logrus.InfoLevel
 }
 
-func respond(ctx *fasthttp.RequestCtx, document any, err error) {
+func (a *admin) serve(ctx *fasthttp.RequestCtx) (who string) {
+	who, role, err := a.authorise(ctx)
 	if err != nil {
 		cwhttp.WriteError(ctx, err)
-		return
+		return who
 	}
-	cwhttp.WriteJSON(ctx, fasthttp.StatusOK, document)
-}
-
-func (a *admin) getConfiguration(ctx *fasthttp.RequestCtx) {
-	cfg, err := a.opts.Configuration(ctx)
-	respond(ctx, cwcodec.ConfigurationOf(cfg), err)
-}
-
-func (a *admin) putConfiguration(ctx *fasthttp.RequestCtx) {
-	cfg, err := cwcodec.DecodeConfiguration(ctx.PostBody())
-	if err == nil {
-		err = a.opts.Replace(ctx, cfg)
+	r, name, err := a.find(string(ctx.Method()), string(ctx.Path()))
+	if err == nil && !role.Covers(r.role) {
+		err = cwfault.New(cwfault.Unauthorized, "%s has the role %s; this operation needs %s", who, role, r.role)
 	}
-	respond(ctx, VersionAnswer{uint64(cfg.Version)}, err)
-}
-
-func (a *admin) getProfile(ctx *fasthttp.RequestCtx, name string) {
-	cfg, err := a.opts.Configuration(ctx)
 	if err != nil {
 		cwhttp.WriteError(ctx, err)
-		return
-	}
-	profile, ok := cfg.Profile(cwmodel.ProfileName(name))
-	if !ok {
-		err = cwfault.New(cwfault.NotFound, "no profile %q", name)
+		return who
 	}
-	respond(ctx, cwcodec.ProfileOf(profile), err)
+	r.handle(call{RequestCtx: ctx, who: who, name: name})
+	return who
 }
 
-func (a *admin) putProfile(ctx *fasthttp.RequestCtx, name string) {
-	profile, err := cwcodec.DecodeProfile(ctx.PostBody())
-	if err == nil && string(profile.Name) != name {
-		err = cwfault.New(cwfault.Invalid, "name: %q is not the %q of the path", profile.Name, name)
+func (a *admin) find(method, path string) (found route, name string, err error) {
+	known := false
+	for _, r := range a.routes {
+		rest, ok := strings.CutPrefix(path, r.path)
+		if !ok || strings.HasSuffix(r.path, "/") != (rest != "") {
+			continue
+		}
+		if known = true; r.method == method {
+			return r, rest, nil
+		}
 	}
-	if err != nil {
-		cwhttp.WriteError(ctx, err)
-		return
+	if known {
+		return found, "", cwfault.New(cwfault.NotSupported, "%s has no method %s", path, method)
 	}
-	version, err := a.opts.PutProfile(ctx, profile)
-	respond(ctx, VersionAnswer{uint64(version)}, err)
+	return found, "", cwfault.New(cwfault.NotFound, "no such operation %s %s", method, path)
 }
 
-func (a *admin) getTotals(ctx *fasthttp.RequestCtx) {
-	lines, err := a.opts.Totals(ctx, string(ctx.QueryArgs().Peek("day")))
+func respond(c call, document any, err error) {
 	if err != nil {
-		cwhttp.WriteError(ctx, err)
-		return
-	}
-	if string(ctx.QueryArgs().Peek("format")) != "csv" {
-		cwhttp.WriteJSON(ctx, fasthttp.StatusOK, cwcodec.TotalsOf(lines))
+		cwhttp.WriteError(c.RequestCtx, err)
 		return
 	}
-	ctx.SetContentType("text/csv; charset=utf-8")
-	ctx.SetBody(TotalsCSV(lines))
+	cwhttp.WriteJSON(c.RequestCtx, fasthttp.StatusOK, document)
 }
 
-// TotalsCSV returns lines as CSV with a header, as RFC 4180 has it.
-func TotalsCSV(lines []cwtally.Line) []byte {
-	var buf bytes.Buffer
-	w := csv.NewWriter(&buf)
-	w.UseCRLF = true
-	_ = w.Write([]string{"day", "profile", "team", "asked", "done", "failed", "not-run", "cancelled", "unknown", "mean-wait-seconds", "mean-run-seconds"})
-	for _, l := range lines {
-		o := l.Sums.Outcomes
-		row := []string{l.Key.Day, string(l.Key.Profile), string(l.Key.Team)}
-		for _, n := range []int64{l.Sums.Asked, o.Done, o.Failed, o.NotRun, o.Cancelled, o.Unknown} {
-			row = append(row, strconv.FormatInt(n, 10))
-		}
-		asked := float64(max(l.Sums.Asked, 1))
-		row = append(row, strconv.FormatFloat(l.Sums.Waited.Seconds()/asked, 'f', 4, 64), strconv.FormatFloat(l.Sums.Ran.Seconds()/asked, 'f', 4, 64))
-		_ = w.Write(row)
-	}
-	w.Flush()
-	return buf.Bytes()
+func (a *admin) getStatus(c call) {
+	status, err := a.opts.Status(c)
+	respond(c, status, err)
+}
+
+func (a *admin) drain(c call) {
+	a.opts.Drain()
+	respond(c, struct{}{}, nil)
 }
--- a/internal/adapter/cwcodec/config.go
+++ b/internal/adapter/cwcodec/config.go
@@ -3,8 +3,6 @@
 
 import (
 	"encoding/json"
-	"slices"
-	"strings"
 	"time"
 
 	"currantward/internal/base/cwfault"
@@ -184,8 +182,7 @@
 	for _, t := range c.Teams {
 		core.Teams = append(core.Teams, t.Core())
 	}
-	slices.SortStableFunc(core.Profiles, func(a, b cwpolicy.Profile) int { return strings.Compare(string(a.Name), string(b.Name)) })
-	slices.SortStableFunc(core.Teams, func(a, b cwpolicy.Team) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	core.Sort()
 	return core
 }
 
@@ -216,6 +213,16 @@
 	return c, c.Validate()
 }
 
+// DecodeTeam parses and validates one team.
+func DecodeTeam(data []byte) (t cwpolicy.Team, err error) {
+	var document Team
+	if err = cwhttp.DecodeStrict(data, &document); err != nil {
+		return t, err
+	}
+	t = document.Core()
+	return t, t.Validate()
+}
+
 // DecodeProfile parses and validates one profile.
 func DecodeProfile(data []byte) (p cwpolicy.Profile, err error) {
 	var document Profile
--- /dev/null
+++ b/internal/adapter/cwcodec/totals.go
@@ -0,0 +1,159 @@
+package cwcodec
+
+import (
+	"encoding/json"
+	"time"
+
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwsketch"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwtally"
+)
+
+// Counts are the sums that rows and reports share.
+type Counts struct {
+	Day              string   `json:"day"`
+	Profile          string   `json:"profile"`
+	Team             string   `json:"team"`
+	Asked            int64    `json:"asked"`
+	Done             int64    `json:"done"`
+	Failed           int64    `json:"failed"`
+	NotRun           int64    `json:"not-run"`
+	Cancelled        int64    `json:"cancelled"`
+	Unknown          int64    `json:"unknown"`
+	Waited           Duration `json:"waited"`
+	Ran              Duration `json:"ran"`
+	Overhead         Duration `json:"scheduling"`
+	ProcessorHours   float64  `json:"processor-hours"`
+	MemoryGiBHours   float64  `json:"memory-gib-hours"`
+	AcceleratorHours float64  `json:"accelerator-hours"`
+}
+
+func countsOf(line cwtally.Line) Counts {
+	s, o := line.Sums, line.Sums.Outcomes
+	return Counts{
+		Day: line.Key.Day, Profile: string(line.Key.Profile), Team: string(line.Key.Team), Asked: s.Asked,
+		Done: o.Done, Failed: o.Failed, NotRun: o.NotRun, Cancelled: o.Cancelled, Unknown: o.Unknown,
+		Waited: Duration(s.Waited), Ran: Duration(s.Ran), Overhead: Duration(s.Overhead),
+		ProcessorHours: s.Packed.ProcessorHours, MemoryGiBHours: s.Packed.MemoryGiBHours, AcceleratorHours: s.Packed.AcceleratorHours,
+	}
+}
+
+func (c Counts) core() cwtally.Line {
+	return cwtally.Line{
+		Key: cwtally.Key{Day: c.Day, Profile: cwmodel.ProfileName(c.Profile), Team: cwmodel.TeamName(c.Team)},
+		Sums: cwtally.Sums{
+			Asked:    c.Asked,
+			Outcomes: cwtally.Outcomes{Done: c.Done, Failed: c.Failed, NotRun: c.NotRun, Cancelled: c.Cancelled, Unknown: c.Unknown},
+			Waited:   time.Duration(c.Waited), Ran: time.Duration(c.Ran), Overhead: time.Duration(c.Overhead),
+			Packed: cwtally.Packed{ProcessorHours: c.ProcessorHours, MemoryGiBHours: c.MemoryGiBHours, AcceleratorHours: c.AcceleratorHours},
+		},
+	}
+}
+
+// TallyRow is what one process writes for one day and profile.
+type TallyRow struct {
+	Lines []TallyLine `json:"lines"`
+}
+
+// TallyLine is one line of a row, with its histograms.
+type TallyLine struct {
+	Counts
+	WaitTimes []byte `json:"wait-times,omitempty"`
+	RunTimes  []byte `json:"run-times,omitempty"`
+}
+
+// EncodeTally returns the lines of one row as JSON.
+func EncodeTally(lines []cwtally.Line) ([]byte, error) {
+	var row TallyRow
+	for _, line := range lines {
+		row.Lines = append(row.Lines, TallyLine{
+			Counts: countsOf(line), WaitTimes: line.Sums.WaitTimes.Encode(), RunTimes: line.Sums.RunTimes.Encode(),
+		})
+	}
+	return json.Marshal(row)
+}
+
+// DecodeTally parses the lines of one row.
+func DecodeTally(data []byte) (lines []cwtally.Line, err error) {
+	var row TallyRow
+	if err = cwhttp.DecodeStrict(data, &row); err != nil {
+		return nil, err
+	}
+	for _, l := range row.Lines {
+		line := l.core()
+		if line.Sums.WaitTimes, err = cwsketch.Decode(l.WaitTimes); err != nil {
+			return nil, err
+		}
+		if line.Sums.RunTimes, err = cwsketch.Decode(l.RunTimes); err != nil {
+			return nil, err
+		}
+		lines = append(lines, line)
+	}
+	return lines, nil
+}
+
+// Writer is what one process says of its rows of one day.
+type Writer struct {
+	Name    string    `json:"name"`
+	Host    string    `json:"host"`
+	Flushed time.Time `json:"flushed"`
+	Closed  bool      `json:"closed"`
+}
+
+// EncodeWriter returns a writer's row as JSON.
+func EncodeWriter(w cwtally.Writer) ([]byte, error) {
+	return json.Marshal(Writer{Name: w.Name, Host: string(w.Host), Flushed: w.Flushed.UTC(), Closed: w.Closed})
+}
+
+// DecodeWriter parses a writer's row.
+func DecodeWriter(data []byte) (w cwtally.Writer, err error) {
+	var document Writer
+	err = cwhttp.DecodeStrict(data, &document)
+	return cwtally.Writer{Name: document.Name, Host: cwmodel.HostID(document.Host), Flushed: document.Flushed, Closed: document.Closed}, err
+}
+
+// TotalsLine is one line of the day's totals.
+type TotalsLine struct {
+	Counts
+	WaitP50 Duration `json:"wait-p50"`
+	WaitP95 Duration `json:"wait-p95"`
+	WaitP99 Duration `json:"wait-p99"`
+	RunP50  Duration `json:"run-p50"`
+	RunP95  Duration `json:"run-p95"`
+	RunP99  Duration `json:"run-p99"`
+}
+
+// IncompleteHost names a host whose last answers may be missing.
+type IncompleteHost struct {
+	Host   string    `json:"host"`
+	Writer string    `json:"writer"`
+	Since  time.Time `json:"since"`
+}
+
+// Totals is the report of one day.
+type Totals struct {
+	Day        string           `json:"day"`
+	From       time.Time        `json:"from"`
+	To         time.Time        `json:"to"`
+	AsOf       time.Time        `json:"as-of"`
+	Incomplete []IncompleteHost `json:"incomplete"`
+	Lines      []TotalsLine     `json:"lines"`
+}
+
+// TotalsOf returns the report of a day.
+func TotalsOf(day cwtally.Day) Totals {
+	document := Totals{Day: day.Day, From: day.From, To: day.To, AsOf: day.AsOf, Incomplete: []IncompleteHost{}, Lines: []TotalsLine{}}
+	for _, i := range day.Incomplete {
+		document.Incomplete = append(document.Incomplete, IncompleteHost{Host: string(i.Host), Writer: i.Writer, Since: i.Since})
+	}
+	for _, line := range day.Lines {
+		wait, run := line.Sums.WaitTimes, line.Sums.RunTimes
+		document.Lines = append(document.Lines, TotalsLine{
+			Counts:  countsOf(line),
+			WaitP50: Duration(wait.Quantile(0.5)), WaitP95: Duration(wait.Quantile(0.95)), WaitP99: Duration(wait.Quantile(0.99)),
+			RunP50: Duration(run.Quantile(0.5)), RunP95: Duration(run.Quantile(0.95)), RunP99: Duration(run.Quantile(0.99)),
+		})
+	}
+	return document
+}
--- /dev/null
+++ b/internal/adapter/cwcodec/totalscsv.go
@@ -0,0 +1,61 @@
+package cwcodec
+
+import (
+	"bytes"
+	"encoding/csv"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// totalsHeader names the columns of the report.
+var totalsHeader = []string{
+	"day", "profile", "team", "asked", "done", "failed", "not-run", "cancelled", "unknown",
+	"wait-p50-seconds", "wait-p95-seconds", "wait-p99-seconds", "run-p50-seconds", "run-p95-seconds", "run-p99-seconds",
+	"processor-hours", "memory-gib-hours", "accelerator-hours", "scheduling-seconds", "incomplete-hosts",
+}
+
+// CSV returns the report as RFC 4180 has it, with a header; each line names the hosts whose last answers may be missing.
+func (t Totals) CSV() []byte {
+	var buf bytes.Buffer
+	w := csv.NewWriter(&buf)
+	w.UseCRLF = true
+	_ = w.Write(totalsHeader) // a buffer takes every write
+	incomplete := t.incompleteHosts()
+	for _, l := range t.Lines {
+		_ = w.Write(append(l.cells(), incomplete))
+	}
+	w.Flush()
+	return buf.Bytes()
+}
+
+func (t Totals) incompleteHosts() string {
+	var hosts []string
+	for _, i := range t.Incomplete {
+		hosts = append(hosts, i.Host)
+	}
+	slices.Sort(hosts)
+	return cell(strings.Join(slices.Compact(hosts), " "))
+}
+
+func (l TotalsLine) cells() []string {
+	cells := []string{cell(l.Day), cell(l.Profile), cell(l.Team)}
+	for _, n := range []int64{l.Asked, l.Done, l.Failed, l.NotRun, l.Cancelled, l.Unknown} {
+		cells = append(cells, strconv.FormatInt(n, 10))
+	}
+	for _, d := range []Duration{l.WaitP50, l.WaitP95, l.WaitP99, l.RunP50, l.RunP95, l.RunP99} {
+		cells = append(cells, number(time.Duration(d).Seconds()))
+	}
+	return append(cells, number(l.ProcessorHours), number(l.MemoryGiBHours), number(l.AcceleratorHours), number(time.Duration(l.Overhead).Seconds()))
+}
+
+func number(v float64) string { return strconv.FormatFloat(v, 'f', 6, 64) }
+
+// cell guards text that a spreadsheet would take for a formula.
+func cell(text string) string {
+	if text != "" && strings.ContainsRune("=+-@\t\r", rune(text[0])) {
+		return "'" + text
+	}
+	return text
+}
--- a/internal/adapter/cwmetric/metric.go
+++ b/internal/adapter/cwmetric/metric.go
@@ -3,7 +3,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -11,6 +10,7 @@
 
 	"currantward/internal/base/cwhttp"
 	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwtally"
 )
 
 // Metrics holds the metrics of one process.
@@ -20,19 +20,21 @@
 	waited   *prometheus.HistogramVec
 	ran      *prometheus.HistogramVec
 	total    *prometheus.HistogramVec
+	labels   *labelSets
 }
 
 // waitBuckets are the upper bounds of the histograms' buckets, in seconds.
 var waitBuckets = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.1, 2.5, 5, 10, 30, 60, 300}
 
-// New returns metrics with their own registry.
-func New() *Metrics {
-	labels := []string{"profile", "team"}
+// New returns metrics with their own registry and at most maxLabels pairs of profile and team.
+func New(maxLabels int) *Metrics {
+	labels := []string{"profile", "class", "team"}
 	histogram := func(name, help string) *prometheus.HistogramVec {
 		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: waitBuckets}, labels)
 	}
 	m := &Metrics{
 		registry: prometheus.NewRegistry(),
+		labels:   newLabelSets(maxLabels),
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "currantward_answers_total", Help: "Answers to callers by outcome and reason.",
 		}, append(labels, "outcome", "reason")),
@@ -46,13 +48,17 @@
 }
 
 // Observe records one answer.
-func (m *Metrics) Observe(profile cwmodel.ProfileName, team cwmodel.TeamName, answer cwmodel.Answer, took time.Duration) {
-	p, t := string(profile), string(team)
-	m.answers.WithLabelValues(p, t, string(answer.Outcome), string(answer.Reason)).Inc()
-	m.total.WithLabelValues(p, t).Observe(took.Seconds())
+func (m *Metrics) Observe(e cwtally.Event, class cwmodel.Class) {
+	if class == "" {
+		class = unknownClass
+	}
+	set := m.labels.of(labelSet{string(e.Profile), string(class), string(e.Team)})
+	answer := e.Answer
+	m.answers.WithLabelValues(set.profile, set.class, set.team, string(answer.Outcome), string(answer.Reason)).Inc()
+	m.total.WithLabelValues(set.profile, set.class, set.team).Observe(e.Took.Seconds())
 	if answer.Attempts > 0 {
-		m.waited.WithLabelValues(p, t).Observe(answer.Waited.Seconds())
-		m.ran.WithLabelValues(p, t).Observe(answer.Ran.Seconds())
+		m.waited.WithLabelValues(set.profile, set.class, set.team).Observe(answer.Waited.Seconds())
+		m.ran.WithLabelValues(set.profile, set.class, set.team).Observe(answer.Ran.Seconds())
 	}
 }
 
@@ -61,6 +67,11 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 }
 
+// Counter publishes a count that is read when metrics are collected.
+func (m *Metrics) Counter(name, help string, read func() uint64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(read()) }))
+}
+
 // Traffic publishes the bytes of one link: with workers, the platform, peers or callers.
 func (m *Metrics) Traffic(link string, traffic *cwhttp.Traffic) {
 	counter := func(direction string, read func() int64) {
--- a/internal/app/cwcommand/command.go
+++ b/internal/app/cwcommand/command.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -20,7 +19,6 @@
 	"currantward/internal/app/cwdev"
 	"currantward/internal/app/cwsettings"
 	"currantward/internal/base/cwfault"
-	"currantward/internal/base/cwhttp"
 	"currantward/internal/base/cwlog"
 	"currantward/internal/base/cwtimer"
 )
@@ -35,19 +33,25 @@
 	ExitUsage    = 2 // the command line or a file is wrong
 	ExitConflict = 3 // another change came first
 	ExitNotRun   = 4 // the request was not run
+	ExitNotKnown = 5 // whether it took effect, or is in force everywhere, is not known
 )
 
 // arguments is the command line.
 type arguments struct {
-	Serve    *serveArgs    `arg:"subcommand:serve" help:"run one entry host"`
-	Dev      *devArgs      `arg:"subcommand:dev" help:"run a whole deployment in this process and serve a file of requests"`
-	Submit   *submitArgs   `arg:"subcommand:submit" help:"submit one request or a file of requests"`
-	Profile  *profileArgs  `arg:"subcommand:profile" help:"list, get, put or delete profiles"`
-	Import   *fileArgs     `arg:"subcommand:import" help:"replace the whole configuration by that of a file"`
-	Totals   *totalsArgs   `arg:"subcommand:totals" help:"print the totals of one day"`
-	Status   *operatorArgs `arg:"subcommand:status" help:"print what an entry host says of itself and its peers"`
-	Drain    *operatorArgs `arg:"subcommand:drain" help:"shut one entry host down gracefully"`
-	Settings *checkArgs    `arg:"subcommand:check-settings" help:"check a settings file and name every fault"`
+	Serve    *serveArgs         `arg:"subcommand:serve" help:"run one entry host"`
+	Dev      *devArgs           `arg:"subcommand:dev" help:"run a whole deployment in this process and serve a file of requests"`
+	Submit   *submitArgs        `arg:"subcommand:submit" help:"submit one request or a file of requests"`
+	Profile  *profileArgs       `arg:"subcommand:profile" help:"list, get, put or delete profiles"`
+	Team     *teamArgs          `arg:"subcommand:team" help:"list, get, put or delete teams and their quotas"`
+	Config   *configurationArgs `arg:"subcommand:configuration" help:"export, import, history, diff or wait"`
+	Import   *changeFileArgs    `arg:"subcommand:import" help:"replace the whole configuration by that of a file"`
+	Totals   *totalsArgs        `arg:"subcommand:totals" help:"print the totals of one day"`
+	Status   *operatorArgs      `arg:"subcommand:status" help:"print what an entry host says of itself and its peers"`
+	Drain    *operatorArgs      `arg:"subcommand:drain" help:"shut one entry host down gracefully"`
+	Settings *checkArgs         `arg:"subcommand:check-settings" help:"check a settings file and name every fault"`
+
+	// ShowVersion is an option and not go-arg's own, which would take the --version of configuration wait.
+	ShowVersion bool `arg:"--version" help:"print the version and exit"`
 }
 
 // Description is printed by --help.
@@ -55,14 +59,6 @@
 	return "currantward schedules requests, batch runs, gangs and services on one shared fleet."
 }
 
-// Version is printed by --version.
-func (arguments) Version() string { return Version }
-
-// operatorArgs name the listener for operators.
-type operatorArgs struct {
-	Operators netip.AddrPort `arg:"--operators" default:"127.0.0.1:8081" help:"address of the entry host's listener for operators"`
-}
-
 type serveArgs struct {
 	Settings string `arg:"positional,required" help:"JSON settings file"`
 }
@@ -81,12 +77,12 @@
 // Run carries out one command line and returns its exit code.
 func Run(args []string, out, errors io.Writer) int {
 	var a arguments
-	parser, err := arg.NewParser(arg.Config{Program: "currantward"}, &a)
+	parser, err := arg.NewParser(arg.Config{Program: "currantward", StrictSubcommands: true}, &a)
 	if err != nil {
 		fmt.Fprintln(errors, err)
 		return ExitUsage
 	}
-	if code, ended := parse(parser, args, out, errors); ended {
+	if code, ended := parse(parser, &a, args, out, errors); ended {
 		return code
 	}
 	timer, stop := cwtimer.New()
@@ -95,13 +91,13 @@
 	return r.exit(r.dispatch(&a))
 }
 
-func parse(parser *arg.Parser, args []string, out, errs io.Writer) (code int, ended bool) {
+func parse(parser *arg.Parser, a *arguments, args []string, out, errs io.Writer) (code int, ended bool) {
 	err := parser.Parse(args)
 	switch {
 	case errors.Is(err, arg.ErrHelp):
 		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
 		return ExitOK, true
-	case errors.Is(err, arg.ErrVersion):
+	case err == nil && a.ShowVersion:
 		fmt.Fprintln(out, Version)
 		return ExitOK, true
 	case err == nil && parser.Subcommand() == nil:
@@ -125,14 +121,18 @@
 		return r.submit(a.Submit)
 	case a.Profile != nil:
 		return r.profile(a.Profile)
+	case a.Team != nil:
+		return r.team(a.Team)
+	case a.Config != nil:
+		return r.configuration(a.Config)
 	case a.Import != nil:
 		return r.importConfiguration(a.Import)
 	case a.Totals != nil:
 		return r.totals(a.Totals)
 	case a.Status != nil:
-		return r.print(a.Status.Operators, fasthttp.MethodGet, cwadmin.PathStatus)
+		return r.print(*a.Status, fasthttp.MethodGet, cwadmin.PathStatus)
 	case a.Drain != nil:
-		return r.print(a.Drain.Operators, fasthttp.MethodPost, cwadmin.PathDrain)
+		return r.print(*a.Drain, fasthttp.MethodPost, cwadmin.PathDrain)
 	}
 	return r.checkSettings(a.Settings)
 }
@@ -150,6 +150,8 @@
 		return ExitConflict
 	case cwfault.Refused:
 		return ExitNotRun
+	case cwfault.Indefinite:
+		return ExitNotKnown
 	}
 	return ExitFailed
 }
@@ -189,20 +191,23 @@
 }
 
 // print calls one operation and prints its JSON answer.
-func (r *runtime) print(addr netip.AddrPort, method, path string) error {
+func (r *runtime) print(a operatorArgs, method, path string) error {
 	var document json.RawMessage
-	if err := r.call(addr, method, path, nil, &document); err != nil {
+	if err := r.call(a, method, path, nil, &document); err != nil {
 		return err
 	}
 	fmt.Fprintln(r.out, string(document))
 	return nil
 }
 
-func (r *runtime) call(addr netip.AddrPort, method, path string, in, out any) error {
+func (r *runtime) call(a operatorArgs, method, path string, in, out any) error {
 	const limit = 10 * time.Second
-	client, stop := cwhttp.NewClient(cwhttp.DefaultClientOptions())
+	client, stop, err := r.client(a)
+	if err != nil {
+		return err
+	}
 	defer stop()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	return client.Call(ctx, method, addr, path, in, out)
+	return client.Call(ctx, method, a.Operators, path, in, out)
 }
--- a/internal/app/cwcommand/dev.go
+++ b/internal/app/cwcommand/dev.go
@@ -67,10 +67,10 @@
 		return err
 	}
 	var totals cwcodec.Totals
-	if err = r.call(deployment.Entry.Operators, fasthttp.MethodGet, cwadmin.PathTotals, nil, &totals); err != nil {
+	if err = r.call(operatorArgs{Operators: deployment.Entry.Operators}, fasthttp.MethodGet, cwadmin.PathTotals, nil, &totals); err != nil {
 		return err
 	}
-	if _, err = r.out.Write(cwadmin.TotalsCSV(totals.Core())); err != nil {
+	if _, err = r.out.Write(totals.CSV()); err != nil {
 		return err
 	}
 	if keep {
--- a/internal/app/cwcommand/operate.go
+++ b/internal/app/cwcommand/operate.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 
@@ -14,24 +15,53 @@
 	"currantward/internal/base/cwfault"
 )
 
+// tokenVariable is the environment variable that holds an operator's token.
+const tokenVariable = "CURRANTWARD_TOKEN"
+
+// operatorArgs name the listener for operators and the token for it.
+type operatorArgs struct {
+	Operators netip.AddrPort `arg:"--operators" default:"127.0.0.1:8081" help:"address of the entry host's listener for operators"`
+	TokenFile string         `arg:"--token-file" help:"file that holds the operator's token; else the environment variable CURRANTWARD_TOKEN"`
+}
+
+// token returns the operator's token, or an empty one.
+func (a operatorArgs) token() (string, error) {
+	if a.TokenFile == "" {
+		return strings.TrimSpace(os.Getenv(tokenVariable)), nil
+	}
+	data, err := readFile(a.TokenFile)
+	return strings.TrimSpace(string(data)), err
+}
+
 // profileArgs are the operations on profiles.
 type profileArgs struct {
-	List   *listProfilesArgs `arg:"subcommand:list" help:"print all profiles"`
-	Get    *nameArgs         `arg:"subcommand:get" help:"print one profile"`
-	Put    *fileArgs         `arg:"subcommand:put" help:"add or replace one profile"`
-	Delete *nameArgs         `arg:"subcommand:delete" help:"remove one profile"`
+	List   *operatorArgs   `arg:"subcommand:list" help:"print all profiles"`
+	Get    *getArgs        `arg:"subcommand:get" help:"print one profile"`
+	Put    *changeFileArgs `arg:"subcommand:put" help:"add or replace one profile"`
+	Delete *changeNameArgs `arg:"subcommand:delete" help:"remove one profile; what was accepted before goes on"`
 }
 
-type listProfilesArgs struct{ operatorArgs }
+// teamArgs are the operations on teams.
+type teamArgs struct {
+	List   *operatorArgs   `arg:"subcommand:list" help:"print all teams"`
+	Get    *getArgs        `arg:"subcommand:get" help:"print one team"`
+	Put    *changeFileArgs `arg:"subcommand:put" help:"add or replace one team with its quota"`
+	Delete *changeNameArgs `arg:"subcommand:delete" help:"remove one team; what was accepted before goes on"`
+}
 
-type nameArgs struct {
-	Name string `arg:"positional,required" help:"name of the profile"`
+type getArgs struct {
+	Name string `arg:"positional,required" help:"its name"`
 	operatorArgs
 }
 
-type fileArgs struct {
+type changeFileArgs struct {
 	File string `arg:"positional,required" help:"JSON file, or - for standard input"`
-	operatorArgs
+	changeArgs
+}
+
+type changeNameArgs struct {
+	Name string `arg:"positional,required" help:"its name"`
+	changeArgs
 }
 
 type totalsArgs struct {
@@ -43,32 +73,50 @@
 func (r *runtime) profile(a *profileArgs) error {
 	switch {
 	case a.List != nil:
-		return r.listProfiles(a.List.Operators)
+		return r.list(*a.List, func(cfg cwcodec.Configuration, encode func(any) error) error { return each(cfg.Profiles, encode) })
 	case a.Get != nil:
-		return r.print(a.Get.Operators, fasthttp.MethodGet, cwadmin.PathProfiles+a.Get.Name)
+		return r.print(a.Get.operatorArgs, fasthttp.MethodGet, cwadmin.PathProfiles+a.Get.Name)
 	case a.Put != nil:
 		return r.putProfile(a.Put)
 	case a.Delete != nil:
-		return r.print(a.Delete.Operators, fasthttp.MethodDelete, cwadmin.PathProfiles+a.Delete.Name)
+		return r.change(a.Delete.changeArgs, fasthttp.MethodDelete, cwadmin.PathProfiles+a.Delete.Name, nil)
 	}
 	return cwfault.New(cwfault.Invalid, "profile: one of list, get, put and delete is needed")
 }
 
-func (r *runtime) listProfiles(addr netip.AddrPort) error {
+func (r *runtime) team(a *teamArgs) error {
+	switch {
+	case a.List != nil:
+		return r.list(*a.List, func(cfg cwcodec.Configuration, encode func(any) error) error { return each(cfg.Teams, encode) })
+	case a.Get != nil:
+		return r.print(a.Get.operatorArgs, fasthttp.MethodGet, cwadmin.PathTeams+a.Get.Name)
+	case a.Put != nil:
+		return r.putTeam(a.Put)
+	case a.Delete != nil:
+		return r.change(a.Delete.changeArgs, fasthttp.MethodDelete, cwadmin.PathTeams+a.Delete.Name, nil)
+	}
+	return cwfault.New(cwfault.Invalid, "team: one of list, get, put and delete is needed")
+}
+
+// list prints one line for each item that visit encodes.
+func (r *runtime) list(a operatorArgs, visit func(cfg cwcodec.Configuration, encode func(any) error) error) error {
 	var cfg cwcodec.Configuration
-	if err := r.call(addr, fasthttp.MethodGet, cwadmin.PathConfiguration, nil, &cfg); err != nil {
+	if err := r.call(a, fasthttp.MethodGet, cwadmin.PathConfiguration, nil, &cfg); err != nil {
 		return err
 	}
-	encoder := json.NewEncoder(r.out)
-	for _, p := range cfg.Profiles {
-		if err := encoder.Encode(p); err != nil {
+	return visit(cfg, json.NewEncoder(r.out).Encode)
+}
+
+func each[T any](items []T, encode func(any) error) error {
+	for _, item := range items {
+		if err := encode(item); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (r *runtime) putProfile(a *fileArgs) error {
+func (r *runtime) putProfile(a *changeFileArgs) error {
 	data, err := readFile(a.File)
 	if err != nil {
 		return err
@@ -77,51 +125,37 @@
 	if err != nil {
 		return err
 	}
-	var answer cwadmin.VersionAnswer
-	if err = r.call(a.Operators, fasthttp.MethodPut, cwadmin.PathProfiles+string(profile.Name), cwcodec.ProfileOf(profile), &answer); err != nil {
-		return err
-	}
-	fmt.Fprintf(r.out, "{\"version\":%d}\n", answer.Version)
-	return nil
+	return r.change(a.changeArgs, fasthttp.MethodPut, cwadmin.PathProfiles+string(profile.Name), cwcodec.ProfileOf(profile))
 }
 
-// importConfiguration commits the configuration of a file on top of the present version.
-func (r *runtime) importConfiguration(a *fileArgs) error {
+func (r *runtime) putTeam(a *changeFileArgs) error {
 	data, err := readFile(a.File)
 	if err != nil {
 		return err
 	}
-	cfg, err := cwcodec.DecodeConfiguration(data)
+	team, err := cwcodec.DecodeTeam(data)
 	if err != nil {
 		return err
 	}
-	var present cwcodec.Configuration
-	if err = r.call(a.Operators, fasthttp.MethodGet, cwadmin.PathConfiguration, nil, &present); err != nil {
-		return err
-	}
-	document := cwcodec.ConfigurationOf(cfg)
-	document.Version = present.Version + 1
-	if err = r.call(a.Operators, fasthttp.MethodPut, cwadmin.PathConfiguration, document, nil); err != nil {
-		return err
-	}
-	fmt.Fprintf(r.out, "{\"version\":%d}\n", document.Version)
-	return nil
+	return r.change(a.changeArgs, fasthttp.MethodPut, cwadmin.PathTeams+string(team.Name), cwcodec.TeamOf(team))
 }
 
+// totals prints one day and names on the error stream the hosts whose last answers may be missing.
 func (r *runtime) totals(a *totalsArgs) error {
-	path := cwadmin.PathTotals + "?day=" + a.Day
-	switch a.Format {
-	case "json":
-		return r.print(a.Operators, fasthttp.MethodGet, path)
-	case "csv":
-	default:
+	if a.Format != "csv" && a.Format != "json" {
 		return cwfault.New(cwfault.Invalid, "format: %q is neither csv nor json", a.Format)
 	}
 	var totals cwcodec.Totals
-	if err := r.call(a.Operators, fasthttp.MethodGet, path, nil, &totals); err != nil {
+	if err := r.call(a.operatorArgs, fasthttp.MethodGet, cwadmin.PathTotals+"?"+cwadmin.ArgDay+"="+a.Day, nil, &totals); err != nil {
 		return err
 	}
-	_, err := r.out.Write(cwadmin.TotalsCSV(totals.Core()))
+	for _, i := range totals.Incomplete {
+		fmt.Fprintf(r.errors, "incomplete host=%s since=%s\n", i.Host, i.Since.Format("2006-01-02T15:04:05.000Z07:00"))
+	}
+	if a.Format == "json" {
+		return json.NewEncoder(r.out).Encode(totals)
+	}
+	_, err := r.out.Write(totals.CSV())
 	return err
 }
 
--- a/internal/app/cwentry/entry.go
+++ b/internal/app/cwentry/entry.go
@@ -32,23 +32,18 @@
 	"currantward/internal/port/cwport"
 )
 
-// Sizes and periods of the duties.
+// drainCheck is how often a shutdown looks whether anything is left.
+const drainCheck = 50 * time.Millisecond
+
+// Bounds of one change of the configuration.
 const (
-	poolSize      = 1024
-	inboxSize     = 16384
-	tickEvery     = 25 * time.Millisecond
-	startWindow   = 2 * time.Second
-	orderTimeout  = 2 * time.Second
-	pollWait      = 5 * time.Second
-	listEvery     = time.Second
-	exchangeEvery = 500 * time.Millisecond
-	silenceLimit  = 3 * time.Second
-	configEvery   = time.Second
-	flushEvery    = 2 * time.Second
-	peerTimeout   = time.Second
-	drainCheck    = 50 * time.Millisecond
+	changeTimeout = 5 * time.Second
+	settlePause   = 100 * time.Millisecond
 )
 
+// lateFlushes is how many periods a writer of totals may miss before its host is taken for dead.
+const lateFlushes = 3
+
 // Options set up an entry host.
 type Options struct {
 	Settings cwsettings.Settings
@@ -94,13 +89,13 @@
 // New starts an entry host and returns the function that shuts it down gracefully.
 func New(opts Options) (e *Entry, stop func(), err error) {
 	defer func() { err = eris.Wrap(err, "start entry host") }()
-	e = &Entry{opts: opts, Drained: make(chan struct{}), started: make(chan struct{}), metrics: cwmetric.New(), traffic: &cwhttp.Traffic{}}
+	e = &Entry{opts: opts, Drained: make(chan struct{}), started: make(chan struct{}), metrics: cwmetric.New(opts.Settings.MaxMetricLabels), traffic: &cwhttp.Traffic{}}
 	defer func() {
 		if err != nil {
 			e.cleanup.Run()
 		}
 	}()
-	if e.pool, err = ants.NewPool(poolSize, ants.WithNonblocking(true)); err != nil {
+	if e.pool, err = ants.NewPool(opts.Settings.PoolSize, ants.WithNonblocking(true)); err != nil {
 		return nil, nil, err
 	}
 	e.cleanup.Add(e.pool.Release)
@@ -124,8 +119,8 @@
 func (e *Entry) startState() {
 	o := e.opts
 	totals, stop := cwtotals.New(cwtotals.Options{
-		Timer: o.Timer, Log: o.Log, Table: o.Table, Zone: o.Settings.Zone, FlushEvery: flushEvery, InboxSize: inboxSize,
-		Writer: fmt.Sprintf("%s-%d", o.Settings.HostID, o.Timer.Now().UnixNano()),
+		Timer: o.Timer, Log: o.Log, Table: o.Table, Zone: o.Settings.Zone, FlushEvery: o.Settings.TotalsEvery, InboxSize: o.Settings.InboxSize,
+		Host: o.Settings.HostID, Writer: fmt.Sprintf("%s-%d", o.Settings.HostID, o.Timer.Now().UnixNano()),
 	})
 	e.totals = totals
 	e.cleanup.Add(stop)
@@ -135,14 +130,14 @@
 func (e *Entry) startPlacement() {
 	o := e.opts
 	scheduler, stopScheduler := cwscheduler.New(cwscheduler.Options{
-		Timer: o.Timer, Log: o.Log, InboxSize: inboxSize, TickEvery: tickEvery, Order: e.order,
+		Timer: o.Timer, Log: o.Log, InboxSize: o.Settings.InboxSize, TickEvery: o.Settings.TickEvery, Order: e.order,
 	})
 	e.scheduler = scheduler
 	e.cleanup.Add(stopScheduler)
 
 	links, stopLinks := cwlink.New(cwlink.Options{
 		Timer: o.Timer, Log: o.Log, Workers: o.Workers, Pool: e.pool,
-		OrderTimeout: orderTimeout, StartWindow: startWindow, PollWait: pollWait,
+		OrderTimeout: o.Settings.OrderTimeout, StartWindow: o.Settings.StartWindow, PollWait: o.Settings.CompletionWait,
 		Ended: scheduler.Ended, Stale: e.stale,
 	})
 	e.links = links
@@ -150,24 +145,27 @@
 
 	keeper, stopKeeper := cwkeeper.New(cwkeeper.Options{
 		Timer: o.Timer, Log: o.Log, Workers: o.Workers, Pool: e.pool, Self: o.Settings.HostID,
-		ClaimTTL: o.Settings.ClaimTTL, RenewEvery: o.Settings.ClaimTTL / 3, CallLimit: orderTimeout,
+		ClaimTTL: o.Settings.ClaimTTL, RenewEvery: o.Settings.ClaimTTL / 3, CallLimit: o.Settings.OrderTimeout,
 		Owned: e.owned, Lost: e.lost, Draining: scheduler.Draining,
 	})
 	e.keeper = keeper
 	e.cleanup.Add(stopKeeper)
 
 	watcher, stopWatcher := cwwatch.New(cwwatch.Options{
-		Timer: o.Timer, Log: o.Log, Table: o.Table, PollEvery: configEvery, Apply: scheduler.Configure,
+		Timer: o.Timer, Log: o.Log, Table: o.Table, DataCentre: o.Settings.DataCentre, PollEvery: o.Settings.ConfigEvery, ReadTimeout: o.Settings.PeerTimeout,
+		Apply: scheduler.Configure, Digests: e.digests, ReadPeer: e.peerConfiguration,
 	})
 	e.watcher = watcher
-	e.operator = cwoperator.New(o.Table, watcher.Poll)
+	e.operator = cwoperator.New(cwoperator.Options{
+		Timer: o.Timer, Log: o.Log, Table: o.Table, Timeout: changeTimeout, SettlePause: settlePause, Accepted: watcher.Committed,
+	})
 	e.cleanup.Add(stopWatcher)
 }
 
 // startPeers starts the listener for peers and membership.
 func (e *Entry) startPeers() error {
 	o := e.opts
-	peers, stopClient := cwpeer.New(cwpeer.ClientOptions{Timer: o.Timer, Timeout: peerTimeout, MaxConnsPerPeer: 256, Traffic: e.traffic})
+	peers, stopClient := cwpeer.New(cwpeer.ClientOptions{Timer: o.Timer, Timeout: o.Settings.PeerTimeout, MaxConnsPerPeer: 256, Traffic: e.traffic})
 	e.peers = peers
 	e.cleanup.Add(stopClient)
 	e.intake = cwintake.New(cwintake.Options{
@@ -187,7 +185,7 @@
 	e.cleanup.Add(stopServer)
 	member, stopMember := cwmember.New(cwmember.Options{
 		Timer: o.Timer, Log: o.Log, Pool: e.pool, HostList: o.HostList, Peers: peers, Self: o.Settings.HostID, DataCentre: o.Settings.DataCentre,
-		ListEvery: listEvery, ExchangeEvery: exchangeEvery, SilenceLimit: silenceLimit, Digest: e.digest, View: e.keeper.View,
+		ListEvery: o.Settings.HostListEvery, ExchangeEvery: o.Settings.ExchangeEvery, SilenceLimit: o.Settings.SilenceLimit, Digest: e.digest, View: e.keeper.View,
 	})
 	e.member = member
 	e.cleanup.Add(stopMember)
@@ -208,7 +206,19 @@
 	return e.scheduler.Lost(ctx, worker)
 }
 
-func (e *Entry) digests() []cwport.Digest { return e.member.Digests() }
+// digests returns the latest digests of live peers; there are none before all parts are set.
+func (e *Entry) digests() []cwport.Digest {
+	select {
+	case <-e.started:
+		return e.member.Digests()
+	default:
+		return nil
+	}
+}
+
+func (e *Entry) peerConfiguration(ctx context.Context, peer cwport.Digest) (cwpolicy.Configuration, error) {
+	return e.peers.Configuration(ctx, peer.Address)
+}
 
 func (e *Entry) digest(context.Context) cwport.Digest {
 	load := e.scheduler.Load()
@@ -223,33 +233,40 @@
 func (e *Entry) exchange(theirs cwport.Digest) cwport.Digest {
 	<-e.started
 	e.member.Heard(theirs)
-	if theirs.Configuration > e.watcher.Present().Version {
-		e.watcher.Poll()
-	}
+	e.watcher.Hint(theirs.Configuration)
 	return e.digest(context.Background())
 }
 
+// told counts one answer before its caller is given it.
 func (e *Entry) told(request cwmodel.Request, answer cwmodel.Answer, took time.Duration) {
-	profile, team := request.Profile, request.Team
-	if _, ok := e.watcher.Present().Profile(profile); !ok {
-		profile = "unknown"
+	counted := cwtally.Event{At: e.opts.Timer.Now(), Profile: request.Profile, Team: request.Team, Answer: answer, Took: took}
+	cfg := e.watcher.Present()
+	profile, ok := cfg.Profile(request.Profile)
+	counted.Demand = profile.Demand
+	if !ok {
+		counted.Profile = "unknown"
+	}
+	if request.Demand != nil {
+		counted.Demand = *request.Demand
 	}
-	if _, ok := e.watcher.Present().Team(team); !ok {
-		team = "unknown"
+	if _, ok = cfg.Team(request.Team); !ok {
+		counted.Team = "unknown"
 	}
-	e.metrics.Observe(profile, team, answer, took)
-	e.totals.Count(context.Background(), profile, team, answer)
+	e.metrics.Observe(counted, profile.Class)
+	e.totals.Count(context.Background(), counted)
 }
 
 // totalsOf returns the sums of one day, this host's latest included.
-func (e *Entry) totalsOf(ctx context.Context, day string) ([]cwtally.Line, error) {
+func (e *Entry) totalsOf(ctx context.Context, day string) (d cwtally.Day, err error) {
+	now := e.opts.Timer.Now()
 	if day == "" {
-		day = cwtally.DayOf(e.opts.Timer.Now(), e.opts.Settings.Zone)
+		day = cwtally.DayOf(now, e.opts.Settings.Zone)
 	}
-	if err := e.totals.Flush(ctx); err != nil {
-		return nil, err
+	if err = e.totals.Flush(ctx); err != nil {
+		return d, err
 	}
-	return cwtotals.Read(ctx, e.opts.Table, day)
+	reader := cwtotals.Reader{Table: e.opts.Table, Zone: e.opts.Settings.Zone, LateAfter: lateFlushes*e.opts.Settings.TotalsEvery + e.opts.Settings.OrderTimeout}
+	return reader.Day(ctx, day, e.opts.Timer.Now())
 }
 
 func (e *Entry) publishGauges() {
--- a/internal/app/cwentry/front.go
+++ b/internal/app/cwentry/front.go
@@ -20,9 +20,7 @@
 // startFronts starts the listeners for callers and operators.
 func (e *Entry) startFronts() (err error) {
 	o := e.opts
-	limits := cwhttp.DefaultServerOptions("callers", o.Log)
-	limits.MaxBodyBytes = o.Settings.MaxBodyBytes
-	limits.ShutdownTimeout = o.Settings.DrainTimeout
+	limits := e.limits("callers")
 	bound, stop, err := cwfront.New(cwfront.Options{
 		Listen: o.Settings.ListenCallers, Limits: limits, Log: o.Log, Run: e.run, Ready: e.ready,
 	})
@@ -32,18 +30,30 @@
 	e.Callers = bound
 	e.cleanup.Add(stop)
 	bound, stop, err = cwadmin.New(cwadmin.Options{
-		Listen: o.Settings.ListenOperators, Limits: cwhttp.DefaultServerOptions("operators", o.Log), Log: o.Log, Metrics: e.metrics.Handler(),
-		Configuration: e.operator.Configuration, Replace: e.operator.Replace, PutProfile: e.operator.PutProfile,
-		DeleteProfile: e.operator.DeleteProfile, Totals: e.totalsOf, Status: e.status, Drain: e.Drain,
+		Listen: o.Settings.ListenOperators, Limits: e.limits("operators"), Timer: o.Timer, Log: o.Log, Metrics: e.metrics.Handler(),
+		Operators: o.Settings.Operators, Configuration: e.operator.Configuration, Change: e.operator.Change, History: e.operator.History,
+		Versions: e.operator.Versions, Totals: e.totalsOf, Status: e.status, Drain: e.Drain,
 	})
 	if err != nil {
 		return err
 	}
 	e.Operators = bound
 	e.cleanup.Add(stop)
+	if len(o.Settings.Operators) == 0 {
+		o.Log.WithFields(logrus.Fields{"operators": bound}).Warn("operators-listener-without-tokens")
+	}
 	return nil
 }
 
+// limits returns what the settings allow on one listener.
+func (e *Entry) limits(name string) cwhttp.ServerOptions {
+	s := e.opts.Settings
+	return cwhttp.ServerOptions{
+		Name: name, MaxBodyBytes: s.MaxBodyBytes, MaxHeaderBytes: s.MaxHeaderBytes, MaxConnections: s.MaxConnections,
+		ReadTimeout: s.ReadTimeout, IdleTimeout: s.IdleTimeout, ShutdownTimeout: s.DrainTimeout, Log: e.opts.Log,
+	}
+}
+
 func (e *Entry) run(ctx context.Context, request cwmodel.Request) cwmodel.Answer {
 	return e.intake.Run(ctx, request)
 }
@@ -78,14 +88,19 @@
 	load := e.scheduler.Load()
 	status := cwadmin.Status{
 		Host: string(e.opts.Settings.HostID), DataCentre: string(e.opts.Settings.DataCentre),
-		Configuration: uint64(e.watcher.Present().Version), Leaving: e.intake.Leaving(),
+		Ready: e.ready(), Configuration: uint64(e.watcher.Present().Version), Leaving: e.intake.Leaving(),
 		Workers: load.Workers, Waiting: load.Waiting, Running: load.Running, Free: cwcodec.ResourcesOf(load.Free),
 		Peers: []cwadmin.PeerStatus{},
 	}
-	for _, d := range e.member.Digests() {
-		status.Peers = append(status.Peers, cwadmin.PeerStatus{
-			Host: string(d.Host), DataCentre: string(d.DataCentre), Configuration: uint64(d.Configuration), Workers: d.Workers, Leaving: d.Leaving,
-		})
+	for _, k := range e.member.Known() {
+		peer := cwadmin.PeerStatus{
+			Host: string(k.Host), DataCentre: string(k.DataCentre), Reachable: k.Reachable, Configuration: uint64(k.Digest.Configuration),
+			Workers: k.Digest.Workers, Leaving: k.Digest.Leaving || k.State == cwmodel.HostLeaving,
+		}
+		if !k.Heard.IsZero() {
+			peer.Age = cwcodec.Duration(e.opts.Timer.Now().Sub(k.Heard))
+		}
+		status.Peers = append(status.Peers, peer)
 	}
 	return status, nil
 }
--- /dev/null
+++ b/internal/app/cwmember/known.go
@@ -0,0 +1,58 @@
+package cwmember
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwport"
+)
+
+// Known is what this host knows of one other entry host, reachable or not.
+type Known struct {
+	Host       cwmodel.HostID
+	DataCentre cwmodel.DataCentre
+	Listed     bool              // the platform's latest list has it
+	State      cwmodel.HostState // in that list; empty if it was never listed
+	Digest     cwport.Digest     // the latest one; zero if there was none
+	Heard      time.Time         // when that digest came; zero if there was none
+	Reachable  bool              // it was heard within the silence limit
+}
+
+// Known returns every entry host that is listed or reachable, sorted by host; the slice must not be changed.
+func (m *Member) Known() []Known {
+	if known := m.known.Load(); known != nil {
+		return *known
+	}
+	return nil
+}
+
+// noteListed remembers which entry hosts the latest list has.
+func (m *Member) noteListed(hosts []cwmodel.Host) {
+	m.listedHosts = map[cwmodel.HostID]bool{}
+	for _, host := range hosts {
+		if host.Role == cwmodel.RoleEntryHost {
+			m.listedHosts[host.ID] = true
+		}
+	}
+}
+
+// publishKnown replaces what Known returns.
+func (m *Member) publishKnown(now time.Time) {
+	var all []Known
+	for id, p := range m.peers {
+		k := Known{
+			Host: id, DataCentre: p.host.DataCentre, Listed: m.listedHosts[id], State: p.host.State, Digest: p.digest, Heard: p.heard,
+			Reachable: !p.heard.IsZero() && now.Sub(p.heard) <= m.opts.SilenceLimit,
+		}
+		if k.DataCentre == "" {
+			k.DataCentre = p.digest.DataCentre
+		}
+		if k.Listed || k.Reachable {
+			all = append(all, k)
+		}
+	}
+	slices.SortFunc(all, func(a, b Known) int { return strings.Compare(string(a.Host), string(b.Host)) })
+	m.known.Store(&all)
+}
--- a/internal/app/cwmember/member.go
+++ b/internal/app/cwmember/member.go
@@ -70,6 +70,9 @@
 	workers []cwmodel.Host
 	peers   map[cwmodel.HostID]*peer
 	digests atomic.Pointer[[]cwport.Digest]
+	known   atomic.Pointer[[]Known]
+
+	listedHosts map[cwmodel.HostID]bool // entry hosts of the latest list
 }
 
 const inboxSize = 1024
@@ -132,6 +135,7 @@
 		m.opts.Log.WithFields(logrus.Fields{"error": cwfault.MessageOf(e.err)}).Warn("host-list-failed")
 		return
 	}
+	m.noteListed(e.hosts)
 	m.workers = m.workers[:0:0]
 	for _, host := range e.hosts {
 		switch {
@@ -192,5 +196,6 @@
 	slices.SortFunc(live, func(a, b cwport.Digest) int { return strings.Compare(string(a.Host), string(b.Host)) })
 	slices.Sort(hosts)
 	m.digests.Store(&live)
+	m.publishKnown(now)
 	m.opts.View(slices.Clone(m.workers), hosts)
 }
--- a/internal/app/cwoperator/operator.go
+++ b/internal/app/cwoperator/operator.go
@@ -3,109 +3,168 @@
 
 import (
 	"context"
-	"slices"
+	"crypto/rand"
+	"fmt"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 
-	"currantward/internal/adapter/cwcodec"
-	"currantward/internal/app/cwwatch"
 	"currantward/internal/base/cwfault"
-	"currantward/internal/core/cwmodel"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwchange"
 	"currantward/internal/core/cwpolicy"
 	"currantward/internal/port/cwport"
 )
 
-// Operator changes the configuration in the table.
-type Operator struct {
-	table   cwport.Table
-	changed func()
-}
+// Bounds of one change.
+const (
+	maxRebases   = 20 // how often an edit is made anew on a later version
+	namedRecords = 5  // how many records a conflict error names
+)
+
+// Options set up an operator.
+type Options struct {
+	Timer *cwtimer.Service
+	Log   *logrus.Logger
+	Table cwport.Table
 
-// New returns an operator; changed is called after each accepted change.
-func New(table cwport.Table, changed func()) *Operator {
-	return &Operator{table: table, changed: changed}
+	Timeout     time.Duration // of one change
+	SettlePause time.Duration // between two tries of a commit whose answer was lost
+
+	// Accepted takes each configuration that this operator knows to be committed.
+	Accepted func(cfg cwpolicy.Configuration)
 }
 
+// Operator changes the configuration in the table.
+type Operator struct{ opts Options }
+
+// New returns an operator.
+func New(opts Options) *Operator { return &Operator{opts: opts} }
+
 // Configuration returns the configuration in the table.
 func (o *Operator) Configuration(ctx context.Context) (cfg cwpolicy.Configuration, err error) {
 	defer func() { err = eris.Wrap(err, "read configuration") }()
-	cfg, _, err = o.read(ctx)
-	return cfg, err
+	s, err := o.read(ctx)
+	return s.cfg, err
 }
 
-// Replace commits cfg, whose version must be one above the present one.
-func (o *Operator) Replace(ctx context.Context, cfg cwpolicy.Configuration) (err error) {
-	defer func() { err = eris.Wrap(err, "replace configuration") }()
-	present, row, err := o.read(ctx)
+// Change commits one edit, or fails and leaves the configuration as it was.
+//
+// With an expected version the edit is made on that version alone. Without one it is made anew on a later
+// version as long as what it replaces has stayed the same. An Indefinite error means that the change may
+// still be accepted; the history tells, and a repetition with the same change ID is safe.
+func (o *Operator) Change(ctx context.Context, edit cwchange.Edit, terms cwchange.Terms) (a cwchange.Accepted, err error) {
+	defer func() { err = eris.Wrap(err, "change configuration") }()
+	ctx, cancel := context.WithTimeout(ctx, o.opts.Timeout)
+	defer cancel()
+	if terms.Change == "" {
+		terms.Change = cwchange.ID(rand.Text())
+	}
+	base, err := o.read(ctx)
 	if err != nil {
-		return err
+		return a, err
 	}
-	if cfg.Version != present.Version+1 {
-		return cwfault.New(cwfault.Conflict, "the present version is %d; a change must carry %d", present.Version, present.Version+1)
+	if record, ok := base.find(terms.Change); ok {
+		return cwchange.Accepted{Version: record.Version, Change: record.Change}, nil
 	}
-	return o.commit(ctx, cfg, row)
-}
-
-// PutProfile commits one profile on top of the present configuration.
-func (o *Operator) PutProfile(ctx context.Context, p cwpolicy.Profile) (version cwpolicy.Version, err error) {
-	defer func() { err = eris.Wrap(err, "put profile") }()
-	return o.edit(ctx, func(cfg *cwpolicy.Configuration) error {
-		cfg.Profiles = slices.DeleteFunc(cfg.Profiles, func(q cwpolicy.Profile) bool { return q.Name == p.Name })
-		cfg.Profiles = append(cfg.Profiles, p)
-		slices.SortFunc(cfg.Profiles, func(a, b cwpolicy.Profile) int { return strings.Compare(string(a.Name), string(b.Name)) })
-		return nil
-	})
+	if terms.Expected != nil && *terms.Expected != base.cfg.Version {
+		return a, conflict(base, *terms.Expected)
+	}
+	return o.rebase(ctx, edit, terms, base)
 }
 
-// DeleteProfile commits the removal of one profile.
-func (o *Operator) DeleteProfile(ctx context.Context, name cwmodel.ProfileName) (version cwpolicy.Version, err error) {
-	defer func() { err = eris.Wrap(err, "delete profile") }()
-	return o.edit(ctx, func(cfg *cwpolicy.Configuration) error {
-		if _, ok := cfg.Profile(name); !ok {
-			return cwfault.New(cwfault.NotFound, "no profile %q", name)
+// rebase makes the edit on base, and on later versions while it collides with nothing.
+func (o *Operator) rebase(ctx context.Context, edit cwchange.Edit, terms cwchange.Terms, base snapshot) (a cwchange.Accepted, err error) {
+	first := base.cfg
+	for range maxRebases {
+		a, err = o.attempt(ctx, edit, terms, base)
+		if cwfault.CodeOf(err) != cwfault.Conflict {
+			return a, err
+		}
+		fresh, err := o.read(ctx)
+		if err != nil {
+			return a, undecided(terms.Change, err)
+		}
+		if record, ok := fresh.find(terms.Change); ok {
+			return o.accept(record, base.cfg, fresh.cfg), nil
 		}
-		cfg.Profiles = slices.DeleteFunc(cfg.Profiles, func(q cwpolicy.Profile) bool { return q.Name == name })
-		return nil
-	})
+		if terms.Expected != nil || edit.Collides(first, fresh.cfg) {
+			return a, conflict(fresh, first.Version)
+		}
+		base = fresh
+	}
+	return a, conflict(base, first.Version)
 }
 
-func (o *Operator) edit(ctx context.Context, change func(cfg *cwpolicy.Configuration) error) (cwpolicy.Version, error) {
-	cfg, row, err := o.read(ctx)
+// attempt makes the edit on base and commits it.
+func (o *Operator) attempt(ctx context.Context, edit cwchange.Edit, terms cwchange.Terms, base snapshot) (a cwchange.Accepted, err error) {
+	next, err := edit.Apply(base.cfg)
 	if err != nil {
-		return 0, err
+		return a, err
 	}
-	if err = change(&cfg); err != nil {
-		return 0, err
+	next.Version = base.cfg.Version + 1
+	if err = next.Validate(); err != nil {
+		return a, err
 	}
-	cfg.Version++
-	if err = cfg.Validate(); err != nil {
-		return 0, err
+	record := cwchange.Record{Version: next.Version, Change: terms.Change, Who: terms.Who, When: o.opts.Timer.Now(), What: edit.What}
+	if terms.DryRun {
+		return cwchange.Accepted{Version: next.Version, Change: terms.Change, DryRun: true, Before: base.cfg, After: next}, nil
+	}
+	txn, err := base.transaction(next, record)
+	if err != nil {
+		return a, err
 	}
-	return cfg.Version, o.commit(ctx, cfg, row)
+	if err = o.commit(ctx, terms.Change, txn); err != nil {
+		return a, err
+	}
+	return o.accept(record, base.cfg, next), nil
+}
+
+// accept hands a committed configuration on.
+func (o *Operator) accept(record cwchange.Record, before, after cwpolicy.Configuration) cwchange.Accepted {
+	o.opts.Log.WithFields(logrus.Fields{
+		"version": record.Version, "change-id": record.Change, "who": record.Who, "what": record.What,
+	}).Info("configuration-changed")
+	o.opts.Accepted(after)
+	return cwchange.Accepted{Version: record.Version, Change: record.Change, Before: before, After: after}
 }
 
-func (o *Operator) read(ctx context.Context) (cfg cwpolicy.Configuration, row cwport.Row, err error) {
-	row, err = o.table.Read(ctx, cwwatch.KeyConfiguration)
-	if err != nil || row.Version == 0 {
-		return cfg, row, err
+// commit repeats the transaction while its effect is not known; its checks make that harmless.
+func (o *Operator) commit(ctx context.Context, id cwchange.ID, txn cwport.Txn) (err error) {
+	doubtful := false
+	for {
+		err = o.opts.Table.Commit(ctx, txn)
+		code := cwfault.CodeOf(err)
+		doubtful = doubtful || code == cwfault.Indefinite
+		if code != cwfault.Indefinite && (code != cwfault.Unavailable || !doubtful) {
+			return err
+		}
+		if !o.opts.Timer.Sleep(ctx.Done(), o.opts.SettlePause) {
+			return undecided(id, err)
+		}
 	}
-	cfg, err = cwcodec.DecodeConfiguration(row.Value)
-	return cfg, row, err
 }
 
-func (o *Operator) commit(ctx context.Context, cfg cwpolicy.Configuration, row cwport.Row) error {
-	value, err := cwcodec.EncodeConfiguration(cfg)
-	if err != nil {
-		return err
+func undecided(id cwchange.ID, err error) error {
+	return cwfault.New(cwfault.Indefinite, "the change %s may or may not be accepted, the history tells: %s", id, cwfault.MessageOf(err))
+}
+
+// conflict names the changes that were accepted after the version that the operator saw.
+func conflict(s snapshot, expected cwpolicy.Version) error {
+	var since []string
+	for _, r := range s.records {
+		if r.Version > expected {
+			since = append(since, fmt.Sprintf("version %d by %s at %s: %s", r.Version, r.Who, r.When.UTC().Format(time.RFC3339), r.What))
+		}
 	}
-	txn := cwport.Txn{
-		Checks: []cwport.Check{{Key: cwwatch.KeyConfiguration, Version: row.Version}},
-		Puts:   []cwport.Put{{Key: cwwatch.KeyConfiguration, Value: value}},
+	if omitted := len(since) - namedRecords; omitted > 0 {
+		since = append([]string{fmt.Sprintf("%d earlier changes", omitted)}, since[omitted:]...)
 	}
-	if err = o.table.Commit(ctx, txn); err != nil {
-		return err
+	if len(since) == 0 {
+		since = []string{"no change on record"}
 	}
-	o.changed()
-	return nil
+	return cwfault.New(cwfault.Conflict, "the present version is %d, the change was made on %d; since then: %s",
+		s.cfg.Version, expected, strings.Join(since, "; "))
 }
--- a/internal/app/cwsettings/settings.go
+++ b/internal/app/cwsettings/settings.go
@@ -4,16 +4,18 @@
 import (
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 	_ "time/tzdata" // hosts may lack a time zone database
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"currantward/internal/adapter/cwadmin"
 	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/base/cwfault"
 	"currantward/internal/base/cwhttp"
 	"currantward/internal/core/cwmodel"
-	"currantward/internal/core/cwpolicy"
 )
 
 // Document is the JSON form of the settings.
@@ -26,9 +28,34 @@
 	ListenOperators string           `json:"listen-operators"`
 	ListenPeers     string           `json:"listen-peers"`
 	Platform        string           `json:"platform"`
+	Operators       []Operator       `json:"operators"`
 	MaxBodyBytes    int              `json:"max-body-bytes"`
+	MaxHeaderBytes  int              `json:"max-header-bytes"`
+	MaxConnections  int              `json:"max-connections"`
+	ReadTimeout     cwcodec.Duration `json:"read-timeout"`
+	IdleTimeout     cwcodec.Duration `json:"idle-timeout"`
 	ClaimTTL        cwcodec.Duration `json:"claim-ttl"`
 	DrainTimeout    cwcodec.Duration `json:"drain-timeout"`
+	PoolSize        int              `json:"pool-size"`
+	InboxSize       int              `json:"inbox-size"`
+	TickEvery       cwcodec.Duration `json:"tick-every"`
+	StartWindow     cwcodec.Duration `json:"start-window"`
+	OrderTimeout    cwcodec.Duration `json:"order-timeout"`
+	CompletionWait  cwcodec.Duration `json:"completion-wait"`
+	HostListEvery   cwcodec.Duration `json:"host-list-every"`
+	ExchangeEvery   cwcodec.Duration `json:"exchange-every"`
+	SilenceLimit    cwcodec.Duration `json:"silence-limit"`
+	PeerTimeout     cwcodec.Duration `json:"peer-timeout"`
+	ConfigEvery     cwcodec.Duration `json:"configuration-every"`
+	TotalsEvery     cwcodec.Duration `json:"totals-every"`
+	MaxMetricLabels int              `json:"max-metric-labels"`
+}
+
+// Operator is one holder of a token for the operators' listener.
+type Operator struct {
+	Name        string `json:"name"`
+	Role        string `json:"role"`
+	TokenSHA256 string `json:"token-sha256"` // hexadecimal
 }
 
 // Settings are checked settings.
@@ -41,9 +68,27 @@
 	ListenOperators netip.AddrPort
 	ListenPeers     netip.AddrPort
 	Platform        netip.AddrPort
+	Operators       []cwadmin.Operator
 	MaxBodyBytes    int
+	MaxHeaderBytes  int
+	MaxConnections  int
+	ReadTimeout     time.Duration
+	IdleTimeout     time.Duration
 	ClaimTTL        time.Duration
 	DrainTimeout    time.Duration
+	PoolSize        int
+	InboxSize       int
+	TickEvery       time.Duration
+	StartWindow     time.Duration
+	OrderTimeout    time.Duration
+	CompletionWait  time.Duration
+	HostListEvery   time.Duration
+	ExchangeEvery   time.Duration
+	SilenceLimit    time.Duration
+	PeerTimeout     time.Duration
+	ConfigEvery     time.Duration
+	TotalsEvery     time.Duration
+	MaxMetricLabels int
 }
 
 // Defaults returns the document that holds the default of every key that has one.
@@ -55,8 +100,25 @@
 		ListenOperators: "127.0.0.1:8081",
 		ListenPeers:     "127.0.0.1:8082",
 		MaxBodyBytes:    1 << 20,
+		MaxHeaderBytes:  8 << 10,
+		MaxConnections:  4096,
+		ReadTimeout:     cwcodec.Duration(10 * time.Second),
+		IdleTimeout:     cwcodec.Duration(time.Minute),
 		ClaimTTL:        cwcodec.Duration(6 * time.Second),
 		DrainTimeout:    cwcodec.Duration(30 * time.Second),
+		PoolSize:        1024,
+		InboxSize:       16384,
+		TickEvery:       cwcodec.Duration(25 * time.Millisecond),
+		StartWindow:     cwcodec.Duration(2 * time.Second),
+		OrderTimeout:    cwcodec.Duration(2 * time.Second),
+		CompletionWait:  cwcodec.Duration(5 * time.Second),
+		HostListEvery:   cwcodec.Duration(time.Second),
+		ExchangeEvery:   cwcodec.Duration(500 * time.Millisecond),
+		SilenceLimit:    cwcodec.Duration(3 * time.Second),
+		PeerTimeout:     cwcodec.Duration(time.Second),
+		ConfigEvery:     cwcodec.Duration(time.Second),
+		TotalsEvery:     cwcodec.Duration(2 * time.Second),
+		MaxMetricLabels: 200,
 	}
 }
 
@@ -65,7 +127,7 @@
 	defer func() { err = eris.Wrapf(err, "load settings %s", path) }()
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return s, err
+		return s, cwfault.New(cwfault.Invalid, "%v", err)
 	}
 	return Parse(data)
 }
@@ -73,72 +135,13 @@
 // Parse decodes settings on top of the defaults and names every fault with its key.
 func Parse(data []byte) (s Settings, err error) {
 	document := Defaults()
-	if err = cwhttp.DecodeStrict(data, &document); err != nil {
+	faults := cwhttp.DecodeEach(data, &document)
+	s, err = document.Check()
+	if len(faults) == 0 {
 		return s, err
 	}
-	return document.Check()
-}
-
-// Bounds of settings.
-const (
-	minBodyBytes = 1 << 10
-	maxBodyBytes = 64 << 20
-	minClaimTTL  = time.Second
-	maxClaimTTL  = 5 * time.Minute
-	maxDrain     = time.Hour
-)
-
-// Check returns the checked settings, or one error that names every fault with its key.
-func (d Document) Check() (s Settings, err error) {
-	var f cwpolicy.Faults
-	f.Check(cwpolicy.IsName(d.HostID), "host-id", "%q is not kebab case of 1 to 63 characters", d.HostID)
-	f.Check(cwpolicy.IsName(d.DataCentre), "data-centre", "%q is not kebab case of 1 to 63 characters", d.DataCentre)
-	s.HostID, s.DataCentre = cwmodel.HostID(d.HostID), cwmodel.DataCentre(d.DataCentre)
-	if s.Zone, err = time.LoadLocation(d.TimeZone); err != nil {
-		f.Check(false, "time-zone", "%v", err)
-	}
-	if s.LogLevel, err = logrus.ParseLevel(d.LogLevel); err != nil {
-		f.Check(false, "log-level", "%v", err)
-	}
-	s.ListenCallers = d.address(&f, "listen-callers", d.ListenCallers)
-	s.ListenOperators = d.address(&f, "listen-operators", d.ListenOperators)
-	s.ListenPeers = d.address(&f, "listen-peers", d.ListenPeers)
-	s.Platform = d.address(&f, "platform", d.Platform)
-	checkDistinct(&f, []listener{
-		{"listen-callers", s.ListenCallers}, {"listen-operators", s.ListenOperators},
-		{"listen-peers", s.ListenPeers}, {"platform", s.Platform},
-	})
-	f.Check(d.MaxBodyBytes >= minBodyBytes && d.MaxBodyBytes <= maxBodyBytes, "max-body-bytes", "%d is not from %d to %d", d.MaxBodyBytes, minBodyBytes, maxBodyBytes)
-	s.MaxBodyBytes = d.MaxBodyBytes
-	s.ClaimTTL, s.DrainTimeout = time.Duration(d.ClaimTTL), time.Duration(d.DrainTimeout)
-	f.Check(s.ClaimTTL >= minClaimTTL && s.ClaimTTL <= maxClaimTTL, "claim-ttl", "%v is not from %v to %v", s.ClaimTTL, minClaimTTL, maxClaimTTL)
-	f.Check(s.DrainTimeout >= 0 && s.DrainTimeout <= maxDrain, "drain-timeout", "%v is not from 0 to %v", s.DrainTimeout, maxDrain)
-	return s, f.Err()
-}
-
-func (d Document) address(f *cwpolicy.Faults, key, text string) netip.AddrPort {
-	addr, err := netip.ParseAddrPort(text)
 	if err != nil {
-		f.Check(false, key, "%q is not an IP address with a port", text)
-	}
-	return addr
-}
-
-// listener is an address with the key that states it.
-type listener struct {
-	key  string
-	addr netip.AddrPort
-}
-
-// checkDistinct notes each pair of addresses that cannot both be used; port 0 is chosen by the system.
-func checkDistinct(f *cwpolicy.Faults, listeners []listener) {
-	for n, a := range listeners {
-		for _, b := range listeners[:n] {
-			if !a.addr.IsValid() || !b.addr.IsValid() || a.addr.Port() == 0 || a.addr.Port() != b.addr.Port() {
-				continue
-			}
-			overlaps := a.addr.Addr() == b.addr.Addr() || a.addr.Addr().IsUnspecified() || b.addr.Addr().IsUnspecified()
-			f.Check(!overlaps, a.key, "%s overlaps with %s of %s", a.addr, b.addr, b.key)
-		}
+		faults = append(faults, cwfault.MessageOf(err))
 	}
+	return s, cwfault.New(cwfault.Invalid, "%s", strings.Join(faults, "; "))
 }
--- /dev/null
+++ b/internal/app/cwtotals/read.go
@@ -0,0 +1,70 @@
+package cwtotals
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/core/cwtally"
+	"currantward/internal/port/cwport"
+)
+
+// Reader reads the totals of all hosts.
+type Reader struct {
+	Table     cwport.Table
+	Zone      *time.Location
+	LateAfter time.Duration // a writer that has not written for longer is taken for dead
+}
+
+// Day returns the sums of one day over all writers.
+func (r Reader) Day(ctx context.Context, day string, now time.Time) (d cwtally.Day, err error) {
+	defer func() { err = eris.Wrap(err, "read totals") }()
+	d.Day = day
+	if d.From, d.To, err = cwtally.Bounds(day, r.Zone); err != nil {
+		return d, err
+	}
+	var writers []cwtally.Writer
+	err = r.scan(ctx, writersPrefix(day), func(value []byte) error {
+		w, err := cwcodec.DecodeWriter(value)
+		writers = append(writers, w)
+		return err
+	})
+	if err != nil {
+		return d, err
+	}
+	d.Incomplete, d.AsOf = cwtally.Judge(writers, d.To, now, r.LateAfter)
+	var lines []cwtally.Line
+	err = r.scan(ctx, linesPrefix(day), func(value []byte) error {
+		more, err := cwcodec.DecodeTally(value)
+		lines = append(lines, more...)
+		return err
+	})
+	if err != nil {
+		return d, err
+	}
+	d.Lines, err = cwtally.Merge(lines)
+	return d, err
+}
+
+// scan visits the value of each row with the prefix.
+func (r Reader) scan(ctx context.Context, prefix string, visit func(value []byte) error) error {
+	const page = 100
+	after := ""
+	for {
+		rows, err := r.Table.Scan(ctx, prefix, after, page)
+		if err != nil {
+			return err
+		}
+		for _, row := range rows {
+			if err = visit(row.Value); err != nil {
+				return eris.Wrapf(err, "row %s", row.Key)
+			}
+			after = row.Key
+		}
+		if len(rows) < page {
+			return nil
+		}
+	}
+}
--- a/internal/app/cwtotals/totals.go
+++ b/internal/app/cwtotals/totals.go
@@ -1,15 +1,14 @@
-// Package cwtotals keeps the day's totals: a duty counts answers and flushes its sums to the table.
+// Package cwtotals keeps the day's totals: one duty counts answers, another writes the sums to the table.
 package cwtotals
 
 import (
 	"context"
-	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
-	"currantward/internal/adapter/cwcodec"
 	"currantward/internal/base/cwduty"
 	"currantward/internal/base/cwfault"
 	"currantward/internal/base/cwring"
@@ -19,139 +18,224 @@
 	"currantward/internal/port/cwport"
 )
 
-// keyPrefix starts the keys of all rows of totals; the day and the writer follow.
-const keyPrefix = "totals/"
+// Bounds of the totals.
+const (
+	maxParts     = 200 // rows in one transaction
+	maxDays      = 8   // days kept in memory while the table can't be written
+	countTimeout = 100 * time.Millisecond
+	writeTimeout = 5 * time.Second
+	stopTimeout  = 5 * time.Second
+	dayGrace     = 10 * time.Second // how long after midnight answers of the day before may still be counted
+)
 
 // Options set up the totals of one process.
 type Options struct {
 	Timer      *cwtimer.Service
 	Log        *logrus.Logger
 	Table      cwport.Table
+	Host       cwmodel.HostID
 	Writer     string // names this process and its incarnation
 	Zone       *time.Location
 	FlushEvery time.Duration
 	InboxSize  int
 }
 
-// event is one item of the inbox: an answer to count, or a demand to flush.
+// eventKind names what an event asks of the duty.
+type eventKind string
+
+const (
+	eventCount   eventKind = "count"
+	eventFlush   eventKind = "flush"
+	eventClose   eventKind = "close"
+	eventWritten eventKind = "written"
+)
+
+// event is one item of the inbox; which fields are set depends on its kind.
 type event struct {
-	at      time.Time
-	profile cwmodel.ProfileName
-	team    cwmodel.TeamName
-	answer  cwmodel.Answer
+	kind    eventKind
+	answer  cwtally.Event
 	flushed chan<- error // set for a flush on demand
-	flush   bool
+	batch   batch
+	err     error
 }
 
 // Totals owns the tally of one process.
 type Totals struct {
-	opts  Options
-	inbox *cwring.Ring[event]
-	tally *cwtally.Tally
-	dirty bool
+	opts    Options
+	inbox   *cwring.Ring[event]
+	batches *cwring.Ring[batch]
+	tally   *cwtally.Tally
+	flushed time.Time      // all answers before this are written
+	days    []string       // days that are not yet written for good, sorted
+	writing bool           // the writer holds a batch
+	closing bool           // the next complete batch says that this process has ended
+	waiting []chan<- error // flushes on demand that the next batch begins
+	begun   []chan<- error // flushes on demand whose batches are being written
+	lost    atomic.Uint64
+	dropped atomic.Uint64
 }
 
-// New starts the duty and returns the function that flushes and stops it.
+// New starts the duties and returns the function that flushes and stops them.
 func New(opts Options) (t *Totals, stop func()) {
-	t = &Totals{opts: opts, inbox: cwring.New[event](opts.InboxSize), tally: cwtally.New(opts.Zone)}
-	cancel := opts.Timer.Every(opts.FlushEvery, func(time.Time) { t.inbox.Offer(event{flush: true}) })
+	t = &Totals{
+		opts: opts, inbox: cwring.New[event](opts.InboxSize), batches: cwring.New[batch](1), tally: cwtally.New(opts.Zone),
+		days: []string{cwtally.DayOf(opts.Timer.Now(), opts.Zone)}, flushed: opts.Timer.Now(),
+	}
+	t.inbox.Offer(event{kind: eventFlush}) // the table is to know of this process before it counts
+	cancel := opts.Timer.Every(opts.FlushEvery, func(time.Time) { t.inbox.Offer(event{kind: eventFlush}) })
 	stopDuty := cwduty.Start("totals", t.run)
+	stopWriter := cwduty.Start("totals-writer", t.runWriter)
 	return t, func() {
 		cancel()
-		ctx, end := context.WithTimeout(context.Background(), 5*time.Second)
+		ctx, end := context.WithTimeout(context.Background(), stopTimeout)
 		defer end()
-		if err := t.Flush(ctx); err != nil {
+		if err := t.demand(ctx, eventClose); err != nil {
 			opts.Log.WithFields(logrus.Fields{"error": cwfault.MessageOf(err)}).Error("totals-not-flushed")
 		}
+		stopWriter()
 		stopDuty()
 	}
 }
 
-// Count adds one answer and blocks while the inbox is full.
-func (t *Totals) Count(ctx context.Context, profile cwmodel.ProfileName, team cwmodel.TeamName, answer cwmodel.Answer) {
-	_ = t.inbox.Put(ctx, event{at: t.opts.Timer.Now(), profile: profile, team: team, answer: answer})
+// Count adds one answer; if the inbox stays full for long the answer is lost to the totals and counted as such.
+func (t *Totals) Count(ctx context.Context, answer cwtally.Event) {
+	e := event{kind: eventCount, answer: answer}
+	if t.inbox.Offer(e) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, countTimeout)
+	defer cancel()
+	if t.inbox.Put(ctx, e) != nil {
+		t.lost.Add(1)
+	}
 }
 
+// Lost returns how many answers are missing from the totals because the inbox was full.
+func (t *Totals) Lost() uint64 { return t.lost.Load() }
+
+// Dropped returns how many days were forgotten unwritten because the table could not be written for too long.
+func (t *Totals) Dropped() uint64 { return t.dropped.Load() }
+
 // Flush writes the sums to the table and waits for the end of it.
 func (t *Totals) Flush(ctx context.Context) (err error) {
 	defer func() { err = eris.Wrap(err, "flush totals") }()
+	return t.demand(ctx, eventFlush)
+}
+
+func (t *Totals) demand(ctx context.Context, kind eventKind) error {
 	flushed := make(chan error, 1)
-	if err = t.inbox.Put(ctx, event{flush: true, flushed: flushed}); err != nil {
+	if err := t.inbox.Put(ctx, event{kind: kind, flushed: flushed}); err != nil {
 		return err
 	}
 	select {
-	case err = <-flushed:
+	case err := <-flushed:
 		return err
 	case <-ctx.Done():
-		return ctx.Err()
+		return cwfault.New(cwfault.Unavailable, "the totals were not written in time")
 	}
 }
 
 func (t *Totals) run(ctx context.Context) {
-	var batch []event
+	var events []event
 	for ctx.Err() == nil {
-		batch = t.inbox.Drain(ctx, batch[:0])
-		for _, e := range batch {
-			t.handle(ctx, e)
+		events = t.inbox.Drain(ctx, events[:0])
+		for _, e := range events {
+			t.handle(e)
 		}
+		clear(events)
 	}
 }
 
-func (t *Totals) handle(ctx context.Context, e event) {
-	if !e.flush {
-		t.tally.Count(e.at, e.profile, e.team, e.answer)
-		t.dirty = true
+func (t *Totals) handle(e event) {
+	switch e.kind {
+	case eventCount:
+		t.tally.Count(e.answer)
 		return
-	}
-	err := t.write(ctx)
-	if err != nil {
-		t.opts.Log.WithFields(logrus.Fields{"error": cwfault.MessageOf(err)}).Warn("totals-flush-failed")
+	case eventWritten:
+		t.written(e)
+	case eventClose:
+		t.closing = true
 	}
 	if e.flushed != nil {
-		e.flushed <- err
+		t.waiting = append(t.waiting, e.flushed)
+	}
+	if !t.writing && (e.kind != eventWritten || len(t.waiting) > 0) {
+		t.begin(t.opts.Timer.Now())
 	}
 }
 
-// write replaces this writer's rows; repeating it is harmless.
-func (t *Totals) write(ctx context.Context) error {
-	if !t.dirty {
-		return nil
+// begin hands everything that changed to the writer; a demand that came before it is answered at its end.
+func (t *Totals) begin(now time.Time) {
+	t.begun, t.waiting = append(t.begun, t.waiting...), nil
+	t.openDay(now)
+	b := batch{at: now, days: t.days}
+	parts, all := t.tally.TakeChanged(maxParts)
+	for _, part := range parts {
+		b.parts = append(b.parts, partLines{part, t.tally.Lines(part)})
 	}
-	var txn cwport.Txn
-	for _, day := range t.tally.Days() {
-		value, err := json.Marshal(cwcodec.TotalsOf(t.tally.Lines(day)))
-		if err != nil {
-			return err
-		}
-		txn.Puts = append(txn.Puts, cwport.Put{Key: keyPrefix + day + "/" + t.opts.Writer, Value: value})
+	b.complete, b.closed, b.flushed = all, all && t.closing, t.flushed
+	if all {
+		b.flushed = now
 	}
-	if err := t.opts.Table.Commit(ctx, txn); err != nil {
-		return err
+	encoded, err := b.encode(t.opts)
+	if err != nil {
+		t.written(event{batch: b, err: err})
+		return
+	}
+	t.writing = t.batches.Offer(encoded)
+}
+
+// openDay adds the present day and forgets the oldest ones past the bound.
+func (t *Totals) openDay(now time.Time) {
+	today := cwtally.DayOf(now, t.opts.Zone)
+	if len(t.days) == 0 || t.days[len(t.days)-1] < today {
+		t.days = append(t.days[:len(t.days):len(t.days)], today)
+	}
+	for len(t.days) > maxDays {
+		t.opts.Log.WithFields(logrus.Fields{"day": t.days[0]}).Error("totals-day-dropped")
+		t.dropped.Add(1)
+		t.forget(t.days[0])
 	}
-	t.dirty = false
-	return nil
 }
 
-// Read returns the sums of one day over all writers.
-func Read(ctx context.Context, table cwport.Table, day string) (lines []cwtally.Line, err error) {
-	defer func() { err = eris.Wrap(err, "read totals") }()
-	const page = 100
-	prefix, after := keyPrefix+day+"/", ""
-	for {
-		rows, err := table.Scan(ctx, prefix, after, page)
-		if err != nil {
-			return nil, err
+func (t *Totals) forget(day string) {
+	t.tally.Drop(day)
+	var left []string
+	for _, d := range t.days {
+		if d != day {
+			left = append(left, d)
 		}
-		for _, row := range rows {
-			var document cwcodec.Totals
-			if err = json.Unmarshal(row.Value, &document); err != nil {
-				return nil, cwfault.New(cwfault.Internal, "row %s: %v", row.Key, err)
-			}
-			lines = append(lines, document.Core()...)
-			after = row.Key
+	}
+	t.days = left
+}
+
+// written takes the end of a batch, goes on with what is left of it and answers those who wait.
+func (t *Totals) written(e event) {
+	t.writing = false
+	switch {
+	case e.err != nil:
+		t.opts.Log.WithFields(logrus.Fields{"error": cwfault.MessageOf(e.err)}).Warn("totals-flush-failed")
+		for _, part := range e.batch.parts {
+			t.tally.MarkChanged([]cwtally.Part{part.part})
 		}
-		if len(rows) < page {
-			return cwtally.Merge(lines), nil
+	case !e.batch.complete:
+		t.begin(t.opts.Timer.Now())
+		return
+	default:
+		t.finish(e.batch)
+	}
+	for _, flushed := range t.begun {
+		flushed <- e.err
+	}
+	t.begun = nil
+}
+
+// finish forgets the days that a complete batch has written for good.
+func (t *Totals) finish(b batch) {
+	t.flushed = b.flushed
+	for _, day := range b.days {
+		if _, ends, err := cwtally.Bounds(day, t.opts.Zone); err == nil && b.at.Sub(ends) >= dayGrace {
+			t.forget(day)
 		}
 	}
 }
--- /dev/null
+++ b/internal/app/cwwatch/export_test.go
@@ -0,0 +1,13 @@
+package cwwatch
+
+import "context"
+
+// NewIdle returns a watcher without its duty, for tests that take its steps themselves.
+func NewIdle(opts Options) *Watcher { return newWatcher(opts) }
+
+// Step handles everything in the inbox.
+func (w *Watcher) Step(ctx context.Context) {
+	for _, e := range w.inbox.Ready(nil) {
+		w.handle(ctx, e)
+	}
+}
--- a/internal/app/cwwatch/watch.go
+++ b/internal/app/cwwatch/watch.go
@@ -1,4 +1,4 @@
-// Package cwwatch keeps the configuration in force: it polls the table and applies what is newer.
+// Package cwwatch keeps the configuration in force: it polls the table, asks peers in an outage and applies what is newer.
 package cwwatch
 
 import (
@@ -13,35 +13,54 @@
 	"currantward/internal/base/cwfault"
 	"currantward/internal/base/cwring"
 	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwpolicy"
 	"currantward/internal/port/cwport"
 )
 
-// KeyConfiguration is the row that holds the whole configuration.
-const KeyConfiguration = "config/current"
+// Rows that hosts read.
+const (
+	KeyConfiguration = "config/current" // the whole configuration
+	KeyVersion       = "config/version" // its version, small enough to poll
+)
+
+// inboxSize holds a poll and the configurations that this host's own operators committed.
+const inboxSize = 64
 
 // Options set up a watcher.
 type Options struct {
-	Timer     *cwtimer.Service
-	Log       *logrus.Logger
-	Table     cwport.Table
-	PollEvery time.Duration
+	Timer       *cwtimer.Service
+	Log         *logrus.Logger
+	Table       cwport.Table
+	DataCentre  cwmodel.DataCentre
+	PollEvery   time.Duration
+	ReadTimeout time.Duration // of one read of the table or of a peer
 
 	// Apply takes each newer configuration.
 	Apply func(ctx context.Context, cfg cwpolicy.Configuration) error
+	// Digests returns the latest digests of live peers.
+	Digests func() []cwport.Digest
+	// ReadPeer returns the configuration that a peer has in force.
+	ReadPeer func(ctx context.Context, peer cwport.Digest) (cwpolicy.Configuration, error)
 }
 
+// event asks for a look at the table, or carries a configuration that is known to be committed.
+type event struct{ committed *cwpolicy.Configuration }
+
 // Watcher owns the configuration in force.
 type Watcher struct {
-	opts    Options
-	inbox   *cwring.Ring[struct{}]
-	present atomic.Pointer[cwpolicy.Configuration]
+	opts       Options
+	inbox      *cwring.Ring[event]
+	polling    atomic.Bool // a poll waits in the inbox
+	present    atomic.Pointer[cwpolicy.Configuration]
+	unapplied  bool // the scheduler has not taken the present configuration yet
+	behind     bool // the table was seen to hold an older version than the one in force
+	violations atomic.Uint64
 }
 
 // New starts the duty and returns the function that stops it.
 func New(opts Options) (w *Watcher, stop func()) {
-	w = &Watcher{opts: opts, inbox: cwring.New[struct{}](1)}
-	w.present.Store(&cwpolicy.Configuration{})
+	w = newWatcher(opts)
 	w.Poll()
 	cancel := opts.Timer.Every(opts.PollEvery, func(time.Time) { w.Poll() })
 	stopDuty := cwduty.Start("configuration-watcher", w.run)
@@ -51,36 +70,148 @@
 	}
 }
 
+func newWatcher(opts Options) *Watcher {
+	w := &Watcher{opts: opts, inbox: cwring.New[event](inboxSize)}
+	w.present.Store(&cwpolicy.Configuration{})
+	return w
+}
+
 // Poll asks for a look at the table soon.
-func (w *Watcher) Poll() { w.inbox.Offer(struct{}{}) }
+func (w *Watcher) Poll() {
+	if w.polling.CompareAndSwap(false, true) && !w.inbox.Offer(event{}) {
+		w.polling.Store(false)
+	}
+}
+
+// Committed takes a configuration that is known to be committed; if there is no room the next poll finds it.
+func (w *Watcher) Committed(cfg cwpolicy.Configuration) { w.inbox.Offer(event{committed: &cfg}) }
+
+// Hint takes the version that a peer has in force.
+func (w *Watcher) Hint(v cwpolicy.Version) {
+	if v > w.Present().Version {
+		w.Poll()
+	}
+}
 
 // Present returns the configuration in force; version zero means that there is none yet.
 func (w *Watcher) Present() *cwpolicy.Configuration { return w.present.Load() }
 
+// Violations returns how often the version in force decreased; it stays at zero.
+func (w *Watcher) Violations() uint64 { return w.violations.Load() }
+
 func (w *Watcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if _, ok := w.inbox.Take(ctx); !ok {
+		e, ok := w.inbox.Take(ctx)
+		if !ok {
 			return
 		}
-		if err := w.refresh(ctx); err != nil {
-			w.opts.Log.WithFields(logrus.Fields{"error": cwfault.MessageOf(err)}).Warn("configuration-poll-failed")
-		}
+		w.handle(ctx, e)
 	}
 }
 
+func (w *Watcher) handle(ctx context.Context, e event) {
+	if e.committed != nil {
+		w.consider(ctx, *e.committed, "operator")
+		return
+	}
+	w.polling.Store(false)
+	err := w.refresh(ctx)
+	if err == nil {
+		w.apply(ctx)
+		return
+	}
+	w.opts.Log.WithFields(logrus.Fields{"error": cwfault.MessageOf(err)}).Warn("configuration-poll-failed")
+	w.askPeer(ctx)
+	w.apply(ctx)
+}
+
+// refresh reads the small row and, if that is newer, the whole configuration.
 func (w *Watcher) refresh(ctx context.Context) error {
-	row, err := w.opts.Table.Read(ctx, KeyConfiguration)
+	ctx, cancel := context.WithTimeout(ctx, w.opts.ReadTimeout)
+	defer cancel()
+	row, err := w.opts.Table.Read(ctx, KeyVersion)
 	if err != nil || row.Version == 0 {
 		return err
 	}
+	version, err := cwcodec.DecodeVersion(row.Value)
+	if err != nil {
+		return err
+	}
+	w.noteBehind(version)
+	if version <= w.Present().Version {
+		return nil
+	}
+	if row, err = w.opts.Table.Read(ctx, KeyConfiguration); err != nil {
+		return err
+	}
 	cfg, err := cwcodec.DecodeConfiguration(row.Value)
 	if err != nil {
 		return err
 	}
+	w.consider(ctx, cfg, "table")
+	return nil
+}
+
+// noteBehind raises an alarm once if the table holds an older version than the one in force.
+func (w *Watcher) noteBehind(table cwpolicy.Version) {
+	behind := table < w.Present().Version
+	if behind && !w.behind {
+		w.opts.Log.WithFields(logrus.Fields{"table-version": table, "version": w.Present().Version}).Error("configuration-table-behind")
+	}
+	w.behind = behind
+}
+
+// askPeer reads the newest configuration that a live peer has in force, while the table can't be read.
+func (w *Watcher) askPeer(ctx context.Context) {
+	peer, ok := w.newestPeer()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, w.opts.ReadTimeout)
+	defer cancel()
+	cfg, err := w.opts.ReadPeer(ctx, peer)
+	if err != nil {
+		w.opts.Log.WithFields(logrus.Fields{"peer": peer.Host, "error": cwfault.MessageOf(err)}).Warn("configuration-peer-failed")
+		return
+	}
+	w.consider(ctx, cfg, string(peer.Host))
+}
+
+// newestPeer returns the peer with the newest version above ours; on a tie, one of our own data centre.
+func (w *Watcher) newestPeer() (best cwport.Digest, ok bool) {
+	version := w.Present().Version
+	for _, d := range w.opts.Digests() {
+		nearer := ok && d.Configuration == version && d.DataCentre == w.opts.DataCentre && best.DataCentre != w.opts.DataCentre
+		if d.Configuration > version || nearer {
+			best, ok, version = d, true, d.Configuration
+		}
+	}
+	return best, ok
+}
+
+// consider puts a configuration in force if it is newer.
+func (w *Watcher) consider(ctx context.Context, cfg cwpolicy.Configuration, source string) {
 	if cfg.Version <= w.Present().Version {
-		return nil
+		return
+	}
+	before := w.present.Swap(&cfg)
+	if before.Version > cfg.Version {
+		w.violations.Add(1)
+		w.opts.Log.WithFields(logrus.Fields{"before": before.Version, "after": cfg.Version}).Error("invariant-violated-configuration-reverted")
+	}
+	w.unapplied = true
+	w.opts.Log.WithFields(logrus.Fields{"version": cfg.Version, "profiles": len(cfg.Profiles), "source": source}).Info("configuration-applied")
+	w.apply(ctx)
+}
+
+// apply hands the present configuration to the scheduler; what fails is tried again at the next poll.
+func (w *Watcher) apply(ctx context.Context) {
+	if !w.unapplied {
+		return
+	}
+	if err := w.opts.Apply(ctx, *w.Present()); err != nil {
+		w.opts.Log.WithFields(logrus.Fields{"error": cwfault.MessageOf(err)}).Warn("configuration-apply-failed")
+		return
 	}
-	w.present.Store(&cfg)
-	w.opts.Log.WithFields(logrus.Fields{"version": cfg.Version, "profiles": len(cfg.Profiles)}).Info("configuration-applied")
-	return w.opts.Apply(ctx, cfg)
+	w.unapplied = false
 }
--- a/internal/base/cwhttp/json.go
+++ b/internal/base/cwhttp/json.go
@@ -5,19 +5,32 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"reflect"
+	"strings"
 
 	"currantward/internal/base/cwfault"
 )
 
-// DecodeStrict decodes exactly one JSON document into out and rejects unknown keys and trailing data.
+// DecodeStrict decodes exactly one JSON document into out and rejects unknown keys and trailing data, naming every fault.
 func DecodeStrict(data []byte, out any) error {
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(out); err != nil {
-		return cwfault.New(cwfault.Invalid, "malformed JSON: %v", err)
+		return decodeError(data, out, err)
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return cwfault.New(cwfault.Invalid, "malformed JSON: data after the document")
 	}
 	return nil
 }
+
+// decodeError names every key at fault, or the place where the syntax breaks.
+func decodeError(data []byte, out any, err error) error {
+	t := reflect.TypeOf(out)
+	if json.Valid(data) && t.Kind() == reflect.Pointer && t.Elem().Kind() == reflect.Struct {
+		if faults := DecodeEach(data, reflect.New(t.Elem()).Interface()); len(faults) > 0 {
+			return cwfault.New(cwfault.Invalid, "%s", strings.Join(faults, "; "))
+		}
+	}
+	return cwfault.New(cwfault.Invalid, "malformed JSON: %v", err)
+}
--- /dev/null
+++ b/internal/base/cwhttp/keys.go
@@ -0,0 +1,110 @@
+package cwhttp
+
+import (
+	"encoding"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"currantward/internal/base/cwfault"
+)
+
+// DecodeEach decodes every key of data into out, which is a pointer to a struct, and returns the faults, each with its key.
+//
+// It goes on after a fault, so that all of them are named at once; keys without a fault are set.
+func DecodeEach(data []byte, out any) (faults []string) {
+	faults = decodeInto(nil, "", data, reflect.ValueOf(out).Elem())
+	slices.Sort(faults)
+	return faults
+}
+
+func decodeInto(faults []string, path string, data json.RawMessage, v reflect.Value) []string {
+	t := v.Type()
+	switch {
+	case string(data) == "null" || decodesItself(t):
+	case t.Kind() == reflect.Pointer:
+		if v.IsNil() {
+			v.Set(reflect.New(t.Elem()))
+		}
+		return decodeInto(faults, path, data, v.Elem())
+	case t.Kind() == reflect.Struct:
+		return decodeStruct(faults, path, data, v)
+	case t.Kind() == reflect.Slice && t.Elem().Kind() != reflect.Uint8:
+		return decodeSlice(faults, path, data, v)
+	}
+	if err := json.Unmarshal(data, v.Addr().Interface()); err != nil {
+		return append(faults, named(path, describe(err)))
+	}
+	return faults
+}
+
+func decodeStruct(faults []string, path string, data json.RawMessage, v reflect.Value) []string {
+	var keys map[string]json.RawMessage
+	if err := json.Unmarshal(data, &keys); err != nil {
+		return append(faults, named(path, describe(err)))
+	}
+	for key, value := range keys {
+		at := strings.TrimPrefix(path+"."+key, ".")
+		index, ok := fieldIndex(v.Type(), key)
+		if !ok {
+			faults = append(faults, named(at, "unknown key"))
+			continue
+		}
+		faults = decodeInto(faults, at, value, v.FieldByIndex(index))
+	}
+	return faults
+}
+
+func decodeSlice(faults []string, path string, data json.RawMessage, v reflect.Value) []string {
+	var elements []json.RawMessage
+	if err := json.Unmarshal(data, &elements); err != nil {
+		return append(faults, named(path, describe(err)))
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(elements), len(elements)))
+	for n, element := range elements {
+		faults = decodeInto(faults, fmt.Sprintf("%s[%d]", path, n), element, v.Index(n))
+	}
+	return faults
+}
+
+// decodesItself reports whether values of t have their own decoder.
+func decodesItself(t reflect.Type) bool {
+	p := reflect.PointerTo(t)
+	return p.Implements(reflect.TypeFor[json.Unmarshaler]()) || p.Implements(reflect.TypeFor[encoding.TextUnmarshaler]())
+}
+
+// fieldIndex returns the index of the field that a JSON key is decoded into.
+func fieldIndex(t reflect.Type, key string) ([]int, bool) {
+	for _, field := range reflect.VisibleFields(t) {
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		if field.Anonymous && name == "" || !field.IsExported() {
+			continue
+		}
+		if name == "" {
+			name = field.Name
+		}
+		if strings.EqualFold(name, key) {
+			return field.Index, true
+		}
+	}
+	return nil, false
+}
+
+func named(path, message string) string {
+	if path == "" {
+		return message
+	}
+	return path + ": " + message
+}
+
+// describe returns the message of a decoding error without the terms of the decoder.
+func describe(err error) string {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return fmt.Sprintf("%s is not a valid %s", wrong.Value, wrong.Type.Kind())
+	}
+	return cwfault.MessageOf(err)
+}
--- a/internal/core/cwpolicy/policy.go
+++ b/internal/core/cwpolicy/policy.go
@@ -2,6 +2,8 @@
 package cwpolicy
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"currantward/internal/core/cwmodel"
@@ -42,6 +44,12 @@
 	Teams    []Team    // sorted by name
 }
 
+// Sort puts profiles and teams in the order of their names.
+func (c *Configuration) Sort() {
+	slices.SortStableFunc(c.Profiles, func(a, b Profile) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	slices.SortStableFunc(c.Teams, func(a, b Team) int { return strings.Compare(string(a.Name), string(b.Name)) })
+}
+
 // Profile returns the profile with the given name.
 func (c *Configuration) Profile(name cwmodel.ProfileName) (p Profile, ok bool) {
 	for _, p := range c.Profiles {
--- a/internal/core/cwpolicy/validate.go
+++ b/internal/core/cwpolicy/validate.go
@@ -68,6 +68,13 @@
 	return f.Err()
 }
 
+// Validate names every fault of one team.
+func (t *Team) Validate() error {
+	var f Faults
+	t.check(&f, "team")
+	return f.Err()
+}
+
 func (p *Profile) check(f *Faults, key string) {
 	f.Check(IsName(string(p.Name)), key+".name", "%q is not kebab case of 1 to 63 characters", p.Name)
 	_, kindErr := cwmodel.ParseKind(string(p.Kind))
--- a/internal/core/cwtally/tally.go
+++ b/internal/core/cwtally/tally.go
@@ -2,6 +2,7 @@
 package cwtally
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -9,6 +10,16 @@
 	"currantward/internal/core/cwmodel"
 )
 
+// Event is one answer with what the totals need of it.
+type Event struct {
+	At      time.Time
+	Profile cwmodel.ProfileName
+	Team    cwmodel.TeamName
+	Answer  cwmodel.Answer
+	Demand  cwmodel.Resources // what the task had reserved while it ran
+	Took    time.Duration     // from arrival to answer
+}
+
 // Key names one line of the totals.
 type Key struct {
 	Day     string // in the deployment's time zone, as 2006-01-02
@@ -16,30 +27,10 @@
 	Team    cwmodel.TeamName
 }
 
-// Sums are the counts of one line.
-type Sums struct {
-	Asked    int64
-	Outcomes Outcomes
-	Waited   time.Duration
-	Ran      time.Duration
-}
-
-// Outcomes counts the answers of each outcome.
-type Outcomes struct {
-	Done, Failed, NotRun, Cancelled, Unknown int64
-}
-
-// Plus returns s + o.
-func (s Sums) Plus(o Sums) Sums {
-	s.Asked += o.Asked
-	s.Outcomes.Done += o.Outcomes.Done
-	s.Outcomes.Failed += o.Outcomes.Failed
-	s.Outcomes.NotRun += o.Outcomes.NotRun
-	s.Outcomes.Cancelled += o.Outcomes.Cancelled
-	s.Outcomes.Unknown += o.Outcomes.Unknown
-	s.Waited += o.Waited
-	s.Ran += o.Ran
-	return s
+// Part is what is written as one row: the lines of one day and profile.
+type Part struct {
+	Day     string
+	Profile cwmodel.ProfileName
 }
 
 // Line is one key with its sums.
@@ -50,86 +41,103 @@
 
 // Tally holds the lines of one process; one goroutine uses it.
 type Tally struct {
-	zone  *time.Location
-	lines map[Key]Sums
+	zone    *time.Location
+	lines   map[Key]*Sums
+	changed map[Part]bool
 }
 
 // New returns an empty tally whose days begin at midnight in zone.
 func New(zone *time.Location) *Tally {
-	return &Tally{zone: zone, lines: map[Key]Sums{}}
+	return &Tally{zone: zone, lines: map[Key]*Sums{}, changed: map[Part]bool{}}
 }
 
 // Count adds one answer to the day on which it was given.
-func (t *Tally) Count(now time.Time, profile cwmodel.ProfileName, team cwmodel.TeamName, answer cwmodel.Answer) {
-	key := Key{Day: DayOf(now, t.zone), Profile: profile, Team: team}
-	sums := t.lines[key]
-	sums.Asked++
-	switch answer.Outcome {
-	case cwmodel.OutcomeDone:
-		sums.Outcomes.Done++
-	case cwmodel.OutcomeFailed:
-		sums.Outcomes.Failed++
-	case cwmodel.OutcomeNotRun:
-		sums.Outcomes.NotRun++
-	case cwmodel.OutcomeCancelled:
-		sums.Outcomes.Cancelled++
-	case cwmodel.OutcomeUnknown:
-		sums.Outcomes.Unknown++
+func (t *Tally) Count(e Event) {
+	key := Key{Day: DayOf(e.At, t.zone), Profile: e.Profile, Team: e.Team}
+	sums, ok := t.lines[key]
+	if !ok {
+		sums = &Sums{}
+		t.lines[key] = sums
 	}
-	sums.Waited += answer.Waited
-	sums.Ran += answer.Ran
-	t.lines[key] = sums
+	sums.count(e)
+	t.changed[Part{key.Day, key.Profile}] = true
 }
 
-// Lines returns the lines of one day, sorted by profile and team.
-func (t *Tally) Lines(day string) (lines []Line) {
+// Lines returns the lines of one part, sorted by team; their histograms stay those of the tally.
+func (t *Tally) Lines(p Part) (lines []Line) {
 	for key, sums := range t.lines {
-		if key.Day == day {
-			lines = append(lines, Line{Key: key, Sums: sums})
+		if key.Day == p.Day && key.Profile == p.Profile {
+			lines = append(lines, Line{Key: key, Sums: *sums})
 		}
 	}
 	SortLines(lines)
 	return lines
 }
 
-// Days returns the days that have lines, sorted.
-func (t *Tally) Days() (days []string) {
+// TakeChanged returns up to limit parts that changed since they were taken last, sorted, and whether that is all.
+func (t *Tally) TakeChanged(limit int) (parts []Part, all bool) {
+	for part := range t.changed {
+		parts = append(parts, part)
+	}
+	slices.SortFunc(parts, func(a, b Part) int {
+		return cmp.Or(strings.Compare(a.Day, b.Day), strings.Compare(string(a.Profile), string(b.Profile)))
+	})
+	all = len(parts) <= limit
+	parts = parts[:min(len(parts), limit)]
+	for _, part := range parts {
+		delete(t.changed, part)
+	}
+	return parts, all
+}
+
+// MarkChanged puts parts back that could not be written.
+func (t *Tally) MarkChanged(parts []Part) {
+	for _, part := range parts {
+		t.changed[part] = true
+	}
+}
+
+// Drop forgets one day.
+func (t *Tally) Drop(day string) {
 	for key := range t.lines {
-		if !slices.Contains(days, key.Day) {
-			days = append(days, key.Day)
+		if key.Day == day {
+			delete(t.lines, key)
+		}
+	}
+	for part := range t.changed {
+		if part.Day == day {
+			delete(t.changed, part)
 		}
 	}
-	slices.Sort(days)
-	return days
 }
 
 // Merge adds up lines of the same key and returns them sorted.
-func Merge(lines []Line) (merged []Line) {
-	sums := map[Key]Sums{}
+func Merge(lines []Line) (merged []Line, err error) {
+	sums := map[Key]*Sums{}
 	for _, line := range lines {
-		sums[line.Key] = sums[line.Key].Plus(line.Sums)
+		s, ok := sums[line.Key]
+		if !ok {
+			s = &Sums{}
+			sums[line.Key] = s
+		}
+		if err = s.add(line.Sums); err != nil {
+			return nil, err
+		}
 	}
 	for key, s := range sums {
-		merged = append(merged, Line{Key: key, Sums: s})
+		merged = append(merged, Line{Key: key, Sums: *s})
 	}
 	SortLines(merged)
-	return merged
+	return merged, nil
 }
 
 // SortLines sorts by day, profile and team.
 func SortLines(lines []Line) {
 	slices.SortFunc(lines, func(a, b Line) int {
-		if c := strings.Compare(a.Key.Day, b.Key.Day); c != 0 {
-			return c
-		}
-		if c := strings.Compare(string(a.Key.Profile), string(b.Key.Profile)); c != 0 {
-			return c
-		}
-		return strings.Compare(string(a.Key.Team), string(b.Key.Team))
+		return cmp.Or(
+			strings.Compare(a.Key.Day, b.Key.Day),
+			strings.Compare(string(a.Key.Profile), string(b.Key.Profile)),
+			strings.Compare(string(a.Key.Team), string(b.Key.Team)),
+		)
 	})
 }
-
-// DayOf returns the day of now in zone as 2006-01-02.
-func DayOf(now time.Time, zone *time.Location) string {
-	return now.In(zone).Format(time.DateOnly)
-}
