--- a/internal/standin/cwstore/store.go
+++ b/internal/standin/cwstore/store.go
@@ -2,6 +2,7 @@
 package cwstore
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -30,6 +31,9 @@
 	Down       bool             `json:"down,omitempty"`
 	Delay      cwcodec.Duration `json:"delay,omitempty"`
 	LoseAnswer int              `json:"lose-answer,omitempty"` // this many commits take effect but answer an error
+	LoseRate   float64          `json:"lose-rate,omitempty"`   // part of the commits that take effect but answer an error
+	Seed       uint64           `json:"seed,omitempty"`        // of the commits whose answers are lost at that rate
+	DownFor    cwcodec.Duration `json:"down-for,omitempty"`    // down until this much later
 	HostLag    cwcodec.Duration `json:"host-lag,omitempty"`    // changes of the host list show this much later
 }
 
@@ -47,7 +51,10 @@
 	timer   *cwtimer.Service
 	mu      sync.Mutex
 	faults  Faults
+	random  *rand.Rand
+	downTo  time.Time
 	hosts   map[cwmodel.HostID]cwmodel.Host
+	version uint64 // of the host list
 }
 
 // New starts a stand-in platform and returns its address and the function that stops it.
@@ -71,6 +78,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.hosts[host.ID] = host
+		s.version++
 	}
 	if lag <= 0 {
 		apply(time.Time{})
@@ -84,6 +92,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = faults
+	s.random = rand.New(rand.NewPCG(faults.Seed, faults.Seed))
+	s.downTo = s.timer.Now().Add(time.Duration(faults.DownFor))
 }
 
 func (s *Store) handle(ctx *fasthttp.RequestCtx) {
@@ -123,7 +133,9 @@
 func (s *Store) present() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.faults
+	faults := s.faults
+	faults.Down = faults.Down || s.timer.Now().Before(s.downTo)
+	return faults
 }
 
 func (s *Store) handleRegister(ctx *fasthttp.RequestCtx) {
@@ -193,6 +205,9 @@
 func (s *Store) losesAnswer() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.faults.LoseRate > 0 && s.random.Float64() < s.faults.LoseRate {
+		return true
+	}
 	if s.faults.LoseAnswer <= 0 {
 		return false
 	}
@@ -201,8 +216,15 @@
 }
 
 func (s *Store) handleHosts(ctx *fasthttp.RequestCtx) {
-	answer := cwcodec.HostsAnswer{Hosts: []cwcodec.Host{}}
+	known, _ := ctx.QueryArgs().GetUint(cwcodec.ParamKnown)
 	s.mu.Lock()
+	answer := cwcodec.HostsAnswer{Version: s.version}
+	if known > 0 && uint64(known) == s.version {
+		s.mu.Unlock()
+		answer.Unchanged = true
+		cwhttp.WriteJSON(ctx, fasthttp.StatusOK, answer)
+		return
+	}
 	for _, host := range s.hosts {
 		answer.Hosts = append(answer.Hosts, cwcodec.HostOf(host))
 	}
