Print the version of a change on a line of its own

Cause: the test of the README's commands, merged from main, expects the line {"version":N}, and a settings file that is missing is a failure (exit 1) and not wrong input. Change: the first line of a change is its version, a line for each difference follows; Load keeps the file's error. Checked: go test ./internal/app/cwcommand ./test/... pass.

--- a/internal/app/cwcommand/configuration.go
+++ b/internal/app/cwcommand/configuration.go
@@ -89,6 +89,12 @@
 // changeTries is how often a change whose answer was lost is sent again under its ID.
 const changeTries = 3
 
+// changeLine is the first line that a change prints; a line for each difference follows.
+type changeLine struct {
+	Version uint64 `json:"version"`
+	DryRun  bool   `json:"dry-run,omitempty"`
+}
+
 // change sends one change, prints its answer and waits for it where that is asked for.
 func (r *runtime) change(a changeArgs, method, path string, body any) (err error) {
 	if a.ChangeID == "" {
@@ -107,7 +113,11 @@
 	if err != nil {
 		return err
 	}
-	if err = json.NewEncoder(r.out).Encode(answer); err != nil || a.DryRun || a.Wait <= 0 {
+	encoder := json.NewEncoder(r.out)
+	if err = encoder.Encode(changeLine{Version: answer.Version, DryRun: answer.DryRun}); err != nil {
+		return err
+	}
+	if err = each(answer.Differences, encoder.Encode); err != nil || a.DryRun || a.Wait <= 0 {
 		return err
 	}
 	return r.wait(a.operatorArgs, answer.Version, a.Wait)
--- a/internal/app/cwsettings/settings.go
+++ b/internal/app/cwsettings/settings.go
@@ -127,7 +127,7 @@
 	defer func() { err = eris.Wrapf(err, "load settings %s", path) }()
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return s, cwfault.New(cwfault.Invalid, "%v", err)
+		return s, err
 	}
 	return Parse(data)
 }
