--- a/internal/adapter/cwcodec/caller.go
+++ b/internal/adapter/cwcodec/caller.go
@@ -33,10 +33,6 @@
 
 // AnswerOf returns the document of an answer; a payload that is not JSON is written as a JSON string.
 func AnswerOf(a cwmodel.Answer) Answer {
-	payload := json.RawMessage(a.Payload)
-	if len(payload) > 0 && !json.Valid(payload) {
-		payload, _ = json.Marshal(string(a.Payload))
-	}
 	return Answer{
 		RequestID: string(a.Task),
 		Outcome:   string(a.Outcome),
@@ -46,7 +42,7 @@
 		Worker:    string(a.Worker),
 		Waited:    Duration(a.Waited),
 		Ran:       Duration(a.Ran),
-		Answer:    payload,
+		Answer:    rawOf(a.Payload),
 	}
 }
 
--- /dev/null
+++ b/internal/adapter/cwcodec/job.go
@@ -0,0 +1,173 @@
+package cwcodec
+
+import (
+	"encoding/json"
+	"time"
+
+	"currantward/internal/base/cwfault"
+	"currantward/internal/core/cwjob"
+	"currantward/internal/core/cwmodel"
+)
+
+// JobSubmission is what a caller sends to have one job run.
+type JobSubmission struct {
+	Profile        string          `json:"profile"`
+	Team           string          `json:"team"`
+	Tasks          int             `json:"tasks,omitempty"`    // one if left out
+	Deadline       Duration        `json:"deadline,omitempty"` // from the arrival; the profile's own if left out
+	IdempotencyKey string          `json:"idempotency-key,omitempty"`
+	Demand         *Resources      `json:"demand,omitempty"` // of each task; the profile's own if left out
+	Payload        json.RawMessage `json:"payload,omitempty"`
+}
+
+// JobTask is the document of one task of a job.
+type JobTask struct {
+	Phase     string    `json:"phase"`
+	Attempt   Attempt   `json:"attempt,omitzero"`
+	Ran       int       `json:"ran,omitempty"`
+	Outcome   string    `json:"outcome,omitempty"`
+	Reason    string    `json:"reason,omitempty"`
+	Message   string    `json:"message,omitempty"`
+	Answer    []byte    `json:"answer,omitempty"`
+	AnswerKey string    `json:"answer-key,omitempty"`
+	Began     time.Time `json:"began,omitzero"`
+	Ended     time.Time `json:"ended,omitzero"`
+}
+
+// Job is the document of one job, as a row of the table holds it.
+type Job struct {
+	ID             string    `json:"job-id"`
+	Team           string    `json:"team"`
+	Profile        string    `json:"profile"`
+	Kind           string    `json:"kind"`
+	DataCentre     string    `json:"data-centre"`
+	Demand         Resources `json:"demand"`
+	Lease          Duration  `json:"lease"`
+	MaxAttempts    int       `json:"max-attempts"`
+	Repeatable     bool      `json:"repeatable,omitempty"`
+	Checkpointable bool      `json:"checkpointable,omitempty"`
+	Arrived        time.Time `json:"arrived"`
+	Deadline       time.Time `json:"deadline,omitzero"`
+	Payload        []byte    `json:"payload,omitempty"`
+	PayloadKey     string    `json:"payload-key,omitempty"`
+	Digest         string    `json:"digest"`
+	Home           string    `json:"home"`
+	Incarnation    uint64    `json:"incarnation"`
+	Cancelled      bool      `json:"cancelled,omitempty"`
+	Regroup        bool      `json:"regroup,omitempty"`
+	Ended          time.Time `json:"ended,omitzero"`
+	Tasks          []JobTask `json:"tasks"`
+}
+
+// EncodeJob returns the row of a job.
+func EncodeJob(j *cwjob.Job) ([]byte, error) {
+	document := Job{
+		ID: string(j.ID), Team: string(j.Team), Profile: string(j.Profile), Kind: string(j.Kind), DataCentre: string(j.DataCentre),
+		Demand: ResourcesOf(j.Demand), Lease: Duration(j.Lease), MaxAttempts: j.MaxAttempts, Repeatable: j.Repeatable,
+		Checkpointable: j.Checkpointable, Arrived: j.Arrived, Deadline: j.Deadline, Payload: j.Payload, PayloadKey: j.PayloadKey,
+		Digest: j.Digest, Home: string(j.Home.Host), Incarnation: j.Home.Incarnation, Cancelled: j.Cancelled, Regroup: j.Regroup,
+		Ended: j.Ended,
+	}
+	for _, t := range j.Tasks {
+		document.Tasks = append(document.Tasks, JobTask{
+			Phase: string(t.Phase), Attempt: AttemptOf(t.Attempt), Ran: t.Ran, Outcome: string(t.Outcome), Reason: string(t.Reason),
+			Message: t.Message, Answer: t.Answer, AnswerKey: t.AnswerKey, Began: t.Began, Ended: t.Ended,
+		})
+	}
+	return json.Marshal(document)
+}
+
+// DecodeJob returns the job that a row holds.
+func DecodeJob(data []byte) (j *cwjob.Job, err error) {
+	var d Job
+	if err = json.Unmarshal(data, &d); err != nil {
+		return nil, cwfault.New(cwfault.Internal, "malformed row of a job: %v", err)
+	}
+	kind, err := cwmodel.ParseKind(d.Kind)
+	if err != nil {
+		return nil, err
+	}
+	j = &cwjob.Job{
+		ID: cwmodel.JobID(d.ID), Team: cwmodel.TeamName(d.Team), Profile: cwmodel.ProfileName(d.Profile), Kind: kind,
+		DataCentre: cwmodel.DataCentre(d.DataCentre), Demand: d.Demand.Core(), Lease: time.Duration(d.Lease), MaxAttempts: d.MaxAttempts,
+		Repeatable: d.Repeatable, Checkpointable: d.Checkpointable, Arrived: d.Arrived, Deadline: d.Deadline, Payload: d.Payload,
+		PayloadKey: d.PayloadKey, Digest: d.Digest, Home: cwjob.Home{Host: cwmodel.HostID(d.Home), Incarnation: d.Incarnation},
+		Cancelled: d.Cancelled, Regroup: d.Regroup, Ended: d.Ended,
+	}
+	for _, t := range d.Tasks {
+		task, err := t.core()
+		if err != nil {
+			return nil, err
+		}
+		j.Tasks = append(j.Tasks, task)
+	}
+	return j, nil
+}
+
+func (t JobTask) core() (task cwjob.Task, err error) {
+	task = cwjob.Task{
+		Attempt: t.Attempt.Core(), Ran: t.Ran, Reason: cwmodel.Reason(t.Reason), Message: t.Message, Answer: t.Answer,
+		AnswerKey: t.AnswerKey, Began: t.Began, Ended: t.Ended,
+	}
+	if task.Phase, err = cwjob.ParsePhase(t.Phase); err != nil || t.Outcome == "" {
+		return task, err
+	}
+	task.Outcome, err = cwmodel.ParseOutcome(t.Outcome)
+	return task, err
+}
+
+// JobTaskView is what a caller sees of one task.
+type JobTaskView struct {
+	Phase    string          `json:"phase"`
+	Attempts int             `json:"attempts"`
+	Worker   string          `json:"worker,omitempty"`
+	Outcome  string          `json:"outcome,omitempty"`
+	Reason   string          `json:"reason,omitempty"`
+	Message  string          `json:"message,omitempty"`
+	Answer   json.RawMessage `json:"answer,omitempty"`
+	Began    time.Time       `json:"began,omitzero"`
+	Ended    time.Time       `json:"ended,omitzero"`
+}
+
+// JobView is what a caller sees of one job.
+type JobView struct {
+	ID        string        `json:"job-id"`
+	Team      string        `json:"team"`
+	Profile   string        `json:"profile"`
+	Kind      string        `json:"kind"`
+	Home      string        `json:"home"`
+	Arrived   time.Time     `json:"arrived"`
+	Deadline  time.Time     `json:"deadline,omitzero"`
+	Cancelled bool          `json:"cancelled,omitempty"`
+	Over      bool          `json:"over"`
+	Tasks     []JobTaskView `json:"tasks"`
+}
+
+// JobViewOf returns what a caller sees of a job.
+func JobViewOf(j *cwjob.Job) JobView {
+	view := JobView{
+		ID: string(j.ID), Team: string(j.Team), Profile: string(j.Profile), Kind: string(j.Kind), Home: string(j.Home.Host),
+		Arrived: j.Arrived, Deadline: j.Deadline, Cancelled: j.Cancelled, Over: j.IsOver(), Tasks: []JobTaskView{},
+	}
+	for _, t := range j.Tasks {
+		view.Tasks = append(view.Tasks, JobTaskView{
+			Phase: string(t.Phase), Attempts: t.Ran, Worker: string(t.Attempt.Worker), Outcome: string(t.Outcome), Reason: string(t.Reason),
+			Message: t.Message, Answer: rawOf(t.Answer), Began: t.Began, Ended: t.Ended,
+		})
+	}
+	return view
+}
+
+// JobList is a list of jobs.
+type JobList struct {
+	Jobs []JobView `json:"jobs"`
+}
+
+// rawOf returns data as JSON; what is not JSON becomes a JSON string.
+func rawOf(data []byte) json.RawMessage {
+	if len(data) == 0 || json.Valid(data) {
+		return data
+	}
+	text, _ := json.Marshal(string(data))
+	return text
+}
--- a/internal/adapter/cwfront/front.go
+++ b/internal/adapter/cwfront/front.go
@@ -12,6 +12,7 @@
 	"currantward/internal/adapter/cwcodec"
 	"currantward/internal/base/cwfault"
 	"currantward/internal/base/cwhttp"
+	"currantward/internal/core/cwjob"
 	"currantward/internal/core/cwmodel"
 )
 
@@ -29,6 +30,14 @@
 
 	// Run takes one request from its arrival to its answer.
 	Run func(ctx context.Context, request cwmodel.Request) cwmodel.Answer
+	// SubmitJob accepts a job once it is committed.
+	SubmitJob func(ctx context.Context, request cwmodel.Request, tasks int) (*cwjob.Job, error)
+	// GetJob returns one job.
+	GetJob func(ctx context.Context, id cwmodel.JobID) (*cwjob.Job, error)
+	// ListJobs returns up to limit jobs of a team.
+	ListJobs func(ctx context.Context, team cwmodel.TeamName, limit int) ([]*cwjob.Job, error)
+	// CancelJob cancels one job; it is idempotent.
+	CancelJob func(ctx context.Context, id cwmodel.JobID) (*cwjob.Job, error)
 	// Ready reports whether this host takes requests.
 	Ready func() bool
 }
@@ -49,6 +58,8 @@
 		f.handleRequest(ctx)
 	case path == PathRequests:
 		cwhttp.WriteError(ctx, cwfault.New(cwfault.NotSupported, "%s takes POST only", path))
+	case isJobPath(path):
+		f.handleJobs(ctx, path, method)
 	case path == PathHealth:
 		f.handleHealth(ctx)
 	default:
--- a/internal/app/cwcommand/command.go
+++ b/internal/app/cwcommand/command.go
@@ -42,6 +42,7 @@
 	Serve    *serveArgs    `arg:"subcommand:serve" help:"run one entry host"`
 	Dev      *devArgs      `arg:"subcommand:dev" help:"run a whole deployment in this process and serve a file of requests"`
 	Submit   *submitArgs   `arg:"subcommand:submit" help:"submit one request or a file of requests"`
+	Job      *jobArgs      `arg:"subcommand:job" help:"submit, get, list or cancel jobs"`
 	Profile  *profileArgs  `arg:"subcommand:profile" help:"list, get, put or delete profiles"`
 	Import   *fileArgs     `arg:"subcommand:import" help:"replace the whole configuration by that of a file"`
 	Totals   *totalsArgs   `arg:"subcommand:totals" help:"print the totals of one day"`
@@ -123,6 +124,8 @@
 		return r.dev(a.Dev)
 	case a.Submit != nil:
 		return r.submit(a.Submit)
+	case a.Job != nil:
+		return r.job(a.Job)
 	case a.Profile != nil:
 		return r.profile(a.Profile)
 	case a.Import != nil:
--- /dev/null
+++ b/internal/app/cwcommand/job.go
@@ -0,0 +1,63 @@
+package cwcommand
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"net/url"
+
+	"github.com/valyala/fasthttp"
+
+	"currantward/internal/adapter/cwfront"
+	"currantward/internal/base/cwfault"
+)
+
+// jobArgs are the subcommands of job.
+type jobArgs struct {
+	Submit  *jobSubmitArgs `arg:"subcommand:submit" help:"submit one job"`
+	Get     *jobIDArgs     `arg:"subcommand:get" help:"print one job"`
+	List    *jobListArgs   `arg:"subcommand:list" help:"print the jobs of a team"`
+	Cancel  *jobIDArgs     `arg:"subcommand:cancel" help:"cancel one job"`
+	Callers netip.AddrPort `arg:"--callers" default:"127.0.0.1:8080" help:"address of an entry host's listener for callers"`
+}
+
+type jobSubmitArgs struct {
+	File string `arg:"positional,required" help:"file with one JSON job, or - for standard input"`
+}
+
+type jobIDArgs struct {
+	ID string `arg:"positional,required" help:"identifier of the job"`
+}
+
+type jobListArgs struct {
+	Team string `arg:"positional,required" help:"name of the team"`
+}
+
+func (r *runtime) job(a *jobArgs) error {
+	switch {
+	case a.Submit != nil:
+		return r.submitJob(a)
+	case a.Get != nil:
+		return r.print(a.Callers, fasthttp.MethodGet, jobPath(a.Get.ID))
+	case a.Cancel != nil:
+		return r.print(a.Callers, fasthttp.MethodDelete, jobPath(a.Cancel.ID))
+	case a.List != nil:
+		return r.print(a.Callers, fasthttp.MethodGet, cwfront.PathJobs+"?team="+url.QueryEscape(a.List.Team))
+	}
+	return cwfault.New(cwfault.Invalid, "job needs one of submit, get, list and cancel")
+}
+
+func (r *runtime) submitJob(a *jobArgs) error {
+	data, err := readFile(a.Submit.File)
+	if err != nil {
+		return err
+	}
+	var document json.RawMessage
+	if err = r.call(a.Callers, fasthttp.MethodPost, cwfront.PathJobs, json.RawMessage(data), &document); err != nil {
+		return err
+	}
+	fmt.Fprintln(r.out, string(document))
+	return nil
+}
+
+func jobPath(id string) string { return cwfront.PathJobs + "/" + url.PathEscape(id) }
--- a/internal/app/cwdev/dev_test.go
+++ b/internal/app/cwdev/dev_test.go
@@ -39,6 +39,12 @@
 				Name: "diagnostics", Kind: cwmodel.KindRequest, Class: cwmodel.ClassUrgent, Weight: 1, Ceiling: 1, QueueLimit: 100,
 				Deadline: 5 * time.Second, Lease: 10 * time.Second, MaxAttempts: 3, Repeatable: true,
 				Demand: cwmodel.Resources{MilliProcessors: 1000, Slots: 1, Connections: 1},
+			}, {
+				Name: "bundles", Kind: cwmodel.KindBatch, Class: cwmodel.ClassBatch, Weight: 1, Ceiling: 1, QueueLimit: 100,
+				Lease: 10 * time.Second, MaxAttempts: 2, Repeatable: true, Demand: cwmodel.Resources{MilliProcessors: 1000},
+			}, {
+				Name: "portal", Kind: cwmodel.KindService, Class: cwmodel.ClassStandard, Weight: 1, Ceiling: 1, QueueLimit: 100,
+				Lease: 10 * time.Second, MaxAttempts: 2, Repeatable: true, Demand: cwmodel.Resources{MilliProcessors: 1000},
 			}},
 			Teams: []cwpolicy.Team{{Name: "riders", Weight: 1}},
 		},
--- /dev/null
+++ b/internal/app/cwdev/job_test.go
@@ -0,0 +1,99 @@
+package cwdev_test
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/adapter/cwfront"
+	"currantward/internal/base/cwhttp"
+)
+
+func TestJobIsServedFromEndToEnd(t *testing.T) {
+	d := startDeployment(t)
+	client, stop := cwhttp.NewClient(cwhttp.DefaultClientOptions())
+	defer stop()
+	large := strings.Repeat("x", 20<<10)
+	cases := []struct {
+		name    string
+		body    string
+		status  int
+		cancel  bool
+		outcome string
+	}{
+		{"batch of three", `{"profile":"bundles","team":"riders","tasks":3,"payload":{"bundle":1}}`, 201, false, "done"},
+		{"large payload", `{"profile":"bundles","team":"riders","payload":{"bundle":"` + large + `"}}`, 201, false, "done"},
+		{"fails for good", `{"profile":"bundles","team":"riders","payload":{"simulate":{"end":"failed"}}}`, 201, false, "failed"},
+		{"never fits", `{"profile":"bundles","team":"riders","demand":{"processors":99}}`, 201, false, "not-run"},
+		{"service cancelled", `{"profile":"portal","team":"riders","payload":{"simulate":{"run-time":"1h"}}}`, 201, true, "cancelled"},
+		{"profile of requests", `{"profile":"diagnostics","team":"riders"}`, 400, false, ""},
+		{"unknown profile", `{"profile":"nothing","team":"riders"}`, 404, false, ""},
+		{"unknown team", `{"profile":"bundles","team":"nobody"}`, 404, false, ""},
+		{"no team", `{"profile":"bundles"}`, 400, false, ""},
+		{"too many tasks", `{"profile":"bundles","team":"riders","tasks":257}`, 400, false, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			status, body, err := client.Do(context.Background(), "POST", d.Entry.Callers, cwfront.PathJobs, []byte(c.body))
+			is.NoErr(err)
+			is.Equal(status, c.status)
+			if c.outcome == "" {
+				return
+			}
+			var view cwcodec.JobView
+			is.NoErr(json.Unmarshal(body, &view))
+			path := cwfront.PathJobs + "/" + view.ID
+			if c.cancel {
+				for range 2 {
+					status, _, err = client.Do(context.Background(), "DELETE", d.Entry.Callers, path, nil)
+					is.NoErr(err)
+					is.Equal(status, 200)
+				}
+			}
+			for !view.Over {
+				time.Sleep(10 * time.Millisecond)
+				is.NoErr(client.Call(context.Background(), "GET", d.Entry.Callers, path, nil, &view))
+			}
+			for _, task := range view.Tasks {
+				is.Equal(task.Outcome, c.outcome)
+				is.Equal(len(task.Answer) > 0, c.outcome == "done")
+			}
+			var list cwcodec.JobList
+			is.NoErr(client.Call(context.Background(), "GET", d.Entry.Callers, cwfront.PathJobs+"?team=riders", nil, &list))
+			is.True(len(list.Jobs) > 0)
+		})
+	}
+}
+
+func TestSameIdempotencyKeyIsOneJob(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t)
+	client, stop := cwhttp.NewClient(cwhttp.DefaultClientOptions())
+	defer stop()
+	cases := []struct {
+		name, body string
+		status     int
+	}{
+		{"first", `{"profile":"bundles","team":"riders","idempotency-key":"k","payload":1}`, 201},
+		{"again", `{"profile":"bundles","team":"riders","idempotency-key":"k","payload":1}`, 201},
+		{"another body", `{"profile":"bundles","team":"riders","idempotency-key":"k","payload":2}`, 409},
+	}
+	ids := map[string]bool{}
+	for _, c := range cases {
+		status, body, err := client.Do(context.Background(), "POST", d.Entry.Callers, cwfront.PathJobs, []byte(c.body))
+		is.NoErr(err)
+		is.Equal(status, c.status)
+		var view cwcodec.JobView
+		if status == 201 {
+			is.NoErr(json.Unmarshal(body, &view))
+			ids[view.ID] = true
+		}
+	}
+	is.Equal(len(ids), 1)
+}
--- a/internal/app/cwentry/entry.go
+++ b/internal/app/cwentry/entry.go
@@ -15,7 +15,9 @@
 	"currantward/internal/adapter/cwmetric"
 	"currantward/internal/adapter/cwpeer"
 	"currantward/internal/app/cwintake"
+	"currantward/internal/app/cwjobs"
 	"currantward/internal/app/cwkeeper"
+	"currantward/internal/app/cwledger"
 	"currantward/internal/app/cwlink"
 	"currantward/internal/app/cwmember"
 	"currantward/internal/app/cwoperator"
@@ -55,6 +57,7 @@
 	Timer    *cwtimer.Service
 	Log      *logrus.Logger
 	Table    cwport.Table
+	Objects  cwport.Objects
 	HostList cwport.HostList
 	Workers  cwport.Workers
 	Traffic  Traffic
@@ -85,6 +88,8 @@
 	totals    *cwtotals.Totals
 	operator  *cwoperator.Operator
 	intake    *cwintake.Intake
+	ledger    *cwledger.Ledger
+	jobs      *cwjobs.Jobs
 	peers     cwport.Peers
 	traffic   *cwhttp.Traffic // of all connections with peers
 	drain     sync.Once
@@ -106,6 +111,7 @@
 	e.cleanup.Add(e.pool.Release)
 	e.startState()
 	e.startPlacement()
+	e.startJobs()
 	if err = e.startPeers(); err != nil {
 		return nil, nil, err
 	}
@@ -143,7 +149,7 @@
 	links, stopLinks := cwlink.New(cwlink.Options{
 		Timer: o.Timer, Log: o.Log, Workers: o.Workers, Pool: e.pool,
 		OrderTimeout: orderTimeout, StartWindow: startWindow, PollWait: pollWait,
-		Ended: scheduler.Ended, Stale: e.stale,
+		Ended: e.ended, IsDurable: isDurable, Stale: e.stale,
 	})
 	e.links = links
 	e.cleanup.Add(stopLinks)
@@ -187,24 +193,36 @@
 	e.cleanup.Add(stopServer)
 	member, stopMember := cwmember.New(cwmember.Options{
 		Timer: o.Timer, Log: o.Log, Pool: e.pool, HostList: o.HostList, Peers: peers, Self: o.Settings.HostID, DataCentre: o.Settings.DataCentre,
-		ListEvery: listEvery, ExchangeEvery: exchangeEvery, SilenceLimit: silenceLimit, Digest: e.digest, View: e.keeper.View,
+		ListEvery: listEvery, ExchangeEvery: exchangeEvery, SilenceLimit: silenceLimit, Digest: e.digest, View: e.view,
 	})
 	e.member = member
 	e.cleanup.Add(stopMember)
 	return nil
 }
 
-func (e *Entry) order(action actionOf) { e.links.Order(action) }
+func (e *Entry) order(action actionOf) {
+	if action.Task.Durable {
+		e.jobs.Action(action)
+		return
+	}
+	e.links.Order(action)
+}
 
 func (e *Entry) stale(worker cwmodel.HostID, epoch cwmodel.Epoch) { e.keeper.Stale(worker, epoch) }
 
 func (e *Entry) owned(ctx context.Context, inventory cwport.Inventory) error {
 	e.links.Open(inventory.Worker, inventory.Epoch)
+	if err := e.jobs.Owned(ctx, inventory); err != nil {
+		return err
+	}
 	return e.scheduler.Owned(ctx, inventory)
 }
 
 func (e *Entry) lost(ctx context.Context, worker cwmodel.HostID) error {
 	e.links.Close(worker)
+	if err := e.jobs.Lost(ctx, worker); err != nil {
+		return err
+	}
 	return e.scheduler.Lost(ctx, worker)
 }
 
--- a/internal/app/cwentry/front.go
+++ b/internal/app/cwentry/front.go
@@ -25,6 +25,7 @@
 	limits.ShutdownTimeout = o.Settings.DrainTimeout
 	bound, stop, err := cwfront.New(cwfront.Options{
 		Listen: o.Settings.ListenCallers, Limits: limits, Log: o.Log, Run: e.run, Ready: e.ready,
+		SubmitJob: e.submitJob, GetJob: e.jobs.Get, ListJobs: e.jobs.List, CancelJob: e.jobs.Cancel,
 	})
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/app/cwentry/jobs.go
@@ -0,0 +1,58 @@
+package cwentry
+
+import (
+	"context"
+	"fmt"
+
+	"currantward/internal/app/cwjobs"
+	"currantward/internal/app/cwledger"
+	"currantward/internal/core/cwjob"
+	"currantward/internal/core/cwmodel"
+)
+
+// startJobs starts the ledger and the duty that drives the jobs of this home.
+func (e *Entry) startJobs() {
+	o := e.opts
+	home := cwjob.Home{Host: o.Settings.HostID, Incarnation: uint64(o.Timer.Now().UnixNano())}
+	ledger := cwledger.DefaultOptions()
+	ledger.Timer, ledger.Log, ledger.Table, ledger.Pool = o.Timer, o.Log, o.Table, e.pool
+	ledger.Writer, ledger.Seed = fmt.Sprintf("%s-%d", home.Host, home.Incarnation), home.Incarnation
+	var stop func()
+	e.ledger, stop = cwledger.New(ledger)
+	e.cleanup.Add(stop)
+
+	jobs := cwjobs.DefaultOptions()
+	jobs.Timer, jobs.Log, jobs.Go = o.Timer, o.Log, e.pool.Submit
+	jobs.Table, jobs.Objects, jobs.Workers = o.Table, o.Objects, o.Workers
+	jobs.Self, jobs.DataCentre = home, o.Settings.DataCentre
+	jobs.LeaseGrace = 2 * o.Settings.ClaimTTL
+	jobs.Configuration, jobs.Write = e.watcher.Present, e.ledger.Write
+	jobs.Submit, jobs.Cancel, jobs.Ended = e.scheduler.Submit, e.scheduler.Cancel, e.scheduler.Ended
+	jobs.Order, jobs.Acknowledge = e.links.Order, e.links.Acknowledge
+	e.jobs, stop = cwjobs.New(jobs)
+	e.cleanup.Add(stop)
+}
+
+// isDurable reports whether a task belongs to a job.
+func isDurable(id cwmodel.TaskID) bool {
+	_, _, ok := cwjob.ParseTaskID(id)
+	return ok
+}
+
+// ended hands the result of an attempt to the jobs or to the scheduler.
+func (e *Entry) ended(ctx context.Context, result cwmodel.Result) error {
+	if isDurable(result.Attempt.Task) {
+		return e.jobs.Result(ctx, result)
+	}
+	return e.scheduler.Ended(ctx, result)
+}
+
+// view hands the hosts of this data centre to the lease keeper and to the jobs.
+func (e *Entry) view(workers []cwmodel.Host, hosts []cwmodel.HostID) {
+	e.keeper.View(workers, hosts)
+	e.jobs.View(workers, hosts)
+}
+
+func (e *Entry) submitJob(ctx context.Context, request cwmodel.Request, tasks int) (*cwjob.Job, error) {
+	return e.jobs.Submit(ctx, cwjobs.Submission{Request: request, Tasks: tasks})
+}
--- /dev/null
+++ b/internal/app/cwjobs/drive.go
@@ -0,0 +1,276 @@
+package cwjobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"currantward/internal/base/cwfault"
+	"currantward/internal/core/cwdecider"
+	"currantward/internal/core/cwjob"
+	"currantward/internal/core/cwmodel"
+)
+
+// drive does what the committed state of a job of this home asks for.
+func (j *Jobs) drive(ctx context.Context, now time.Time, e *entry) {
+	j.attend(ctx, e)
+	ready := 0
+	for n := range e.job.Tasks {
+		t, h := &e.job.Tasks[n], e.task(n)
+		switch t.Phase {
+		case cwjob.PhaseOver:
+			if h.generation > 0 {
+				h.generation = 0
+				_ = j.opts.Cancel(ctx, cwjob.TaskID(e.id, n))
+			}
+		case cwjob.PhaseOrdered:
+			j.checkLost(ctx, now, e, n)
+		case cwjob.PhaseWaiting:
+			if h.generation == 0 && !now.Before(h.retryAt) {
+				ready++
+			}
+		}
+	}
+	if ready > 0 && !e.job.IsStopping() && j.hasPayload(ctx, e) {
+		j.submit(now, e, ready)
+	}
+}
+
+// submit hands the waiting tasks to the scheduler; a gang goes as a whole or not at all.
+func (j *Jobs) submit(now time.Time, e *entry, ready int) {
+	if e.job.Kind == cwmodel.KindGang {
+		if ready == len(e.job.Tasks) {
+			j.submitGang(now, e)
+		}
+		return
+	}
+	for n := range e.job.Tasks {
+		h := e.task(n)
+		if e.job.Tasks[n].Phase != cwjob.PhaseWaiting || h.generation > 0 || now.Before(h.retryAt) {
+			continue
+		}
+		j.generation++
+		h.generation = j.generation
+		if !j.opts.Submit(e.taskOf(n), j.replyTo(e.id, n, h.generation)) {
+			h.generation, h.retryAt = 0, now.Add(j.opts.RetryAfter)
+		}
+	}
+}
+
+func (j *Jobs) submitGang(now time.Time, e *entry) {
+	j.generation++
+	generation := j.generation
+	tasks := make([]cwmodel.Task, 0, len(e.job.Tasks))
+	for n := range e.job.Tasks {
+		e.task(n).generation = generation
+		tasks = append(tasks, e.taskOf(n))
+	}
+	id := e.id
+	reply := func(answer cwmodel.Answer) {
+		if _, n, ok := cwjob.ParseTaskID(answer.Task); ok {
+			j.replyTo(id, n, generation)(answer)
+		}
+	}
+	if j.opts.SubmitGang != nil && j.opts.SubmitGang(tasks, reply) {
+		return
+	}
+	for n := range e.job.Tasks {
+		h := e.task(n)
+		h.generation, h.retryAt = 0, now.Add(j.opts.RetryAfter)
+	}
+}
+
+func (j *Jobs) replyTo(id cwmodel.JobID, n int, generation uint64) func(cwmodel.Answer) {
+	return func(answer cwmodel.Answer) {
+		j.deliver(event{kind: eventAnswered, id: id, task: n, generation: generation, answer: answer})
+	}
+}
+
+// taskOf returns the next attempt of task n as the scheduler sees it.
+//
+// The scheduler is allowed no attempt beyond this one: what follows is decided from the committed row.
+func (e *entry) taskOf(n int) cwmodel.Task {
+	job := e.job
+	payload := job.Payload
+	if job.PayloadKey != "" {
+		payload = e.payload
+	}
+	return cwmodel.Task{
+		ID: cwjob.TaskID(job.ID, n), Job: job.ID, Attempt: job.Tasks[n].Attempt.Number + 1, Profile: job.Profile, Team: job.Team,
+		Kind: job.Kind, Demand: job.Demand, Arrived: job.Arrived, Deadline: job.Deadline, Lease: job.Lease,
+		MaxAttempts: 1, Repeatable: job.Repeatable, Checkpointable: job.Checkpointable, Durable: true, Payload: payload,
+	}
+}
+
+// hasPayload reports whether the payload is at hand and fetches it if not.
+func (j *Jobs) hasPayload(ctx context.Context, e *entry) bool {
+	if e.job.PayloadKey == "" || e.payload != nil {
+		return true
+	}
+	if e.fetching {
+		return false
+	}
+	id, key := e.id, e.job.PayloadKey
+	e.fetching = j.call(ctx, func(ctx context.Context) event {
+		body, err := j.opts.Objects.Get(ctx, key)
+		return event{kind: eventPayload, id: id, payload: body, err: err}
+	})
+	return false
+}
+
+func (j *Jobs) fetched(ctx context.Context, back event) {
+	e, ok := j.entries[back.id]
+	if !ok {
+		return
+	}
+	e.fetching = false
+	if back.err != nil {
+		e.retryAt = j.opts.Timer.Now().Add(j.opts.RetryAfter)
+		return
+	}
+	e.payload = back.payload
+	j.advance(ctx, e)
+}
+
+// lasting tells the reasons that will not pass from those that may.
+var lasting = map[cwmodel.Reason]bool{
+	cwmodel.ReasonTooLarge: true, cwmodel.ReasonUnknownProfile: true, cwmodel.ReasonUnknownTeam: true,
+	cwmodel.ReasonOverQuota: true, cwmodel.ReasonDeadlinePassed: true, cwmodel.ReasonNoTimeLeft: true,
+}
+
+// answered takes what the scheduler says of a task; the row alone tells what has run.
+func (j *Jobs) answered(ctx context.Context, back event) {
+	e, ok := j.entries[back.id]
+	if !ok || !j.isHome(e) || e.task(back.task).generation != back.generation {
+		return
+	}
+	h := e.task(back.task)
+	h.generation = 0
+	if back.answer.Outcome != cwmodel.OutcomeNotRun {
+		j.advance(ctx, e)
+		return
+	}
+	now := j.opts.Timer.Now()
+	h.retryAt = now.Add(j.opts.RetryAfter)
+	isLate := !e.job.Deadline.IsZero() && !now.Before(e.job.Deadline)
+	if !isLate && !lasting[back.answer.Reason] {
+		return
+	}
+	j.wish(ctx, e, change{
+		apply: func(now time.Time, job *cwjob.Job) bool {
+			return job.Home == j.opts.Self && job.Refuse(now, back.task, back.answer.Reason)
+		},
+		done: func(bool) {},
+	})
+}
+
+// attend settles and stops outstanding attempts on workers that this host owns, whoever is the home of the job.
+func (j *Jobs) attend(ctx context.Context, e *entry) {
+	now := j.opts.Timer.Now()
+	for n := range e.job.Tasks {
+		t := &e.job.Tasks[n]
+		if t.Phase != cwjob.PhaseOrdered {
+			continue
+		}
+		h := e.task(n)
+		if h.attempt != t.Attempt.Number {
+			h.attempt, h.since, h.stopAt, h.settleAt, h.isVerified = t.Attempt.Number, now, time.Time{}, time.Time{}, false
+		}
+		w, isOwned := j.owned[t.Attempt.Worker]
+		if isOwned {
+			j.attendOwned(ctx, now, e, n, w)
+		} else if e.job.IsStopping() && j.isHome(e) && !now.Before(h.stopAt) {
+			h.stopAt = now.Add(j.opts.RetryAfter)
+			j.hintOwner(ctx, e.id, t.Attempt.Worker)
+		}
+	}
+}
+
+func (j *Jobs) attendOwned(ctx context.Context, now time.Time, e *entry, n int, w *ownedWorker) {
+	attempt, h := e.job.Tasks[n].Attempt, e.task(n)
+	if e.job.IsStopping() && !now.Before(h.stopAt) {
+		h.stopAt = now.Add(2 * j.opts.RetryAfter)
+		stop := attempt
+		stop.Epoch = w.epoch
+		j.opts.Order(cwdecider.Action{Kind: cwdecider.ActionStop, Attempt: stop, Mode: cwmodel.StopNow})
+	}
+	runs := w.running[attempt.Task] == attempt.Number
+	isOlder := attempt.Epoch != w.epoch && !runs
+	isLong := attempt.Epoch == w.epoch && j.isHome(e) && now.Sub(h.since) > j.opts.VerifyAfter
+	isDue := !h.isVerified && !now.Before(h.settleAt)
+	if isDue && (isOlder || isLong) {
+		h.settleAt = now.Add(j.opts.VerifyAfter)
+		j.settle(ctx, e.id, n, attempt, w)
+	}
+}
+
+// settle asks a worker what became of an attempt.
+//
+// An attempt that is not running has a result at the worker, or has been refused, or is refused from now
+// on. A worker whose epoch is below that of the attempt has lost its memory, so that nothing is known.
+func (j *Jobs) settle(ctx context.Context, id cwmodel.JobID, n int, attempt cwmodel.Attempt, w *ownedWorker) {
+	addr, epoch := w.worker.Address, w.epoch
+	j.call(ctx, func(ctx context.Context) event {
+		back := event{kind: eventSettled, id: id, task: n, result: cwmodel.Result{Attempt: attempt}}
+		inventory, err := j.opts.Workers.Inspect(ctx, addr)
+		if err != nil || inventory.Epoch != epoch {
+			back.err = cwfault.New(cwfault.Unavailable, "the worker cannot be asked")
+			return back
+		}
+		for _, r := range inventory.Running {
+			if r.Attempt.Task == attempt.Task {
+				return back
+			}
+		}
+		ask := attempt
+		ask.Epoch = epoch
+		back.result, back.err = j.opts.Workers.Stop(ctx, addr, ask, cwmodel.StopNow)
+		if cwfault.CodeOf(back.err) == cwfault.NotFound {
+			back.result, back.err = cwmodel.Result{End: cwmodel.EndNeverBegan, Message: "refused by the worker", Ended: inventory.Clock}, nil
+		}
+		if epoch < attempt.Epoch && back.result.End == cwmodel.EndNeverBegan {
+			back.result.End = cwmodel.EndLapsed
+			back.result.Message = "the worker has lost its memory"
+		}
+		back.result.Attempt = attempt
+		return back
+	})
+}
+
+func (j *Jobs) settled(back event) {
+	if e, ok := j.entries[back.id]; ok && back.err == nil && back.result.End == "" {
+		h := e.task(back.task)
+		h.isVerified = h.attempt == back.result.Attempt.Number
+	}
+	if back.err == nil && back.result.End != "" {
+		j.deliver(event{kind: eventResult, result: back.result})
+	}
+}
+
+// checkLost ends an attempt whose worker the platform has taken away and whose lease is certainly past.
+func (j *Jobs) checkLost(ctx context.Context, now time.Time, e *entry, n int) {
+	attempt := e.job.Tasks[n].Attempt
+	if _, isOwned := j.owned[attempt.Worker]; isOwned || len(j.listed) == 0 {
+		return
+	}
+	l, ok := j.listed[attempt.Worker]
+	if !ok {
+		l = &listing{missing: now}
+		j.listed[attempt.Worker] = l
+	}
+	if l.missing.IsZero() || now.Sub(l.missing) <= e.job.Lease+j.opts.LeaseGrace {
+		return
+	}
+	j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "task": attempt.Task, "attempt": attempt.Number, "worker": attempt.Worker}).Warn("attempt-lost")
+	j.wish(ctx, e, change{
+		apply: func(now time.Time, job *cwjob.Job) bool {
+			return job.Home == j.opts.Self && job.Lose(now, n, attempt.Number)
+		},
+		done: func(applied bool) {
+			if applied {
+				_ = j.opts.Ended(ctx, cwmodel.Result{Attempt: attempt, End: cwmodel.EndLapsed, Ended: now})
+			}
+		},
+	})
+}
--- /dev/null
+++ b/internal/app/cwjobs/entry.go
@@ -0,0 +1,393 @@
+package cwjobs
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/app/cwledger"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/core/cwdecider"
+	"currantward/internal/core/cwjob"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwport"
+)
+
+// Keys of the rows of jobs.
+const (
+	prefixLive  = "job/live/"
+	prefixEnded = "job/ended/"
+	prefixHint  = "job/hint/"
+)
+
+func keyLive(id cwmodel.JobID) string  { return prefixLive + string(id) }
+func keyEnded(id cwmodel.JobID) string { return prefixEnded + string(id) }
+func keyHint(host cwmodel.HostID, id cwmodel.JobID) string {
+	return prefixHint + string(host) + "/" + string(id)
+}
+
+// change is one wish to change a job; it is made on the committed state.
+type change struct {
+	apply    func(now time.Time, job *cwjob.Job) bool
+	done     func(applied bool) // called once the change is committed, or can never be
+	deadline time.Time          // zero for none; past it a change that is not sent is given up
+}
+
+// entry is one job in memory: its committed state and what is under way.
+type entry struct {
+	id       cwmodel.JobID
+	job      *cwjob.Job // committed; nil until it is read
+	version  cwport.RowVersion
+	changes  []change // not yet sent
+	flight   []change // in the write under way
+	applied  []bool   // which of the flight took effect on next
+	next     *cwjob.Job
+	busy     bool // a call is out
+	stale    bool // the row may have changed
+	retryAt  time.Time
+	tasks    map[int]*handling
+	payload  []byte
+	fetching bool
+}
+
+// handling is what this process does for one task.
+type handling struct {
+	generation uint64 // of the present submission; zero if the scheduler does not hold the task
+	retryAt    time.Time
+	attempt    int // number of the attempt that the fields below speak of
+	since      time.Time
+	stopAt     time.Time // when a stop is sent again
+	settleAt   time.Time // when its worker is asked about it again
+	isVerified bool      // its worker has shown it as running under the present epoch
+}
+
+func (e *entry) task(n int) *handling {
+	h, ok := e.tasks[n]
+	if !ok {
+		h = &handling{}
+		e.tasks[n] = h
+	}
+	return h
+}
+
+func (j *Jobs) entryOf(id cwmodel.JobID) *entry {
+	e, ok := j.entries[id]
+	if !ok {
+		e = &entry{id: id, tasks: map[int]*handling{}}
+		j.entries[id] = e
+	}
+	return e
+}
+
+func (j *Jobs) isHome(e *entry) bool { return e.job != nil && e.job.Home == j.opts.Self }
+
+// wish adds a change and sends it as soon as nothing is under way for this job.
+func (j *Jobs) wish(ctx context.Context, e *entry, c change) {
+	e.changes = append(e.changes, c)
+	j.advance(ctx, e)
+}
+
+// advance does the next thing for a job: read it, write its changes, or drive its tasks.
+func (j *Jobs) advance(ctx context.Context, e *entry) {
+	now := j.opts.Timer.Now()
+	switch {
+	case e.busy || now.Before(e.retryAt):
+	case e.job == nil || e.stale:
+		j.startRead(ctx, e)
+	case len(e.changes) > 0:
+		j.startWrite(ctx, now, e)
+	case j.isHome(e):
+		j.drive(ctx, now, e)
+	default:
+		j.attend(ctx, e)
+		delete(j.entries, e.id)
+	}
+}
+
+func (j *Jobs) startRead(ctx context.Context, e *entry) {
+	id := e.id
+	e.busy = j.call(ctx, func(ctx context.Context) event {
+		row, err := j.opts.Table.Read(ctx, keyLive(id))
+		back := event{kind: eventRead, id: id, version: row.Version, err: err}
+		if err == nil && row.Version > 0 {
+			back.job, back.err = cwcodec.DecodeJob(row.Value)
+		}
+		return back
+	})
+	if !e.busy {
+		e.retryAt = j.opts.Timer.Now().Add(j.opts.RetryAfter)
+	}
+}
+
+func (j *Jobs) read(ctx context.Context, back event) {
+	e := j.entryOf(back.id)
+	e.busy = false
+	switch {
+	case back.err != nil:
+		e.retryAt = j.opts.Timer.Now().Add(j.opts.RetryAfter)
+		return
+	case back.job == nil:
+		j.forget(ctx, e)
+		return
+	}
+	e.stale = false
+	wasHome := j.isHome(e)
+	e.job, e.version = back.job, back.version
+	if wasHome && !j.isHome(e) {
+		j.displaced(ctx, e)
+	}
+	j.advance(ctx, e)
+}
+
+// forget drops a job that is over or was never committed.
+func (j *Jobs) forget(ctx context.Context, e *entry) {
+	delete(j.entries, e.id)
+	j.withdraw(ctx, e)
+	for _, c := range e.changes {
+		c.done(false)
+	}
+}
+
+// displaced drops what another home does from now on; running attempts go on.
+func (j *Jobs) displaced(ctx context.Context, e *entry) {
+	j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "home": e.job.Home.Host}).Warn("job-adopted-by-another-host")
+	j.withdraw(ctx, e)
+	e.tasks = map[int]*handling{}
+}
+
+func (j *Jobs) withdraw(ctx context.Context, e *entry) {
+	for n, h := range e.tasks {
+		if h.generation > 0 {
+			h.generation = 0
+			_ = j.opts.Cancel(ctx, cwjob.TaskID(e.id, n))
+		}
+	}
+}
+
+// startWrite makes the waiting changes on a copy and hands the row to the ledger.
+func (j *Jobs) startWrite(ctx context.Context, now time.Time, e *entry) {
+	e.next, e.flight, e.changes = e.job.Clone(), e.changes, nil
+	e.applied = make([]bool, len(e.flight))
+	changed := false
+	entryDeadline := time.Time{}
+	for n, c := range e.flight {
+		e.applied[n] = c.apply(now, e.next)
+		changed = changed || e.applied[n]
+		if !c.deadline.IsZero() && (entryDeadline.IsZero() || c.deadline.Before(entryDeadline)) {
+			entryDeadline = c.deadline
+		}
+	}
+	if !changed {
+		j.conclude(e)
+		j.advance(ctx, e)
+		return
+	}
+	write, err := j.rowsOf(e)
+	if err != nil {
+		j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "error": err.Error()}).Error("job-not-encoded")
+		e.applied = make([]bool, len(e.flight))
+		j.conclude(e)
+		return
+	}
+	e.busy = true
+	id := e.id
+	write.Deadline = entryDeadline
+	write.Done = func(verdict cwledger.Verdict) { j.deliver(event{kind: eventWritten, id: id, verdict: verdict}) }
+	j.opts.Write(write)
+}
+
+// rowsOf returns the write that replaces the row of a job, or moves it to the ended ones.
+func (j *Jobs) rowsOf(e *entry) (w cwledger.Entry, err error) {
+	value, err := cwcodec.EncodeJob(e.next)
+	if err != nil {
+		return w, err
+	}
+	w.Checks = []cwport.Check{{Key: keyLive(e.id), Version: e.version}}
+	if e.next.IsOver() {
+		w.Puts = []cwport.Put{{Key: keyEnded(e.id), Value: value}}
+		w.Deletes = []string{keyLive(e.id)}
+	} else {
+		w.Puts = []cwport.Put{{Key: keyLive(e.id), Value: value}}
+	}
+	if home := e.job.Home; home != j.opts.Self && home.Host != j.opts.Self.Host && e.next.Home == home {
+		w.Puts = append(w.Puts, cwport.Put{Key: keyHint(home.Host, e.id)})
+	}
+	return w, nil
+}
+
+func (j *Jobs) written(ctx context.Context, back event) {
+	e, ok := j.entries[back.id]
+	if !ok || !e.busy || back.verdict == cwledger.Unknown {
+		return
+	}
+	e.busy = false
+	switch back.verdict {
+	case cwledger.Committed:
+		j.committed(ctx, e)
+	case cwledger.Conflict:
+		e.stale = true
+		j.unsend(e)
+	default:
+		e.retryAt = j.opts.Timer.Now().Add(j.opts.RetryAfter / 4)
+		j.unsend(e)
+		j.expireOrders(e)
+	}
+	if _, ok = j.entries[back.id]; ok {
+		j.advance(ctx, e)
+	}
+}
+
+// unsend puts the changes in flight back in front of the waiting ones.
+func (j *Jobs) unsend(e *entry) {
+	e.changes = append(e.flight, e.changes...)
+	e.flight, e.next, e.applied = nil, nil, nil
+}
+
+func (j *Jobs) committed(ctx context.Context, e *entry) {
+	e.job, e.version = e.next, e.version+1
+	j.conclude(e)
+	if e.job.IsOver() {
+		j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "profile": e.job.Profile, "team": e.job.Team, "tasks": len(e.job.Tasks)}).Info("job-ended")
+		j.forget(ctx, e)
+	}
+}
+
+// conclude tells each change of the flight whether it is committed.
+func (j *Jobs) conclude(e *entry) {
+	flight, applied := e.flight, e.applied
+	e.flight, e.next, e.applied = nil, nil, nil
+	for n, c := range flight {
+		c.done(applied[n])
+	}
+}
+
+// expireOrders gives up changes whose deadline has passed and that are certainly not written.
+func (j *Jobs) expireOrders(e *entry) {
+	now := j.opts.Timer.Now()
+	var late []change
+	e.changes = slices.DeleteFunc(e.changes, func(c change) bool {
+		isLate := !c.deadline.IsZero() && !now.Before(c.deadline)
+		if isLate {
+			late = append(late, c)
+		}
+		return isLate
+	})
+	for _, c := range late {
+		c.done(false)
+	}
+}
+
+// action takes an order of the scheduler for a durable task.
+func (j *Jobs) action(ctx context.Context, a cwdecider.Action) {
+	id, n, ok := cwjob.ParseTaskID(a.Attempt.Task)
+	e, known := j.entries[id]
+	if a.Kind == cwdecider.ActionStop {
+		if ok && known && j.isHome(e) && e.job.Tasks[n].Phase == cwjob.PhaseOrdered && e.job.Tasks[n].Attempt == a.Attempt {
+			j.opts.Order(a)
+		}
+		return
+	}
+	if !ok || !known || !j.isHome(e) || n >= len(e.job.Tasks) {
+		j.neverBegan(ctx, a.Attempt, cwfault.New(cwfault.Refused, "this host is not the home of the job"))
+		return
+	}
+	var refused error
+	j.wish(ctx, e, change{
+		deadline: j.opts.Timer.Now().Add(j.opts.WriteLimit),
+		apply: func(now time.Time, job *cwjob.Job) bool {
+			if job.Home != j.opts.Self {
+				refused = cwfault.New(cwfault.Refused, "another host is the home of the job")
+				return false
+			}
+			refused = job.Order(now, n, a.Attempt)
+			return refused == nil
+		},
+		done: func(applied bool) { j.ordered(ctx, e, a, applied, refused) },
+	})
+}
+
+// ordered sends a start order whose attempt is committed.
+func (j *Jobs) ordered(ctx context.Context, e *entry, a cwdecider.Action, applied bool, refused error) {
+	if applied {
+		j.opts.Order(a)
+		return
+	}
+	if refused == nil {
+		refused = cwfault.New(cwfault.Unavailable, "the attempt could not be committed")
+	}
+	j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "task": a.Attempt.Task, "error": cwfault.MessageOf(refused)}).Debug("start-not-committed")
+	j.neverBegan(ctx, a.Attempt, refused)
+}
+
+// neverBegan tells the scheduler that a start order was not sent.
+func (j *Jobs) neverBegan(ctx context.Context, a cwmodel.Attempt, cause error) {
+	_ = j.opts.Ended(ctx, cwmodel.Result{
+		Attempt: a, End: cwmodel.EndNeverBegan, Message: cwfault.MessageOf(cause), Ended: j.opts.Timer.Now(),
+	})
+}
+
+// result records the end of an attempt, whoever is the home of its job, and acknowledges it once that is committed.
+func (j *Jobs) result(ctx context.Context, r cwmodel.Result) {
+	id, n, ok := cwjob.ParseTaskID(r.Attempt.Task)
+	_ = j.opts.Ended(ctx, r)
+	if !ok {
+		return
+	}
+	e := j.entryOf(id)
+	c := change{
+		apply: func(now time.Time, job *cwjob.Job) bool {
+			if n >= len(job.Tasks) {
+				return false
+			}
+			isNew := job.Record(now, n, r)
+			if isNew && len(r.Answer) > j.opts.InlineSize {
+				job.Tasks[n].Answer, job.Tasks[n].AnswerKey = nil, keyAnswer(r.Attempt)
+			}
+			return isNew
+		},
+		done: func(bool) { j.opts.Acknowledge(r.Attempt) },
+	}
+	if len(r.Answer) <= j.opts.InlineSize {
+		j.wish(ctx, e, c)
+		return
+	}
+	j.storeAnswer(ctx, e, r, c)
+}
+
+func keyAnswer(a cwmodel.Attempt) string {
+	return "job/" + string(a.Task) + "/answer-" + strconv.Itoa(a.Number)
+}
+
+// storeAnswer puts a large answer into the object store before its result is recorded.
+func (j *Jobs) storeAnswer(ctx context.Context, e *entry, r cwmodel.Result, c change) {
+	stored := j.call(ctx, func(ctx context.Context) event {
+		return event{kind: eventStored, id: e.id, result: r, change: c, err: j.opts.Objects.Put(ctx, keyAnswer(r.Attempt), r.Answer)}
+	})
+	if !stored {
+		j.later(event{kind: eventStored, id: e.id, result: r, change: c, err: errNoRoom})
+	}
+}
+
+var errNoRoom = cwfault.New(cwfault.Unavailable, "the pool for calls is full")
+
+// later brings an event back after a while.
+func (j *Jobs) later(e event) {
+	j.opts.Timer.After(j.opts.RetryAfter, func(time.Time) { j.deliver(e) })
+}
+
+func (j *Jobs) stored(ctx context.Context, back event) {
+	if back.err == nil {
+		j.wish(ctx, j.entryOf(back.id), back.change)
+		return
+	}
+	if back.again {
+		j.storeAnswer(ctx, j.entryOf(back.id), back.result, back.change)
+		return
+	}
+	back.again = true
+	j.later(back)
+}
--- /dev/null
+++ b/internal/app/cwjobs/jobs.go
@@ -0,0 +1,325 @@
+// Package cwjobs drives the jobs whose home is this entry host.
+//
+// A job is accepted once its row is committed, and each attempt is committed before its start order is
+// sent. A change is always made on the committed state and takes effect once the row is committed again.
+package cwjobs
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"currantward/internal/app/cwledger"
+	"currantward/internal/base/cwduty"
+	"currantward/internal/base/cwring"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwdecider"
+	"currantward/internal/core/cwjob"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwpolicy"
+	"currantward/internal/port/cwport"
+)
+
+// Options set up the jobs of one entry host.
+type Options struct {
+	Timer       *cwtimer.Service
+	Log         *logrus.Logger
+	Table       cwport.Table
+	Objects     cwport.Objects
+	Workers     cwport.Workers
+	Self        cwjob.Home
+	DataCentre  cwmodel.DataCentre
+	InboxSize   int
+	MaxJobs     int // held at once
+	TickEvery   time.Duration
+	HintEvery   time.Duration // between looks for hints of other hosts
+	ScanEvery   time.Duration // between looks at all live jobs when nothing else asks for one
+	AdoptAfter  time.Duration // a home that is gone for longer is adopted from
+	CallLimit   time.Duration // of one call to the table, the object store or a worker
+	WriteLimit  time.Duration // how long a caller or a start waits for its commit
+	RetryAfter  time.Duration // before a task that could not be placed is submitted again
+	VerifyAfter time.Duration // an attempt that is outstanding for longer is looked for at its worker, once
+	LeaseGrace  time.Duration // added to a lease before an attempt on a host that is gone counts as over
+	InlineSize  int           // larger payloads and answers go to the object store
+
+	// Go runs work that may block; it fails if there is no room for it.
+	Go func(work func()) error
+	// Configuration returns the configuration in force.
+	Configuration func() *cwpolicy.Configuration
+	// Write hands one entry to the ledger.
+	Write func(e cwledger.Entry)
+	// Submit hands a task to the scheduler; it returns false if there is no room.
+	Submit func(t cwmodel.Task, reply func(cwmodel.Answer)) bool
+	// SubmitGang hands over tasks that start all at once or not at all; nil where gangs are not supported.
+	SubmitGang func(tasks []cwmodel.Task, reply func(cwmodel.Answer)) bool
+	// Cancel withdraws a task from the scheduler.
+	Cancel func(ctx context.Context, id cwmodel.TaskID) error
+	// Ended tells the scheduler that an attempt is over.
+	Ended func(ctx context.Context, r cwmodel.Result) error
+	// Order sends a start or stop order to an owned worker; it must not block.
+	Order func(action cwdecider.Action)
+	// Acknowledge lets the worker drop a result that is written; it must not block.
+	Acknowledge func(a cwmodel.Attempt)
+}
+
+// DefaultOptions returns the periods and bounds that suit an entry host.
+func DefaultOptions() Options {
+	return Options{
+		InboxSize: 16384, MaxJobs: 10000, TickEvery: 250 * time.Millisecond, HintEvery: time.Second, ScanEvery: 5 * time.Minute,
+		AdoptAfter: 3 * time.Second, CallLimit: 2 * time.Second, WriteLimit: 4 * time.Second, RetryAfter: time.Second,
+		VerifyAfter: 10 * time.Second, LeaseGrace: 10 * time.Second, InlineSize: 4 << 10,
+	}
+}
+
+// eventKind names what an event tells the duty.
+type eventKind string
+
+const (
+	eventAccept   eventKind = "accept"
+	eventAccepted eventKind = "accepted"
+	eventCancel   eventKind = "cancel"
+	eventAction   eventKind = "action"
+	eventResult   eventKind = "result"
+	eventAnswered eventKind = "answered"
+	eventOwned    eventKind = "worker-owned"
+	eventLost     eventKind = "worker-lost"
+	eventView     eventKind = "view"
+	eventRead     eventKind = "read"
+	eventWritten  eventKind = "written"
+	eventPayload  eventKind = "payload"
+	eventSettled  eventKind = "settled"
+	eventStored   eventKind = "stored"
+	eventPage     eventKind = "page"
+	eventHints    eventKind = "hints"
+	eventTick     eventKind = "tick"
+)
+
+// event is one item of the inbox; which fields are set depends on its kind.
+type event struct {
+	kind       eventKind
+	id         cwmodel.JobID
+	task       int
+	generation uint64
+	job        *cwjob.Job
+	version    cwport.RowVersion
+	verdict    cwledger.Verdict
+	reply      func(verdict cwledger.Verdict)
+	action     cwdecider.Action
+	result     cwmodel.Result
+	answer     cwmodel.Answer
+	inventory  cwport.Inventory
+	worker     cwmodel.HostID
+	workers    []cwmodel.Host
+	hosts      []cwmodel.HostID
+	rows       []cwport.Row
+	payload    []byte
+	change     change
+	again      bool // the event comes back to be tried anew
+	err        error
+}
+
+// ownedWorker is a worker that this host may start work on, as its claim found it.
+type ownedWorker struct {
+	worker  cwmodel.Worker
+	epoch   cwmodel.Epoch
+	running map[cwmodel.TaskID]int // number of the attempt
+}
+
+// listing is what the host list says of one worker.
+type listing struct {
+	addr    netip.AddrPort
+	missing time.Time // when it was first seen to be gone; zero while it is listed
+}
+
+// Jobs owns the jobs of one entry host.
+type Jobs struct {
+	opts       Options
+	inbox      *cwring.Ring[event]
+	entries    map[cwmodel.JobID]*entry
+	owned      map[cwmodel.HostID]*ownedWorker
+	listed     map[cwmodel.HostID]*listing  // workers that the host list shows or has shown
+	peers      map[cwmodel.HostID]time.Time // entry hosts of this data centre, by when they were last live
+	began      time.Time
+	scan       scan
+	hinting    bool
+	nextHint   time.Time
+	generation uint64
+}
+
+// New starts the duty and returns the function that stops it.
+func New(opts Options) (j *Jobs, stop func()) {
+	j = newJobs(opts)
+	cancel := opts.Timer.Every(opts.TickEvery, func(time.Time) { j.inbox.Offer(event{kind: eventTick}) })
+	stopDuty := cwduty.Start("jobs", j.run)
+	return j, func() {
+		cancel()
+		stopDuty()
+	}
+}
+
+func newJobs(opts Options) *Jobs {
+	j := &Jobs{
+		opts: opts, inbox: cwring.New[event](opts.InboxSize), entries: map[cwmodel.JobID]*entry{},
+		owned: map[cwmodel.HostID]*ownedWorker{}, listed: map[cwmodel.HostID]*listing{},
+		peers: map[cwmodel.HostID]time.Time{}, began: opts.Timer.Now(),
+	}
+	j.scan.due = j.began.Add(opts.AdoptAfter)
+	return j
+}
+
+// Action takes a start or stop order that the scheduler decided on for a durable task; it never blocks.
+func (j *Jobs) Action(action cwdecider.Action) {
+	j.deliver(event{kind: eventAction, action: action})
+}
+
+// Result takes the result of an attempt of a durable task and blocks while the inbox is full.
+func (j *Jobs) Result(ctx context.Context, r cwmodel.Result) error {
+	return j.inbox.Put(ctx, event{kind: eventResult, result: r})
+}
+
+// Owned takes a worker that was claimed, with its inventory.
+func (j *Jobs) Owned(ctx context.Context, inventory cwport.Inventory) error {
+	return j.inbox.Put(ctx, event{kind: eventOwned, inventory: inventory})
+}
+
+// Lost takes a worker away whose claim has ended.
+func (j *Jobs) Lost(ctx context.Context, worker cwmodel.HostID) error {
+	return j.inbox.Put(ctx, event{kind: eventLost, worker: worker})
+}
+
+// View takes the workers and the live entry hosts of this data centre; a view that finds no room is superseded by the next.
+func (j *Jobs) View(workers []cwmodel.Host, hosts []cwmodel.HostID) {
+	j.inbox.Offer(event{kind: eventView, workers: workers, hosts: hosts})
+}
+
+// deliver hands over an event that must not be lost, without blocking its producer.
+func (j *Jobs) deliver(e event) {
+	if !j.inbox.Offer(e) {
+		go func() { _ = j.inbox.Put(context.Background(), e) }()
+	}
+}
+
+func (j *Jobs) run(ctx context.Context) {
+	var batch []event
+	for ctx.Err() == nil {
+		batch = j.inbox.Drain(ctx, batch[:0])
+		for _, e := range batch {
+			j.handle(ctx, e)
+		}
+		clear(batch)
+	}
+}
+
+func (j *Jobs) handle(ctx context.Context, e event) {
+	switch e.kind {
+	case eventAccept:
+		j.accept(e)
+	case eventCancel:
+		j.cancel(ctx, e)
+	case eventAction:
+		j.action(ctx, e.action)
+	case eventResult:
+		j.result(ctx, e.result)
+	case eventAnswered:
+		j.answered(ctx, e)
+	case eventOwned:
+		j.takeWorker(e.inventory)
+	case eventLost:
+		delete(j.owned, e.worker)
+	case eventView:
+		j.view(e)
+	case eventTick:
+		j.tick(ctx)
+	default:
+		j.handleCall(ctx, e)
+	}
+}
+
+// handleCall takes what a call to the outside brought back.
+func (j *Jobs) handleCall(ctx context.Context, e event) {
+	switch e.kind {
+	case eventAccepted:
+		j.accepted(ctx, e)
+	case eventRead:
+		j.read(ctx, e)
+	case eventWritten:
+		j.written(ctx, e)
+	case eventPayload:
+		j.fetched(ctx, e)
+	case eventSettled:
+		j.settled(e)
+	case eventStored:
+		j.stored(ctx, e)
+	case eventPage:
+		j.page(ctx, e)
+	case eventHints:
+		j.hints(ctx, e)
+	}
+}
+
+// call runs one call to the outside on the pool and brings its event back; it reports whether the pool had room.
+func (j *Jobs) call(ctx context.Context, call func(ctx context.Context) event) bool {
+	return j.opts.Go(func() {
+		callCtx, cancel := context.WithTimeout(ctx, j.opts.CallLimit)
+		defer cancel()
+		_ = j.inbox.Put(ctx, call(callCtx))
+	}) == nil
+}
+
+func (j *Jobs) takeWorker(inventory cwport.Inventory) {
+	w := &ownedWorker{worker: inventory.Worker, epoch: inventory.Epoch, running: map[cwmodel.TaskID]int{}}
+	for _, r := range inventory.Running {
+		w.running[r.Attempt.Task] = r.Attempt.Number
+	}
+	j.owned[w.worker.ID] = w
+	j.scanSoon()
+}
+
+// view notes which hosts are there and asks for a scan once one is gone.
+func (j *Jobs) view(e event) {
+	now := j.opts.Timer.Now()
+	for _, host := range e.hosts {
+		j.peers[host] = now
+	}
+	if len(e.workers) == 0 {
+		return
+	}
+	present := map[cwmodel.HostID]bool{}
+	for _, w := range e.workers {
+		present[w.ID] = true
+		j.listed[w.ID] = &listing{addr: w.Address}
+	}
+	for id, l := range j.listed {
+		if !present[id] && l.missing.IsZero() {
+			l.missing = now
+		}
+	}
+}
+
+// liveHosts returns the entry hosts that were live until lately.
+func (j *Jobs) liveHosts() (hosts []cwmodel.HostID) {
+	for host, at := range j.peers {
+		if j.opts.Timer.Now().Sub(at) <= j.opts.AdoptAfter {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+func (j *Jobs) tick(ctx context.Context) {
+	now := j.opts.Timer.Now()
+	for host, at := range j.peers {
+		if now.Sub(at) > j.opts.AdoptAfter {
+			delete(j.peers, host)
+			j.scanSoon()
+		}
+	}
+	for _, e := range j.entries {
+		j.expireOrders(e)
+		j.advance(ctx, e)
+	}
+	j.lookForHints(ctx, now)
+	j.runScan(ctx, now)
+}
--- /dev/null
+++ b/internal/app/cwjobs/scan.go
@@ -0,0 +1,199 @@
+package cwjobs
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/app/cwledger"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/core/cwjob"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwowner"
+	"currantward/internal/port/cwport"
+)
+
+// pageSize is how many rows one scan of the table returns.
+const pageSize = 200
+
+// scanPause lets several changes of the hosts lead to one scan.
+const scanPause = 500 * time.Millisecond
+
+// scan is the state of the look at all live jobs.
+type scan struct {
+	due   time.Time
+	after string
+	busy  bool
+	on    bool
+}
+
+// scanSoon asks for a scan of all live jobs.
+func (j *Jobs) scanSoon() {
+	soon := j.opts.Timer.Now().Add(scanPause)
+	earliest := j.began.Add(j.opts.AdoptAfter)
+	if soon.Before(earliest) {
+		soon = earliest
+	}
+	if j.scan.due.After(soon) || j.scan.on {
+		j.scan.due = soon
+	}
+}
+
+// runScan reads the next page of a scan that is under way or due.
+func (j *Jobs) runScan(ctx context.Context, now time.Time) {
+	if j.scan.busy || (!j.scan.on && now.Before(j.scan.due)) {
+		return
+	}
+	if !j.scan.on {
+		j.scan = scan{on: true, due: now.Add(j.opts.ScanEvery)}
+	}
+	after := j.scan.after
+	j.scan.busy = j.call(ctx, func(ctx context.Context) event {
+		rows, err := j.opts.Table.Scan(ctx, prefixLive, after, pageSize)
+		return event{kind: eventPage, rows: rows, err: err}
+	})
+}
+
+func (j *Jobs) page(ctx context.Context, back event) {
+	j.scan.busy = false
+	if back.err != nil {
+		j.opts.Log.WithFields(logrus.Fields{"error": cwfault.MessageOf(back.err)}).Warn("job-scan-failed")
+		j.scan.on, j.scan.due = false, j.opts.Timer.Now().Add(2*j.opts.RetryAfter)
+		return
+	}
+	for _, row := range back.rows {
+		j.scan.after = row.Key
+		job, err := cwcodec.DecodeJob(row.Value)
+		if err != nil {
+			j.opts.Log.WithFields(logrus.Fields{"key": row.Key, "error": cwfault.MessageOf(err)}).Error("job-not-decoded")
+			continue
+		}
+		j.found(ctx, job, row.Version)
+	}
+	if len(back.rows) < pageSize {
+		j.scan.on, j.scan.after = false, ""
+		return
+	}
+	j.runScan(ctx, j.opts.Timer.Now())
+}
+
+// found looks at one live job: ours, to be adopted, or only in need of something on a worker of ours.
+func (j *Jobs) found(ctx context.Context, job *cwjob.Job, version cwport.RowVersion) {
+	if e, ok := j.entries[job.ID]; ok {
+		e.stale = e.stale || (!e.busy && e.version != version)
+		j.advance(ctx, e)
+		return
+	}
+	if job.DataCentre != j.opts.DataCentre {
+		return
+	}
+	mayAdopt := j.mayAdopt(job)
+	if job.Home != j.opts.Self && !mayAdopt && !j.needsAttention(job) {
+		return
+	}
+	e := j.entryOf(job.ID)
+	e.job, e.version = job, version
+	if mayAdopt {
+		j.adopt(ctx, e)
+		return
+	}
+	j.advance(ctx, e)
+}
+
+// mayAdopt reports whether the home of a job is gone and this host is the one to take over.
+func (j *Jobs) mayAdopt(job *cwjob.Job) bool {
+	if job.Home.Host == j.opts.Self.Host {
+		return job.Home.Incarnation < j.opts.Self.Incarnation
+	}
+	live := append(j.liveHosts(), j.opts.Self.Host)
+	for _, host := range live {
+		if host == job.Home.Host {
+			return false
+		}
+	}
+	return cwowner.Preferred(cwmodel.HostID(job.ID), live) == j.opts.Self.Host
+}
+
+// needsAttention reports whether an attempt on a worker of ours may have to be settled or stopped.
+func (j *Jobs) needsAttention(job *cwjob.Job) bool {
+	for _, t := range job.Tasks {
+		w, ok := j.owned[t.Attempt.Worker]
+		if ok && t.Phase == cwjob.PhaseOrdered && (job.IsStopping() || w.epoch != t.Attempt.Epoch) {
+			return true
+		}
+	}
+	return false
+}
+
+// adopt makes this host the home of a job by compare-and-set; the former home is fenced by the row's version.
+func (j *Jobs) adopt(ctx context.Context, e *entry) {
+	former := e.job.Home
+	j.wish(ctx, e, change{
+		apply: func(_ time.Time, job *cwjob.Job) bool {
+			isSame := job.Home == former
+			if isSame {
+				job.Home = j.opts.Self
+			}
+			return isSame
+		},
+		done: func(applied bool) {
+			if applied {
+				j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "former-home": former.Host}).Info("job-adopted")
+			}
+		},
+	})
+}
+
+// lookForHints reads which of this host's jobs others have changed.
+func (j *Jobs) lookForHints(ctx context.Context, now time.Time) {
+	if j.hinting || now.Before(j.nextHint) {
+		return
+	}
+	j.nextHint = now.Add(j.opts.HintEvery)
+	prefix := prefixHint + string(j.opts.Self.Host) + "/"
+	j.hinting = j.call(ctx, func(ctx context.Context) event {
+		rows, err := j.opts.Table.Scan(ctx, prefix, "", pageSize)
+		return event{kind: eventHints, rows: rows, err: err}
+	})
+}
+
+func (j *Jobs) hints(ctx context.Context, back event) {
+	j.hinting = false
+	if back.err != nil {
+		return
+	}
+	for _, row := range back.rows {
+		id := cwmodel.JobID(strings.TrimPrefix(row.Key, prefixHint+string(j.opts.Self.Host)+"/"))
+		e := j.entryOf(id)
+		e.stale = true
+		j.advance(ctx, e)
+		j.opts.Write(cwledger.Entry{
+			Checks: []cwport.Check{{Key: row.Key, Version: row.Version}}, Deletes: []string{row.Key},
+			Deadline: j.opts.Timer.Now().Add(j.opts.WriteLimit), Done: func(cwledger.Verdict) {},
+		})
+	}
+}
+
+// hintOwner tells the owner of a worker to look at a job.
+func (j *Jobs) hintOwner(ctx context.Context, id cwmodel.JobID, worker cwmodel.HostID) {
+	l, ok := j.listed[worker]
+	if !ok || !l.addr.IsValid() {
+		return
+	}
+	addr := l.addr
+	_ = j.opts.Go(func() {
+		callCtx, cancel := context.WithTimeout(ctx, j.opts.CallLimit)
+		defer cancel()
+		inventory, err := j.opts.Workers.Inspect(callCtx, addr)
+		if err != nil || inventory.Owner == "" || inventory.Owner == j.opts.Self.Host {
+			return
+		}
+		j.opts.Write(cwledger.Entry{
+			Puts:     []cwport.Put{{Key: keyHint(inventory.Owner, id)}},
+			Deadline: j.opts.Timer.Now().Add(j.opts.WriteLimit), Done: func(cwledger.Verdict) {},
+		})
+	})
+}
--- a/internal/app/cwlink/orders.go
+++ b/internal/app/cwlink/orders.go
@@ -12,6 +12,7 @@
 
 	"currantward/internal/base/cwduty"
 	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwring"
 	"currantward/internal/base/cwtimer"
 	"currantward/internal/core/cwdecider"
 	"currantward/internal/core/cwmodel"
@@ -30,6 +31,8 @@
 
 	// Ended takes the result of an attempt and blocks while its receiver is full.
 	Ended func(ctx context.Context, result cwmodel.Result) error
+	// IsDurable reports whether the results of a task are acknowledged by Acknowledge only; nil where none is.
+	IsDurable func(task cwmodel.TaskID) bool
 	// Stale is told that a worker has granted a larger epoch than ours.
 	Stale func(worker cwmodel.HostID, epoch cwmodel.Epoch)
 }
@@ -46,11 +49,15 @@
 type link struct {
 	addr  netip.AddrPort
 	epoch cwmodel.Epoch
+	acks  *cwring.Ring[cwmodel.Attempt]
 	stop  func()
 }
 
 // New returns an empty set of links and the function that ends them all.
 func New(opts Options) (l *Links, stop func()) {
+	if opts.IsDurable == nil {
+		opts.IsDurable = func(cwmodel.TaskID) bool { return false }
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l = &Links{opts: opts, ctx: ctx, links: map[cwmodel.HostID]*link{}}
 	return l, func() {
@@ -62,8 +69,8 @@
 // Open begins to read the completions of an owned worker.
 func (l *Links) Open(worker cwmodel.Worker, epoch cwmodel.Epoch) {
 	l.Close(worker.ID)
-	opened := &link{addr: worker.Address, epoch: epoch}
-	poller := &poller{opts: l.opts, worker: worker, epoch: epoch}
+	opened := &link{addr: worker.Address, epoch: epoch, acks: cwring.New[cwmodel.Attempt](acksSize)}
+	poller := &poller{opts: l.opts, worker: worker, epoch: epoch, held: map[cwmodel.Attempt]time.Time{}, written: opened.acks}
 	opened.stop = cwduty.Start("worker-link", poller.run)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -81,6 +88,19 @@
 	}
 }
 
+// acksSize bounds the acknowledgements that wait for the next poll of a worker.
+const acksSize = 1024
+
+// Acknowledge lets the worker drop a durable result; one that finds no room is offered again with the result.
+func (l *Links) Acknowledge(a cwmodel.Attempt) {
+	l.mu.Lock()
+	found, ok := l.links[a.Worker]
+	l.mu.Unlock()
+	if ok {
+		found.acks.Offer(a)
+	}
+}
+
 func (l *Links) closeAll() {
 	l.mu.Lock()
 	links := l.links
@@ -150,6 +170,10 @@
 		mode = cwmodel.StopNow
 	}
 	result, err := l.opts.Workers.Stop(ctx, addr, action.Attempt, mode)
+	if cwfault.CodeOf(err) == cwfault.NotFound {
+		l.neverBegan(action.Attempt, "the worker has refused it or its result was acknowledged before")
+		return
+	}
 	if err != nil {
 		l.opts.Log.WithFields(logrus.Fields{
 			"task": action.Attempt.Task, "worker": action.Attempt.Worker, "error": cwfault.MessageOf(err),
--- a/internal/core/cwjob/job.go
+++ b/internal/core/cwjob/job.go
@@ -112,7 +112,7 @@
 		return cwfault.New(cwfault.Refused, "job %s is being stopped", j.ID)
 	case t.Phase != PhaseWaiting:
 		return cwfault.New(cwfault.Refused, "task %d of job %s is %s", n, j.ID, t.Phase)
-	case attempt.Number != t.Attempt.Number+1:
+	case attempt.Number <= t.Attempt.Number:
 		return cwfault.New(cwfault.Refused, "attempt %d does not follow attempt %d", attempt.Number, t.Attempt.Number)
 	case t.Ran > 0 && !j.mayRun(now, t):
 		return cwfault.New(cwfault.Refused, "task %d of job %s may not run again", n, j.ID)
