--- a/internal/adapter/cwmemory/worker.go
+++ b/internal/adapter/cwmemory/worker.go
@@ -162,6 +162,9 @@
 	return w.begin(order), nil
 }
 
+// DoesNotFit is the reason of a refusal for lack of capacity.
+const DoesNotFit = "the demand does not fit in what is free"
+
 func (w *Worker) refusal(order cwport.Start) string {
 	now := w.opts.Now()
 	_, runs := w.running[order.Attempt.Task]
@@ -179,7 +182,7 @@
 	case w.leaving:
 		return "the worker is leaving"
 	case !order.Task.Demand.FitsIn(w.opts.Worker.Capacity.Minus(w.used)):
-		return "the demand does not fit in what is free"
+		return DoesNotFit
 	}
 	return ""
 }
--- a/internal/core/cwdecider/decider.go
+++ b/internal/core/cwdecider/decider.go
@@ -114,13 +114,22 @@
 func (d *Decider) Tick(now time.Time) {
 	for _, q := range d.queues {
 		for _, state := range q.expire(now) {
-			d.finish(state, cwmodel.Answer{Outcome: cwmodel.OutcomeNotRun, Reason: cwmodel.ReasonDeadlinePassed})
+			d.finish(state, state.expired())
 		}
 	}
 	d.place(now)
 }
 
+// expired returns the answer for a waiting task whose deadline has passed.
+func (t *task) expired() cwmodel.Answer {
+	if t.began {
+		return cwmodel.Answer{Outcome: cwmodel.OutcomeFailed, Reason: cwmodel.ReasonDeadlineExceeded, Attempts: t.Attempt - 1}
+	}
+	return cwmodel.Answer{Outcome: cwmodel.OutcomeNotRun, Reason: cwmodel.ReasonDeadlinePassed}
+}
+
 func (d *Decider) settle(now time.Time, state *task, r cwmodel.Result) {
+	state.began = state.began || r.End != cwmodel.EndNeverBegan
 	answer := cwmodel.Answer{
 		Attempts: state.Attempt - 1,
 		Worker:   r.Attempt.Worker,
@@ -136,7 +145,7 @@
 	case d.mayRetry(now, state, r.End):
 		d.queueOf(state.Profile).push(state)
 		return
-	case r.End == cwmodel.EndNeverBegan:
+	case !state.began:
 		answer.Outcome, answer.Reason = cwmodel.OutcomeNotRun, cwmodel.ReasonRefusedByWorker
 	default:
 		answer.Outcome, answer.Reason = cwmodel.OutcomeFailed, cwmodel.ReasonTaskFailed
--- a/internal/core/cwdecider/queue.go
+++ b/internal/core/cwdecider/queue.go
@@ -14,7 +14,8 @@
 	worker    *worker
 	started   time.Time
 	cancelled bool
-	index     int // in its queue
+	began     bool // some attempt has begun
+	index     int  // in its queue
 }
 
 // queue holds the waiting tasks of one profile, earliest deadline first.
