--- a/internal/proof/cwprocess/cluster.go
+++ b/internal/proof/cwprocess/cluster.go
@@ -202,11 +202,11 @@
 }
 
 // AwaitOwned waits until all hosts that run hold a configuration and own all workers that run.
-func (c *Cluster) AwaitOwned(ctx context.Context) error { return c.await(ctx, c.missing) }
+func (c *Cluster) AwaitOwned(ctx context.Context) error { return c.Await(ctx, c.missing) }
 
 // AwaitConfiguration waits until all hosts that run have at least the given version in force.
 func (c *Cluster) AwaitConfiguration(ctx context.Context, version cwpolicy.Version) error {
-	return c.await(ctx, func(ctx context.Context) string {
+	return c.Await(ctx, func(ctx context.Context) string {
 		for _, host := range c.Hosts {
 			if status, err := c.Status(ctx, host); !host.IsEnded() && (err != nil || status.Configuration < uint64(version)) {
 				return fmt.Sprintf("%s has configuration %d", host.ID, status.Configuration)
@@ -216,8 +216,8 @@
 	})
 }
 
-// await asks again and again until nothing is missing.
-func (c *Cluster) await(ctx context.Context, ask func(ctx context.Context) (missing string)) error {
+// Await asks again and again until nothing is missing.
+func (c *Cluster) Await(ctx context.Context, ask func(ctx context.Context) (missing string)) error {
 	const pause = 50 * time.Millisecond
 	for {
 		missing := ask(ctx)
