--- a/internal/proof/cwschedule/host.go
+++ b/internal/proof/cwschedule/host.go
@@ -31,7 +31,8 @@
 	busy    bool
 	polling bool
 	epoch   cwmodel.Epoch
-	renewed time.Time
+	renewed time.Time // when the last renewal that was answered was sent
+	sent    time.Time // when the last renewal was sent, answered or not
 	acks    []cwmodel.Attempt
 }
 
@@ -79,7 +80,7 @@
 func (h *host) start() {
 	h.life++
 	h.up, h.heard = true, h.world.now
-	h.decider = cwdecider.New(cwdecider.Options{Seed: h.world.rand.Uint64()})
+	h.decider = cwdecider.New(cwdecider.Options{Seed: h.world.rand.Uint64(), StartWindow: startWindow})
 	h.decider.Configure(h.world.now, h.cfg)
 	h.waiting = map[cwmodel.TaskID]bool{}
 	h.claims = nil
@@ -100,6 +101,7 @@
 // decide hands one event to the decider and carries out what it decides.
 func (h *host) decide(event func(now time.Time)) {
 	event(h.world.now)
+	h.verify()
 	for _, action := range h.decider.Actions() {
 		switch action.Kind {
 		case cwdecider.ActionStart:
@@ -108,10 +110,23 @@
 			h.sendStop(action)
 		case cwdecider.ActionAnswer:
 			h.answer(action.Answer)
+		case cwdecider.ActionLost, cwdecider.ActionOrphan: // of durable tasks, and of what is answered
 		}
 	}
 }
 
+// verifyEvery is how many steps pass between two walks through a decider's whole state.
+const verifyEvery = 16
+
+func (h *host) verify() {
+	if h.world.step%verifyEvery != 0 {
+		return
+	}
+	if broken := h.decider.Verify(); broken != "" {
+		h.world.oracle.violate("decider of %s: %s", h.id, broken)
+	}
+}
+
 func (h *host) ended(r cwmodel.Result) {
 	h.decide(func(now time.Time) { h.decider.Ended(now, r) })
 }
@@ -247,6 +262,7 @@
 func (h *host) renew(c *claim, epoch cwmodel.Epoch) {
 	c.busy = true
 	sent := h.world.now
+	c.sent = sent
 	var renewal cwport.Renewal
 	var err error
 	exec := func() { renewal, err = c.worker.Renew(epoch, claimTTL) }
@@ -269,6 +285,7 @@
 func (h *host) take(c *claim) {
 	c.busy = true
 	sent := h.world.now
+	c.sent = sent
 	var inventory cwport.Inventory
 	var err error
 	exec := func() {
@@ -296,6 +313,6 @@
 func (h *host) lose(c *claim, epoch cwmodel.Epoch) {
 	if c.owned && c.epoch == epoch {
 		c.owned = false
-		h.decide(func(now time.Time) { h.decider.RemoveWorker(now, c.worker.about.ID) })
+		h.decide(func(now time.Time) { h.decider.LoseWorker(now, c.worker.about.ID, c.sent) })
 	}
 }
