--- /dev/null
+++ b/internal/adapter/cwadmin/admin_test.go
@@ -0,0 +1,234 @@
+package cwadmin_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/csv"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"currantward/internal/adapter/cwadmin"
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/adapter/cwmetric"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwchange"
+	"currantward/internal/core/cwpolicy"
+	"currantward/internal/core/cwtally"
+)
+
+const (
+	writerToken = "token-of-amal-5c1d"
+	readerToken = "token-of-sem-9b77"
+)
+
+// logBuffer collects the log of a listener.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// listen starts a listener whose operations do nothing but note the terms of the last change.
+func listen(t *testing.T, operators []cwadmin.Operator) (addr netip.AddrPort, log *logBuffer, last *cwchange.Terms) {
+	t.Helper()
+	is := is.New(t)
+	log, last = &logBuffer{}, &cwchange.Terms{}
+	timer, stopTimer := cwtimer.New()
+	t.Cleanup(stopTimer)
+	limits := cwhttp.ServerOptions{
+		Name: "operators", MaxBodyBytes: 2048, MaxHeaderBytes: 2048, MaxConnections: 3, ReadTimeout: 300 * time.Millisecond,
+		IdleTimeout: time.Second, ShutdownTimeout: time.Second, Log: cwlog.New(log, logrus.DebugLevel),
+	}
+	addr, stop, err := cwadmin.New(cwadmin.Options{
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Limits: limits, Timer: timer, Log: limits.Log, Metrics: cwmetric.New(10).Handler(), Operators: operators,
+		Configuration: func(context.Context) (cwpolicy.Configuration, error) { return cwpolicy.Configuration{Version: 4}, nil },
+		Change: func(_ context.Context, _ cwchange.Edit, terms cwchange.Terms) (cwchange.Accepted, error) {
+			*last = terms
+			return cwchange.Accepted{Version: 5}, nil
+		},
+		History: func(context.Context) ([]cwchange.Record, error) { return nil, nil },
+		Versions: func(context.Context, cwpolicy.Version, cwpolicy.Version) (a, b cwpolicy.Configuration, err error) {
+			return a, b, nil
+		},
+		Totals: func(_ context.Context, day string) (cwtally.Day, error) { return cwtally.Day{Day: day}, nil },
+		Status: func(context.Context) (cwadmin.Status, error) { return cwadmin.Status{}, nil },
+		Drain:  func() {},
+	})
+	is.NoErr(err)
+	t.Cleanup(stop)
+	return addr, log, last
+}
+
+func operators() []cwadmin.Operator {
+	return []cwadmin.Operator{
+		{Name: "amal", Role: cwadmin.RoleWrite, TokenSHA256: sha256.Sum256([]byte(writerToken))},
+		{Name: "sem", Role: cwadmin.RoleRead, TokenSHA256: sha256.Sum256([]byte(readerToken))},
+	}
+}
+
+func call(t *testing.T, addr netip.AddrPort, token, method, path, body string) (status int, answer string) {
+	t.Helper()
+	is := is.New(t)
+	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+addr.String()+path, strings.NewReader(body))
+	is.NoErr(err)
+	if token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	return response.StatusCode, string(data)
+}
+
+func TestOperatorsNeedTheRole(t *testing.T) {
+	addr, log, last := listen(t, operators())
+	const team = `{"name":"riders","quota":{}}`
+	cases := []struct {
+		name   string
+		token  string
+		method string
+		path   string
+		body   string
+		status int
+		want   string
+	}{
+		{"no token", "", "GET", "/v1/status", "", 401, "a bearer token is needed"},
+		{"unknown token", "guess", "GET", "/v1/status", "", 401, "the token is not known"},
+		{"reader reads", readerToken, "GET", "/v1/status", "", 200, "configuration"},
+		{"reader reads metrics", readerToken, "GET", "/metrics", "", 200, "process_cpu"},
+		{"no token for metrics", "", "GET", "/metrics", "", 401, "token"},
+		{"reader may not change", readerToken, "PUT", "/v1/teams/riders", team, 401, "sem has the role read; this operation needs write"},
+		{"reader may not drain", readerToken, "POST", "/v1/drain", "", 401, "needs write"},
+		{"writer changes", writerToken, "PUT", "/v1/teams/riders?expect-version=4&dry-run=true&change-id=c1", team, 200, `"version":5`},
+		{"writer reads", writerToken, "GET", "/v1/configuration", "", 200, `"version":4`},
+		{"every fault of the query", writerToken, "PUT", "/v1/teams/riders?expect-version=x&dry-run=maybe", team, 400, "expect-version: \\\"x\\\" is not a version; dry-run"},
+		{"name differs from the path", writerToken, "PUT", "/v1/teams/clerks", team, 400, "is not the"},
+		{"faulty team", writerToken, "PUT", "/v1/teams/x", `{"name":"X","weight":-1,"quota":{}}`, 400, "team.name"},
+		{"no such operation", writerToken, "GET", "/v1/nothing", "", 404, "no such operation"},
+		{"no such method", writerToken, "DELETE", "/v1/totals", "", 405, "has no method DELETE"},
+		{"no such format", writerToken, "GET", "/v1/totals?format=xls", "", 400, "neither csv nor json"},
+		{"body above the limit", writerToken, "PUT", "/v1/configuration", strings.Repeat(" ", 3000), 413, "above the limit of 2048"},
+		{"header above the limit", strings.Repeat("x", 4000), "GET", "/v1/status", "", 413, "cannot read the request"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			status, answer := call(t, addr, c.token, c.method, c.path, c.body)
+			is.Equal(status, c.status)
+			is.True(strings.Contains(answer, c.want)) // the answer says what is wrong
+		})
+	}
+	is := is.New(t)
+	expected := cwpolicy.Version(4)
+	is.Equal(*last, cwchange.Terms{Change: "c1", Who: "amal", Expected: &expected, DryRun: true})
+	is.True(strings.Contains(log.String(), "who=amal"))
+	for _, secret := range []string{writerToken, readerToken, "guess", "Bearer"} {
+		is.True(!strings.Contains(log.String(), secret)) // no secret is ever logged
+	}
+}
+
+func TestListenerWithoutTokensIsLocal(t *testing.T) {
+	is := is.New(t)
+	addr, _, last := listen(t, nil)
+	status, _ := call(t, addr, "", "DELETE", "/v1/profiles/diagnostics", "")
+	is.Equal(status, 200)
+	is.Equal(last.Who, "local")
+}
+
+func TestSlowAndSurplusConnectionsAreEnded(t *testing.T) {
+	is := is.New(t)
+	addr, _, _ := listen(t, operators())
+	slow, err := net.Dial("tcp", addr.String())
+	is.NoErr(err)
+	defer slow.Close()
+	_, err = slow.Write([]byte("GET /v1/status HTTP/1.1\r\nHost: x\r\n"))
+	is.NoErr(err)
+	answer, err := io.ReadAll(slow) // ends when the listener gives up
+	is.NoErr(err)
+	is.True(strings.Contains(string(answer), "cannot read the request"))
+	for range 3 {
+		held, err := net.Dial("tcp", addr.String())
+		is.NoErr(err)
+		defer held.Close()
+		_, err = held.Write([]byte("GET /v1/status HTTP/1.1\r\nHost: x\r\n"))
+		is.NoErr(err)
+	}
+	surplus, err := net.Dial("tcp", addr.String())
+	is.NoErr(err)
+	defer surplus.Close()
+	answer, err = io.ReadAll(surplus)
+	is.NoErr(err)
+	is.True(strings.Contains(string(answer), "503")) // Service Unavailable
+}
+
+func TestTotalsAsCSV(t *testing.T) {
+	is := is.New(t)
+	document := cwcodec.Totals{
+		Incomplete: []cwcodec.IncompleteHost{{Host: "entry-2", Writer: "entry-2-1"}, {Host: "entry-1"}, {Host: "entry-2", Writer: "entry-2-2"}},
+		Lines: []cwcodec.TotalsLine{
+			{Counts: cwcodec.Counts{Day: "2026-12-04", Profile: "=HYPERLINK(\"x\")", Team: "مرضى, \"القاهرة\"", Asked: 3, Done: 2, NotRun: 1, ProcessorHours: 0.5}},
+		},
+	}
+	data := document.CSV()
+	is.True(bytes.HasSuffix(data, []byte("\r\n")))
+	rows, err := csv.NewReader(bytes.NewReader(data)).ReadAll()
+	is.NoErr(err)
+	is.Equal(len(rows), 2)
+	is.Equal(rows[1][:9], []string{"2026-12-04", "'=HYPERLINK(\"x\")", "مرضى, \"القاهرة\"", "3", "2", "0", "1", "0", "0"})
+	is.Equal(rows[1][len(rows[1])-1], "entry-1 entry-2")
+}
+
+func TestInForceSaysOnlyWhatIsKnown(t *testing.T) {
+	status := cwadmin.Status{Host: "a", Configuration: 7, Peers: []cwadmin.PeerStatus{
+		{Host: "b", Reachable: true, Configuration: 7},
+		{Host: "c", Reachable: true, Configuration: 6},
+		{Host: "d", Reachable: false, Configuration: 7}, // heard long ago
+		{Host: "e", Reachable: false, Leaving: true},
+	}}
+	cases := []struct {
+		version uint64
+		want    string
+	}{
+		{6, `{"version":6,"everywhere":false,"hosts":["a","b","c"],"behind":[],"unreachable":["d"]}`},
+		{7, `{"version":7,"everywhere":false,"hosts":["a","b"],"behind":["c"],"unreachable":["d"]}`},
+	}
+	for _, c := range cases {
+		is := is.New(t)
+		got, err := json.Marshal(status.InForce(c.version))
+		is.NoErr(err)
+		is.Equal(string(got), c.want)
+	}
+	is := is.New(t)
+	status.Peers = status.Peers[:1]
+	is.True(status.InForce(7).Everywhere)
+	_, err := cwadmin.ParseRole("root")
+	is.Equal(cwfault.CodeOf(err), cwfault.Invalid)
+}
--- a/internal/adapter/cwmetric/metric.go
+++ b/internal/adapter/cwmetric/metric.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -20,6 +21,7 @@
 	waited   *prometheus.HistogramVec
 	ran      *prometheus.HistogramVec
 	total    *prometheus.HistogramVec
+	http     *prometheus.CounterVec
 	labels   *labelSets
 }
 
@@ -42,7 +44,10 @@
 		ran:    histogram("currantward_run_seconds", "Time from the last start to its end."),
 		total:  histogram("currantward_answer_seconds", "Time from arrival to the answer."),
 	}
-	m.registry.MustRegister(m.answers, m.waited, m.ran, m.total)
+	m.http = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "currantward_http_answers_total", Help: "HTTP answers by listener and status.",
+	}, []string{"listener", "status"})
+	m.registry.MustRegister(m.http, m.answers, m.waited, m.ran, m.total)
 	m.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	return m
 }
@@ -67,6 +72,24 @@
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 }
 
+// Answered counts one HTTP answer of a listener.
+func (m *Metrics) Answered(listener string, status int) {
+	m.http.WithLabelValues(listener, strconv.Itoa(status)).Inc()
+}
+
+// Ring publishes how full a ring is and how often it refused.
+func (m *Metrics) Ring(name string, length func() int, refused func() uint64) {
+	labels := prometheus.Labels{"ring": name}
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "currantward_ring_items", Help: "Items that wait in a ring.", ConstLabels: labels,
+		}, func() float64 { return float64(length()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "currantward_ring_refusals_total", Help: "Items that found a ring full.", ConstLabels: labels,
+		}, func() float64 { return float64(refused()) }),
+	)
+}
+
 // Counter publishes a count that is read when metrics are collected.
 func (m *Metrics) Counter(name, help string, read func() uint64) {
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(read()) }))
--- /dev/null
+++ b/internal/adapter/cwmetric/metric_test.go
@@ -0,0 +1,28 @@
+package cwmetric_test
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"currantward/internal/adapter/cwmetric"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwtally"
+)
+
+func TestLabelsAreBounded(t *testing.T) {
+	is := is.New(t)
+	m := cwmetric.New(2)
+	for _, profile := range []cwmodel.ProfileName{"a", "b", "c", "a", "d"} {
+		m.Observe(cwtally.Event{Profile: profile, Team: "t", Answer: cwmodel.Answer{Outcome: cwmodel.OutcomeDone}}, cwmodel.ClassUrgent)
+	}
+	recorder := httptest.NewRecorder()
+	m.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	body := recorder.Body.String()
+	for _, want := range []string{`profile="a",reason="",team="t"} 2`, `profile="b",reason="",team="t"} 1`, `profile="other",reason="",team="other"} 2`} {
+		is.True(strings.Contains(body, want)) // the overflow is counted, and nothing is lost
+	}
+	is.True(!strings.Contains(body, `profile="c"`))
+}
--- a/internal/app/cwentry/entry.go
+++ b/internal/app/cwentry/entry.go
@@ -270,6 +270,7 @@
 }
 
 func (e *Entry) publishGauges() {
+	e.publishState()
 	e.metrics.Traffic("peers", e.traffic)
 	if e.opts.Traffic.Workers != nil {
 		e.metrics.Traffic("workers", e.opts.Traffic.Workers)
--- a/internal/app/cwscheduler/scheduler.go
+++ b/internal/app/cwscheduler/scheduler.go
@@ -142,6 +142,9 @@
 // Load returns the load after the latest batch of events.
 func (s *Scheduler) Load() cwdecider.Load { return *s.load.Load() }
 
+// InboxLen returns how many events wait in the inbox.
+func (s *Scheduler) InboxLen() int { return s.inbox.Len() }
+
 // Refused returns how many events found the inbox full.
 func (s *Scheduler) Refused() uint64 { return s.inbox.Refused() }
 
--- a/internal/app/cwtotals/totals.go
+++ b/internal/app/cwtotals/totals.go
@@ -65,6 +65,7 @@
 	inbox   *cwring.Ring[event]
 	batches *cwring.Ring[batch]
 	tally   *cwtally.Tally
+	failing bool           // the last batch was not written
 	flushed time.Time      // all answers before this are written
 	days    []string       // days that are not yet written for good, sorted
 	writing bool           // the writer holds a batch
@@ -110,6 +111,12 @@
 	}
 }
 
+// Waiting returns how many events wait in the inbox.
+func (t *Totals) Waiting() int { return t.inbox.Len() }
+
+// Refused returns how many events found the inbox full.
+func (t *Totals) Refused() uint64 { return t.inbox.Refused() }
+
 // Lost returns how many answers are missing from the totals because the inbox was full.
 func (t *Totals) Lost() uint64 { return t.lost.Load() }
 
@@ -214,7 +221,7 @@
 	t.writing = false
 	switch {
 	case e.err != nil:
-		t.opts.Log.WithFields(logrus.Fields{"error": cwfault.MessageOf(e.err)}).Warn("totals-flush-failed")
+		t.noteFailing(e.err)
 		for _, part := range e.batch.parts {
 			t.tally.MarkChanged([]cwtally.Part{part.part})
 		}
@@ -222,6 +229,7 @@
 		t.begin(t.opts.Timer.Now())
 		return
 	default:
+		t.noteFailing(nil)
 		t.finish(e.batch)
 	}
 	for _, flushed := range t.begun {
@@ -230,6 +238,17 @@
 	t.begun = nil
 }
 
+// noteFailing logs the beginning and the end of an outage, and not each batch in it.
+func (t *Totals) noteFailing(err error) {
+	switch failing := err != nil; {
+	case failing && !t.failing:
+		t.opts.Log.WithFields(logrus.Fields{"error": cwfault.MessageOf(err)}).Warn("totals-flush-failed")
+	case !failing && t.failing:
+		t.opts.Log.WithFields(logrus.Fields{"written-to": t.flushed}).Info("totals-flush-recovered")
+	}
+	t.failing = err != nil
+}
+
 // finish forgets the days that a complete batch has written for good.
 func (t *Totals) finish(b batch) {
 	t.flushed = b.flushed
--- a/internal/app/cwwatch/watch.go
+++ b/internal/app/cwwatch/watch.go
@@ -54,6 +54,7 @@
 	polling    atomic.Bool // a poll waits in the inbox
 	present    atomic.Pointer[cwpolicy.Configuration]
 	unapplied  bool // the scheduler has not taken the present configuration yet
+	failing    bool // the last look at the table failed
 	behind     bool // the table was seen to hold an older version than the one in force
 	violations atomic.Uint64
 }
@@ -99,6 +100,12 @@
 // Violations returns how often the version in force decreased; it stays at zero.
 func (w *Watcher) Violations() uint64 { return w.violations.Load() }
 
+// Waiting returns how many events wait in the inbox.
+func (w *Watcher) Waiting() int { return w.inbox.Len() }
+
+// Refused returns how many events found the inbox full.
+func (w *Watcher) Refused() uint64 { return w.inbox.Refused() }
+
 func (w *Watcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		e, ok := w.inbox.Take(ctx)
@@ -116,15 +123,24 @@
 	}
 	w.polling.Store(false)
 	err := w.refresh(ctx)
-	if err == nil {
-		w.apply(ctx)
-		return
+	w.noteFailing(err)
+	if err != nil {
+		w.askPeer(ctx)
 	}
-	w.opts.Log.WithFields(logrus.Fields{"error": cwfault.MessageOf(err)}).Warn("configuration-poll-failed")
-	w.askPeer(ctx)
 	w.apply(ctx)
 }
 
+// noteFailing logs the beginning and the end of an outage, and not each poll in it.
+func (w *Watcher) noteFailing(err error) {
+	switch failing := err != nil; {
+	case failing && !w.failing:
+		w.opts.Log.WithFields(logrus.Fields{"error": cwfault.MessageOf(err), "version": w.Present().Version}).Warn("configuration-poll-failed")
+	case !failing && w.failing:
+		w.opts.Log.WithFields(logrus.Fields{"version": w.Present().Version}).Info("configuration-poll-recovered")
+	}
+	w.failing = err != nil
+}
+
 // refresh reads the small row and, if that is newer, the whole configuration.
 func (w *Watcher) refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, w.opts.ReadTimeout)
--- a/internal/base/cwhttp/server.go
+++ b/internal/base/cwhttp/server.go
@@ -25,6 +25,9 @@
 	ShutdownTimeout time.Duration
 	Log             *logrus.Logger
 	Traffic         *Traffic // nil: not counted
+
+	// Answered is called with the status of each answer; it may be nil.
+	Answered func(status int)
 }
 
 // DefaultServerOptions returns limits that suit a listener for callers.
@@ -50,8 +53,8 @@
 	}
 	bound = BoundAddress(listener)
 	server := &fasthttp.Server{
-		Handler:               limitBody(handle, opts.MaxBodyBytes),
-		ErrorHandler:          rejectRequest,
+		Handler:               opts.observed(limitBody(handle, opts.MaxBodyBytes)),
+		ErrorHandler:          opts.reject,
 		Name:                  opts.Name,
 		MaxRequestBodySize:    opts.MaxBodyBytes * readableExcess,
 		ReadBufferSize:        opts.MaxHeaderBytes,
@@ -77,6 +80,24 @@
 	return bound, stop, nil
 }
 
+// observed reports the status of each answer.
+func (o ServerOptions) observed(handle fasthttp.RequestHandler) fasthttp.RequestHandler {
+	if o.Answered == nil {
+		return handle
+	}
+	return func(ctx *fasthttp.RequestCtx) {
+		handle(ctx)
+		o.Answered(ctx.Response.StatusCode())
+	}
+}
+
+func (o ServerOptions) reject(ctx *fasthttp.RequestCtx, err error) {
+	rejectRequest(ctx, err)
+	if o.Answered != nil {
+		o.Answered(ctx.Response.StatusCode())
+	}
+}
+
 // readableExcess is how many times the limit of a body is still read, so that its sender sees the refusal.
 const readableExcess = 8
 
