Hand waiting jobs over to peers and fuzz the jobs of a data centre

Cause: a home without room, or whose own workers are all too small, kept its jobs for ever though a peer could have run them; and nothing yet proved that jobs survive deaths, late sends, lost answers and wrong views of the peers. TestJobsUnderRandomFaults drives three homes, three workers, the table and the clock step by step: kills, restarts, late start orders of paused hosts, lost orders and answers, refused and unknown writes, wrong views, a worker that goes for good, claims in any order. The oracle demands: no task in two places, at most once for not repeatable, truthful not-run, one unchanging outcome, exactly one row for each accepted job, and that every accepted job ends once all heals. Found by it on the way: a home without workers kept its jobs for ever.

--- a/internal/adapter/cwcodec/job.go
+++ b/internal/adapter/cwcodec/job.go
@@ -53,6 +53,7 @@
 	Digest         string    `json:"digest"`
 	Home           string    `json:"home"`
 	Incarnation    uint64    `json:"incarnation"`
+	Tried          []string  `json:"tried,omitempty"`
 	Cancelled      bool      `json:"cancelled,omitempty"`
 	Regroup        bool      `json:"regroup,omitempty"`
 	Ended          time.Time `json:"ended,omitzero"`
@@ -68,6 +69,9 @@
 		Digest: j.Digest, Home: string(j.Home.Host), Incarnation: j.Home.Incarnation, Cancelled: j.Cancelled, Regroup: j.Regroup,
 		Ended: j.Ended,
 	}
+	for _, host := range j.Tried {
+		document.Tried = append(document.Tried, string(host))
+	}
 	for _, t := range j.Tasks {
 		document.Tasks = append(document.Tasks, JobTask{
 			Phase: string(t.Phase), Attempt: AttemptOf(t.Attempt), Ran: t.Ran, Outcome: string(t.Outcome), Reason: string(t.Reason),
@@ -94,6 +98,9 @@
 		PayloadKey: d.PayloadKey, Digest: d.Digest, Home: cwjob.Home{Host: cwmodel.HostID(d.Home), Incarnation: d.Incarnation},
 		Cancelled: d.Cancelled, Regroup: d.Regroup, Ended: d.Ended,
 	}
+	for _, host := range d.Tried {
+		j.Tried = append(j.Tried, cwmodel.HostID(host))
+	}
 	for _, t := range d.Tasks {
 		task, err := t.core()
 		if err != nil {
--- a/internal/app/cwentry/jobs.go
+++ b/internal/app/cwentry/jobs.go
@@ -8,6 +8,7 @@
 	"currantward/internal/app/cwledger"
 	"currantward/internal/core/cwjob"
 	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwport"
 )
 
 // startJobs starts the ledger and the duty that drives the jobs of this home.
@@ -29,6 +30,7 @@
 	jobs.Configuration, jobs.Write = e.watcher.Present, e.ledger.Write
 	jobs.Submit, jobs.Cancel, jobs.Ended = e.scheduler.Submit, e.scheduler.Cancel, e.scheduler.Ended
 	jobs.Order, jobs.Acknowledge = e.links.Order, e.links.Acknowledge
+	jobs.Roomiest = e.roomiest
 	e.jobs, stop = cwjobs.New(jobs)
 	e.cleanup.Add(stop)
 }
@@ -47,6 +49,20 @@
 	return e.scheduler.Ended(ctx, result)
 }
 
+// roomiest returns the peer of this data centre with the most room among those where a task of this demand would start at once.
+func (e *Entry) roomiest(demand cwmodel.Resources) (host cwmodel.HostID, ok bool) {
+	var best cwport.Digest
+	for _, d := range e.digests() {
+		if d.Leaving || d.DataCentre != e.opts.Settings.DataCentre || !demand.FitsIn(d.LargestFree) {
+			continue
+		}
+		if !ok || d.Free.MilliProcessors > best.Free.MilliProcessors {
+			best, ok = d, true
+		}
+	}
+	return best.Host, ok
+}
+
 // view hands the hosts of this data centre to the lease keeper and to the jobs.
 func (e *Entry) view(workers []cwmodel.Host, hosts []cwmodel.HostID) {
 	e.keeper.View(workers, hosts)
--- a/internal/app/cwjobs/drive.go
+++ b/internal/app/cwjobs/drive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,6 +16,9 @@
 // drive does what the committed state of a job of this home asks for.
 func (j *Jobs) drive(ctx context.Context, now time.Time, e *entry) {
 	j.attend(ctx, e)
+	if j.relocate(ctx, now, e) {
+		return
+	}
 	ready := 0
 	for n := range e.job.Tasks {
 		t, h := &e.job.Tasks[n], e.task(n)
@@ -133,9 +137,9 @@
 	j.advance(ctx, e)
 }
 
-// lasting tells the reasons that will not pass from those that may.
+// lasting tells the reasons that will not pass anywhere from those that may.
 var lasting = map[cwmodel.Reason]bool{
-	cwmodel.ReasonTooLarge: true, cwmodel.ReasonUnknownProfile: true, cwmodel.ReasonUnknownTeam: true,
+	cwmodel.ReasonUnknownProfile: true, cwmodel.ReasonUnknownTeam: true,
 	cwmodel.ReasonOverQuota: true, cwmodel.ReasonDeadlinePassed: true, cwmodel.ReasonNoTimeLeft: true,
 }
 
@@ -154,7 +158,11 @@
 	now := j.opts.Timer.Now()
 	h.retryAt = now.Add(j.opts.RetryAfter)
 	isLate := !e.job.Deadline.IsZero() && !now.Before(e.job.Deadline)
-	if !isLate && !lasting[back.answer.Reason] {
+	isTooLarge := back.answer.Reason == cwmodel.ReasonTooLarge
+	if isTooLarge && j.tryElsewhere(ctx, e) {
+		return
+	}
+	if !isLate && !isTooLarge && !lasting[back.answer.Reason] {
 		return
 	}
 	j.wish(ctx, e, change{
@@ -165,6 +173,56 @@
 	})
 }
 
+// tryElsewhere hands a job that fits no worker of ours to a live host that has not tried it, and reports whether there is one.
+func (j *Jobs) tryElsewhere(ctx context.Context, e *entry) bool {
+	for _, host := range j.liveHosts() {
+		if host != j.opts.Self.Host && !slices.Contains(e.job.Tried, host) {
+			j.handOver(ctx, e, host, true)
+			return true
+		}
+	}
+	return false
+}
+
+// relocate hands a job that has waited for long to a peer that has room, and reports whether it does.
+func (j *Jobs) relocate(ctx context.Context, now time.Time, e *entry) bool {
+	isWaiting := !slices.ContainsFunc(e.job.Tasks, func(t cwjob.Task) bool { return t.Phase == cwjob.PhaseOrdered })
+	if !isWaiting || e.waiting.IsZero() {
+		e.waiting = time.Time{}
+		if isWaiting {
+			e.waiting = now
+		}
+		return false
+	}
+	if e.job.IsStopping() || now.Sub(e.waiting) < j.opts.HandOverAfter {
+		return false
+	}
+	e.waiting = now
+	host, ok := j.opts.Roomiest(e.job.Demand)
+	if ok {
+		j.handOver(ctx, e, host, false)
+	}
+	return ok
+}
+
+func (j *Jobs) handOver(ctx context.Context, e *entry, to cwmodel.HostID, isTooLarge bool) {
+	j.wish(ctx, e, change{
+		deadline: j.opts.Timer.Now().Add(j.opts.WriteLimit),
+		apply: func(_ time.Time, job *cwjob.Job) bool {
+			if job.Home != j.opts.Self || !job.HandOver(to) {
+				return false
+			}
+			if isTooLarge {
+				job.Tried = append(job.Tried, j.opts.Self.Host)
+			}
+			return true
+		},
+		done: func(applied bool) {
+			j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "to": to, "moved": applied}).Info("job-handed-over")
+		},
+	})
+}
+
 // attend settles and stops outstanding attempts on workers that this host owns, whoever is the home of the job.
 func (j *Jobs) attend(ctx context.Context, e *entry) {
 	now := j.opts.Timer.Now()
--- a/internal/app/cwjobs/entry.go
+++ b/internal/app/cwjobs/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -52,6 +53,7 @@
 	tasks    map[int]*handling
 	payload  []byte
 	fetching bool
+	waiting  time.Time // since when every task waits; zero otherwise
 }
 
 // handling is what this process does for one task.
@@ -140,6 +142,10 @@
 	if wasHome && !j.isHome(e) {
 		j.displaced(ctx, e)
 	}
+	if e.job.Home.Host == j.opts.Self.Host && j.mayAdopt(e.job) {
+		j.adopt(ctx, e)
+		return
+	}
 	j.advance(ctx, e)
 }
 
@@ -154,14 +160,14 @@
 
 // displaced drops what another home does from now on; running attempts go on.
 func (j *Jobs) displaced(ctx context.Context, e *entry) {
-	j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "home": e.job.Home.Host}).Warn("job-adopted-by-another-host")
+	j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "home": e.job.Home.Host}).Info("job-has-another-home")
 	j.withdraw(ctx, e)
 	e.tasks = map[int]*handling{}
 }
 
 func (j *Jobs) withdraw(ctx context.Context, e *entry) {
-	for n, h := range e.tasks {
-		if h.generation > 0 {
+	for _, n := range slices.Sorted(maps.Keys(e.tasks)) {
+		if h := e.tasks[n]; h.generation > 0 {
 			h.generation = 0
 			_ = j.opts.Cancel(ctx, cwjob.TaskID(e.id, n))
 		}
@@ -213,8 +219,8 @@
 	} else {
 		w.Puts = []cwport.Put{{Key: keyLive(e.id), Value: value}}
 	}
-	if home := e.job.Home; home != j.opts.Self && home.Host != j.opts.Self.Host && e.next.Home == home {
-		w.Puts = append(w.Puts, cwport.Put{Key: keyHint(home.Host, e.id)})
+	if home := e.next.Home.Host; home != j.opts.Self.Host {
+		w.Puts = append(w.Puts, cwport.Put{Key: keyHint(home, e.id)})
 	}
 	return w, nil
 }
@@ -248,8 +254,12 @@
 }
 
 func (j *Jobs) committed(ctx context.Context, e *entry) {
+	wasHome := j.isHome(e)
 	e.job, e.version = e.next, e.version+1
 	j.conclude(e)
+	if wasHome && !j.isHome(e) {
+		j.displaced(ctx, e)
+	}
 	if e.job.IsOver() {
 		j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "profile": e.job.Profile, "team": e.job.Team, "tasks": len(e.job.Tasks)}).Info("job-ended")
 		j.forget(ctx, e)
--- a/internal/app/cwjobs/jobs.go
+++ b/internal/app/cwjobs/jobs.go
@@ -6,7 +6,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -24,25 +26,26 @@
 
 // Options set up the jobs of one entry host.
 type Options struct {
-	Timer       *cwtimer.Service
-	Log         *logrus.Logger
-	Table       cwport.Table
-	Objects     cwport.Objects
-	Workers     cwport.Workers
-	Self        cwjob.Home
-	DataCentre  cwmodel.DataCentre
-	InboxSize   int
-	MaxJobs     int // held at once
-	TickEvery   time.Duration
-	HintEvery   time.Duration // between looks for hints of other hosts
-	ScanEvery   time.Duration // between looks at all live jobs when nothing else asks for one
-	AdoptAfter  time.Duration // a home that is gone for longer is adopted from
-	CallLimit   time.Duration // of one call to the table, the object store or a worker
-	WriteLimit  time.Duration // how long a caller or a start waits for its commit
-	RetryAfter  time.Duration // before a task that could not be placed is submitted again
-	VerifyAfter time.Duration // an attempt that is outstanding for longer is looked for at its worker, once
-	LeaseGrace  time.Duration // added to a lease before an attempt on a host that is gone counts as over
-	InlineSize  int           // larger payloads and answers go to the object store
+	Timer         *cwtimer.Service
+	Log           *logrus.Logger
+	Table         cwport.Table
+	Objects       cwport.Objects
+	Workers       cwport.Workers
+	Self          cwjob.Home
+	DataCentre    cwmodel.DataCentre
+	InboxSize     int
+	MaxJobs       int // held at once
+	TickEvery     time.Duration
+	HintEvery     time.Duration // between looks for hints of other hosts
+	ScanEvery     time.Duration // between looks at all live jobs when nothing else asks for one
+	AdoptAfter    time.Duration // a home that is gone for longer is adopted from
+	CallLimit     time.Duration // of one call to the table, the object store or a worker
+	WriteLimit    time.Duration // how long a caller or a start waits for its commit
+	RetryAfter    time.Duration // before a task that could not be placed is submitted again
+	HandOverAfter time.Duration // a job that waits for longer goes to a peer that has room
+	VerifyAfter   time.Duration // an attempt that is outstanding for longer is looked for at its worker, once
+	LeaseGrace    time.Duration // added to a lease before an attempt on a host that is gone counts as over
+	InlineSize    int           // larger payloads and answers go to the object store
 
 	// Go runs work that may block; it fails if there is no room for it.
 	Go func(work func()) error
@@ -54,6 +57,8 @@
 	Submit func(t cwmodel.Task, reply func(cwmodel.Answer)) bool
 	// SubmitGang hands over tasks that start all at once or not at all; nil where gangs are not supported.
 	SubmitGang func(tasks []cwmodel.Task, reply func(cwmodel.Answer)) bool
+	// Roomiest returns a live peer of this data centre where a task of this demand would start at once.
+	Roomiest func(demand cwmodel.Resources) (host cwmodel.HostID, ok bool)
 	// Cancel withdraws a task from the scheduler.
 	Cancel func(ctx context.Context, id cwmodel.TaskID) error
 	// Ended tells the scheduler that an attempt is over.
@@ -69,7 +74,7 @@
 	return Options{
 		InboxSize: 16384, MaxJobs: 10000, TickEvery: 250 * time.Millisecond, HintEvery: time.Second, ScanEvery: 5 * time.Minute,
 		AdoptAfter: 3 * time.Second, CallLimit: 2 * time.Second, WriteLimit: 4 * time.Second, RetryAfter: time.Second,
-		VerifyAfter: 10 * time.Second, LeaseGrace: 10 * time.Second, InlineSize: 4 << 10,
+		HandOverAfter: 3 * time.Second, VerifyAfter: 10 * time.Second, LeaseGrace: 10 * time.Second, InlineSize: 4 << 10,
 	}
 }
 
@@ -305,6 +310,7 @@
 			hosts = append(hosts, host)
 		}
 	}
+	slices.Sort(hosts)
 	return hosts
 }
 
@@ -316,9 +322,11 @@
 			j.scanSoon()
 		}
 	}
-	for _, e := range j.entries {
-		j.expireOrders(e)
-		j.advance(ctx, e)
+	for _, id := range slices.Sorted(maps.Keys(j.entries)) {
+		if e, ok := j.entries[id]; ok {
+			j.expireOrders(e)
+			j.advance(ctx, e)
+		}
 	}
 	j.lookForHints(ctx, now)
 	j.runScan(ctx, now)
--- /dev/null
+++ b/internal/app/cwjobs/sim_test.go
@@ -0,0 +1,428 @@
+package cwjobs
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"currantward/internal/adapter/cwmemory"
+	"currantward/internal/app/cwledger"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwdecider"
+	"currantward/internal/core/cwjob"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwpolicy"
+	"currantward/internal/port/cwport"
+)
+
+// simConfiguration is in force in every simulation.
+var simConfiguration = cwpolicy.Configuration{
+	Version: 1, Teams: []cwpolicy.Team{{Name: "riders"}},
+	Profiles: []cwpolicy.Profile{
+		{Name: "bundles", Kind: cwmodel.KindBatch, Lease: 30 * time.Second, MaxAttempts: 3, Repeatable: true},
+		{Name: "filings", Kind: cwmodel.KindBatch, Lease: 30 * time.Second, MaxAttempts: 3},
+		{Name: "portal", Kind: cwmodel.KindService, Lease: 30 * time.Second, MaxAttempts: 3, Repeatable: true},
+	},
+}
+
+// sim is a data centre whose every step is chosen by the test: hosts, workers, table and clock.
+type sim struct {
+	clock   *cwtimer.Manual
+	table   *cwmemory.Table
+	random  *rand.Rand
+	down    bool
+	workers []*simWorker
+	hosts   []*simHost
+	ghosts  []cwdecider.Action // start orders that a dead host sends late
+	started map[cwmodel.TaskID]int
+}
+
+// simWorker is a worker that may be gone for good.
+type simWorker struct {
+	*cwmemory.Worker
+	id     cwmodel.HostID
+	gone   bool
+	listed bool
+}
+
+// simHost is one entry host: its jobs with what stands around them.
+type simHost struct {
+	sim    *sim
+	id     cwmodel.HostID
+	alive  bool
+	jobs   *Jobs
+	calls  []func()
+	orders []cwdecider.Action
+	writes []cwledger.Entry
+	queue  map[cwmodel.TaskID]*simTask
+	owned  map[cwmodel.HostID]cwmodel.Epoch
+	held   map[cwmodel.Attempt]bool
+	acks   []cwmodel.Attempt
+	lives  uint64
+}
+
+// simTask is a task that the scheduler of a host holds.
+type simTask struct {
+	task   cwmodel.Task
+	reply  func(cwmodel.Answer)
+	placed *cwmodel.Attempt
+}
+
+func newSim(seed uint64, hosts, workers int) *sim {
+	s := &sim{
+		clock: cwtimer.NewManual(time.Unix(100000, 0)), table: cwmemory.NewTable(), random: rand.New(rand.NewPCG(seed, seed)),
+		started: map[cwmodel.TaskID]int{},
+	}
+	for n := range workers {
+		id := cwmodel.HostID(fmt.Sprintf("worker-%d", n))
+		s.workers = append(s.workers, &simWorker{id: id, listed: true, Worker: cwmemory.NewWorker(cwmemory.WorkerOptions{
+			Worker: cwmodel.Worker{ID: id, DataCentre: "cairo-1", Capacity: cwmodel.Resources{Slots: 100}}, Now: s.clock.Now, Execute: s.execute,
+		})})
+	}
+	for n := range hosts {
+		s.hosts = append(s.hosts, &simHost{sim: s, id: cwmodel.HostID(fmt.Sprintf("entry-%d", n))})
+		s.hosts[n].boot()
+	}
+	return s
+}
+
+func (s *sim) execute(t cwmodel.Task) cwmemory.Execution {
+	s.started[t.ID]++
+	ends := []cwmodel.End{cwmodel.EndDone, cwmodel.EndDone, cwmodel.EndDone, cwmodel.EndTransient, cwmodel.EndFailed}
+	plan := cwmemory.Execution{RunTime: time.Duration(1+s.random.IntN(20)) * time.Second, End: ends[s.random.IntN(len(ends))]}
+	if t.Kind == cwmodel.KindService {
+		plan.RunTime = 0
+	}
+	return plan
+}
+
+func (s *sim) worker(id cwmodel.HostID) *simWorker {
+	return s.workers[slices.IndexFunc(s.workers, func(w *simWorker) bool { return w.id == id })]
+}
+
+// boot starts a new process of a host: it remembers nothing.
+func (h *simHost) boot() {
+	h.lives++
+	h.alive = true
+	h.calls, h.orders, h.writes, h.acks = nil, nil, nil, nil
+	h.queue, h.owned, h.held = map[cwmodel.TaskID]*simTask{}, map[cwmodel.HostID]cwmodel.Epoch{}, map[cwmodel.Attempt]bool{}
+	opts := DefaultOptions()
+	opts.Timer, opts.Log = h.sim.clock.Service, cwlog.Discard()
+	opts.Table, opts.Objects, opts.Workers = h.tablePort(), cwmemory.NewObjects().Port(), h.workersPort()
+	opts.Self, opts.DataCentre = cwjob.Home{Host: h.id, Incarnation: h.lives}, "cairo-1"
+	opts.Configuration = func() *cwpolicy.Configuration { return &simConfiguration }
+	opts.Go = func(work func()) error { h.calls = append(h.calls, work); return nil }
+	opts.Write = func(e cwledger.Entry) { h.writes = append(h.writes, e) }
+	opts.Submit, opts.Cancel, opts.Ended = h.submit, h.withdraw, h.ended
+	opts.Roomiest = h.roomiest
+	opts.Order = func(a cwdecider.Action) { h.orders = append(h.orders, a) }
+	opts.Acknowledge = func(a cwmodel.Attempt) { h.acks = append(h.acks, a) }
+	h.jobs = newJobs(opts)
+}
+
+func (h *simHost) die() {
+	h.alive = false
+	for _, order := range h.orders {
+		if order.Kind == cwdecider.ActionStart {
+			h.sim.ghosts = append(h.sim.ghosts, order)
+		}
+	}
+}
+
+// pump lets the duty handle everything in its inbox.
+func (h *simHost) pump() {
+	for h.alive && h.jobs.inbox.Len() > 0 {
+		for _, e := range h.jobs.inbox.Ready(nil) {
+			h.jobs.handle(context.Background(), e)
+		}
+	}
+}
+
+func (h *simHost) tablePort() cwport.Table {
+	port := h.sim.table.Port()
+	check := func() error {
+		if h.sim.down {
+			return cwfault.New(cwfault.Unavailable, "the table is down")
+		}
+		return nil
+	}
+	read, scan := port.Read, port.Scan
+	port.Read = func(ctx context.Context, key string) (cwport.Row, error) {
+		if err := check(); err != nil {
+			return cwport.Row{}, err
+		}
+		return read(ctx, key)
+	}
+	port.Scan = func(ctx context.Context, prefix, after string, limit int) ([]cwport.Row, error) {
+		if err := check(); err != nil {
+			return nil, err
+		}
+		return scan(ctx, prefix, after, limit)
+	}
+	return port
+}
+
+func addressOf(id cwmodel.HostID) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, id[len(id)-1] - '0'}), 1)
+}
+
+// workersPort serves Inspect and Stop, which the jobs call themselves.
+func (h *simHost) workersPort() cwport.Workers {
+	find := func(addr netip.AddrPort) (*simWorker, error) {
+		w := h.sim.workers[addr.Addr().As4()[3]]
+		if w.gone {
+			return nil, cwfault.New(cwfault.Unavailable, "the worker is gone")
+		}
+		return w, nil
+	}
+	return cwport.Workers{
+		Inspect: func(_ context.Context, addr netip.AddrPort) (cwport.Inventory, error) {
+			w, err := find(addr)
+			if err != nil {
+				return cwport.Inventory{}, err
+			}
+			return w.Inspect(), nil
+		},
+		Stop: func(_ context.Context, addr netip.AddrPort, a cwmodel.Attempt, mode cwmodel.StopMode) (cwmodel.Result, error) {
+			w, err := find(addr)
+			if err != nil {
+				return cwmodel.Result{}, err
+			}
+			return w.Stop(a, mode)
+		},
+	}
+}
+
+func (h *simHost) roomiest(cwmodel.Resources) (cwmodel.HostID, bool) {
+	for _, peer := range h.sim.hosts {
+		if peer != h && peer.alive && len(peer.owned) > 0 {
+			return peer.id, true
+		}
+	}
+	return "", false
+}
+
+func (h *simHost) submit(t cwmodel.Task, reply func(cwmodel.Answer)) bool {
+	h.queue[t.ID] = &simTask{task: t, reply: reply}
+	return true
+}
+
+func (h *simHost) withdraw(_ context.Context, id cwmodel.TaskID) error {
+	t, ok := h.queue[id]
+	switch {
+	case !ok:
+	case t.placed == nil:
+		delete(h.queue, id)
+		t.reply(cwmodel.Answer{Task: id, Outcome: cwmodel.OutcomeCancelled})
+	default:
+		h.jobs.Action(cwdecider.Action{Kind: cwdecider.ActionStop, Task: t.task, Attempt: *t.placed})
+	}
+	return nil
+}
+
+// ended is the scheduler's end of an attempt: what never began is placed again, all else is answered.
+func (h *simHost) ended(_ context.Context, r cwmodel.Result) error {
+	t, ok := h.queue[r.Attempt.Task]
+	if !ok || t.placed == nil || *t.placed != r.Attempt {
+		return nil
+	}
+	if r.End == cwmodel.EndNeverBegan {
+		t.placed = nil
+		return nil
+	}
+	delete(h.queue, r.Attempt.Task)
+	t.reply(cwmodel.Answer{Task: r.Attempt.Task, Outcome: cwmodel.OutcomeFailed})
+	return nil
+}
+
+// place starts a waiting task on an owned worker, as far as the scheduler is concerned.
+func (h *simHost) place(pick int) {
+	ids := sortedKeys(h.queue)
+	owned := sortedKeys(h.owned)
+	if len(ids) == 0 || len(owned) == 0 {
+		return
+	}
+	t := h.queue[ids[pick%len(ids)]]
+	if t.placed != nil {
+		return
+	}
+	worker := owned[pick%len(owned)]
+	t.placed = &cwmodel.Attempt{Task: t.task.ID, Number: t.task.Attempt, Worker: worker, Epoch: h.owned[worker]}
+	t.task.Attempt++
+	h.jobs.Action(cwdecider.Action{Kind: cwdecider.ActionStart, Task: t.task, Attempt: *t.placed})
+}
+
+func sortedKeys[K ~string, V any](m map[K]V) (keys []K) {
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// claim takes a worker over if its former claim has lapsed.
+func (h *simHost) claim(w *simWorker) {
+	if w.gone {
+		return
+	}
+	inventory, err := w.Claim(cwport.Claim{Owner: h.id, Epoch: w.Inspect().Epoch + 1, TTL: 2 * time.Second})
+	if err != nil {
+		return
+	}
+	h.lose(w.id)
+	h.owned[w.id] = inventory.Epoch
+	inventory.Worker.Address = addressOf(w.id)
+	_ = h.jobs.Owned(context.Background(), inventory)
+}
+
+func (h *simHost) renew() {
+	for _, id := range sortedKeys(h.owned) {
+		w := h.sim.worker(id)
+		if w.gone {
+			h.lose(id)
+			continue
+		}
+		if _, err := w.Renew(h.owned[id], 2*time.Second); err != nil {
+			h.lose(id)
+		}
+	}
+}
+
+// lose forgets a worker; what ran there is answered as unknown, as the scheduler does.
+func (h *simHost) lose(worker cwmodel.HostID) {
+	if _, ok := h.owned[worker]; !ok {
+		return
+	}
+	delete(h.owned, worker)
+	_ = h.jobs.Lost(context.Background(), worker)
+	for _, id := range sortedKeys(h.queue) {
+		if t := h.queue[id]; t.placed != nil && t.placed.Worker == worker {
+			delete(h.queue, id)
+			t.reply(cwmodel.Answer{Task: id, Outcome: cwmodel.OutcomeUnknown, Reason: cwmodel.ReasonWorkerLost})
+		}
+	}
+	h.held = map[cwmodel.Attempt]bool{}
+}
+
+// poll hands new results over and acknowledges what is written.
+func (h *simHost) poll() {
+	for _, id := range sortedKeys(h.owned) {
+		w := h.sim.worker(id)
+		if w.gone {
+			continue
+		}
+		results, _, err := w.Completions(h.owned[id], h.acks)
+		if err != nil {
+			h.lose(id)
+			continue
+		}
+		for _, r := range results {
+			if !h.held[r.Attempt] {
+				h.held[r.Attempt] = true
+				_ = h.jobs.Result(context.Background(), r)
+			}
+		}
+	}
+}
+
+// view tells the host which workers are listed and which hosts seem to be live.
+func (h *simHost) view(live []cwmodel.HostID) {
+	var workers []cwmodel.Host
+	for _, w := range h.sim.workers {
+		if w.listed {
+			workers = append(workers, cwmodel.Host{ID: w.id, Address: addressOf(w.id)})
+		}
+	}
+	h.jobs.View(workers, append(live, h.id))
+}
+
+// send carries out one order as a link does; lost says whether the order or its answer gets lost.
+func (h *simHost) send(pick int, lost string) {
+	if len(h.orders) == 0 {
+		return
+	}
+	n := pick % len(h.orders)
+	order := h.orders[n]
+	h.orders = slices.Delete(h.orders, n, n+1)
+	w := h.sim.worker(order.Attempt.Worker)
+	_, isOwned := h.owned[w.id]
+	if order.Kind == cwdecider.ActionStart {
+		h.sendStart(order, w, isOwned, lost)
+		return
+	}
+	if !isOwned || w.gone || lost == "order" {
+		return
+	}
+	result, err := w.Stop(order.Attempt, cwmodel.StopNow)
+	switch {
+	case lost == "answer":
+	case err == nil:
+		_ = h.jobs.Result(context.Background(), result)
+	case cwfault.CodeOf(err) == cwfault.NotFound:
+		h.neverBegan(order.Attempt)
+	}
+}
+
+func (h *simHost) sendStart(order cwdecider.Action, w *simWorker, isOwned bool, lost string) {
+	if !isOwned || w.gone {
+		h.neverBegan(order.Attempt)
+		return
+	}
+	if lost != "order" {
+		err := h.sim.start(w, order)
+		if err != nil && lost != "answer" {
+			h.neverBegan(order.Attempt)
+			return
+		}
+	}
+	if lost != "" {
+		h.orders = append(h.orders, cwdecider.Action{Kind: cwdecider.ActionStop, Attempt: order.Attempt, Mode: cwmodel.StopNow})
+	}
+}
+
+func (s *sim) start(w *simWorker, order cwdecider.Action) error {
+	_, err := w.Start(cwport.Start{Task: order.Task, Attempt: order.Attempt, NotAfter: s.clock.Now().Add(time.Second)})
+	return err
+}
+
+func (h *simHost) neverBegan(a cwmodel.Attempt) {
+	_ = h.jobs.Result(context.Background(), cwmodel.Result{Attempt: a, End: cwmodel.EndNeverBegan, Ended: h.sim.clock.Now()})
+}
+
+// write settles the oldest write with a verdict that a ledger may give.
+func (h *simHost) write(fault string) {
+	if len(h.writes) == 0 {
+		return
+	}
+	e := h.writes[0]
+	if fault == "unknown" && !e.Deadline.IsZero() {
+		e.Done(cwledger.Unknown)
+		return
+	}
+	h.writes = h.writes[1:]
+	if fault == "refused" || h.sim.down {
+		e.Done(cwledger.Refused)
+		return
+	}
+	if h.sim.table.Commit(cwport.Txn{Checks: e.Checks, Puts: e.Puts, Deletes: e.Deletes}) != nil {
+		e.Done(cwledger.Conflict)
+		return
+	}
+	e.Done(cwledger.Committed)
+}
+
+// call runs one outward call.
+func (h *simHost) call(pick int) {
+	if len(h.calls) == 0 {
+		return
+	}
+	n := pick % len(h.calls)
+	work := h.calls[n]
+	h.calls = slices.Delete(h.calls, n, n+1)
+	work()
+}
--- a/internal/core/cwjob/job.go
+++ b/internal/core/cwjob/job.go
@@ -59,6 +59,7 @@
 	PayloadKey     string // in the object store, for a large payload
 	Digest         string // of what the caller submitted
 	Home           Home
+	Tried          []cwmodel.HostID // homes that no worker of theirs could ever hold a task
 	Cancelled      bool
 	Regroup        bool // a gang that is stopped as a whole before it starts anew
 	Ended          time.Time
@@ -101,6 +102,7 @@
 func (j *Job) Clone() *Job {
 	c := *j
 	c.Tasks = slices.Clone(j.Tasks)
+	c.Tried = slices.Clone(j.Tried)
 	return &c
 }
 
@@ -177,6 +179,15 @@
 	return true
 }
 
+// HandOver moves a job of which nothing is outstanding to another home, and reports whether it did.
+func (j *Job) HandOver(to cwmodel.HostID) bool {
+	if j.Home.Host == to || j.IsStopping() || slices.ContainsFunc(j.Tasks, isOrdered) {
+		return false
+	}
+	j.Home = Home{Host: to}
+	return true
+}
+
 // IsOver reports whether every task has its outcome.
 func (j *Job) IsOver() bool {
 	return !slices.ContainsFunc(j.Tasks, func(t Task) bool { return t.Phase != PhaseOver })
