--- a/internal/app/cwcommand/job.go
+++ b/internal/app/cwcommand/job.go
@@ -1,15 +1,18 @@
 package cwcommand
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/netip"
 	"net/url"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"currantward/internal/adapter/cwfront"
 	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwhttp"
 )
 
 // jobArgs are the subcommands of job.
@@ -38,11 +41,11 @@
 	case a.Submit != nil:
 		return r.submitJob(a)
 	case a.Get != nil:
-		return r.print(a.Callers, fasthttp.MethodGet, jobPath(a.Get.ID))
+		return r.printJobs(a.Callers, fasthttp.MethodGet, jobPath(a.Get.ID))
 	case a.Cancel != nil:
-		return r.print(a.Callers, fasthttp.MethodDelete, jobPath(a.Cancel.ID))
+		return r.printJobs(a.Callers, fasthttp.MethodDelete, jobPath(a.Cancel.ID))
 	case a.List != nil:
-		return r.print(a.Callers, fasthttp.MethodGet, cwfront.PathJobs+"?team="+url.QueryEscape(a.List.Team))
+		return r.printJobs(a.Callers, fasthttp.MethodGet, cwfront.PathJobs+"?team="+url.QueryEscape(a.List.Team))
 	}
 	return cwfault.New(cwfault.Invalid, "job needs one of submit, get, list and cancel")
 }
@@ -52,12 +55,28 @@
 	if err != nil {
 		return err
 	}
+	return r.callJobs(a.Callers, fasthttp.MethodPost, cwfront.PathJobs, json.RawMessage(data))
+}
+
+func (r *runtime) printJobs(callers netip.AddrPort, method, path string) error {
+	return r.callJobs(callers, method, path, nil)
+}
+
+// callJobs calls one operation of the listener for callers, which takes no token, and prints its JSON answer.
+func (r *runtime) callJobs(callers netip.AddrPort, method, path string, in any) error {
+	client, stop := cwhttp.NewClient(cwhttp.DefaultClientOptions())
+	defer stop()
+	ctx, cancel := context.WithTimeout(context.Background(), jobCallLimit)
+	defer cancel()
 	var document json.RawMessage
-	if err = r.call(a.Callers, fasthttp.MethodPost, cwfront.PathJobs, json.RawMessage(data), &document); err != nil {
+	if err := client.Call(ctx, method, callers, path, in, &document); err != nil {
 		return err
 	}
 	fmt.Fprintln(r.out, string(document))
 	return nil
 }
 
+// jobCallLimit bounds one call about jobs.
+const jobCallLimit = 10 * time.Second
+
 func jobPath(id string) string { return cwfront.PathJobs + "/" + url.PathEscape(id) }
--- a/internal/app/cwdev/dev_test.go
+++ b/internal/app/cwdev/dev_test.go
@@ -42,6 +42,9 @@
 			}, {
 				Name: "bundles", Kind: cwmodel.KindBatch, Class: cwmodel.ClassBatch, Weight: 1, Ceiling: 1, QueueLimit: 100,
 				Lease: 10 * time.Second, MaxAttempts: 2, Repeatable: true, Demand: cwmodel.Resources{MilliProcessors: 1000},
+			}, {
+				Name: "all-at-once", Kind: cwmodel.KindGang, Class: cwmodel.ClassBatch, Weight: 1, Ceiling: 1, QueueLimit: 100,
+				Lease: 10 * time.Second, MaxAttempts: 2, Repeatable: true, Demand: cwmodel.Resources{MilliProcessors: 1000},
 			}, {
 				Name: "portal", Kind: cwmodel.KindService, Class: cwmodel.ClassStandard, Weight: 1, Ceiling: 1, QueueLimit: 100,
 				Lease: 10 * time.Second, MaxAttempts: 2, Repeatable: true, Demand: cwmodel.Resources{MilliProcessors: 1000},
--- a/internal/app/cwentry/jobs.go
+++ b/internal/app/cwentry/jobs.go
@@ -30,7 +30,7 @@
 	jobs.Configuration, jobs.Write = e.watcher.Present, e.ledger.Write
 	jobs.Submit, jobs.Cancel, jobs.Ended = e.scheduler.Submit, e.scheduler.Cancel, e.scheduler.Ended
 	jobs.Order, jobs.Acknowledge = e.links.Order, e.links.Acknowledge
-	jobs.Roomiest = e.roomiest
+	jobs.Roomiest, jobs.SubmitGang = e.roomiest, e.scheduler.SubmitGang
 	e.jobs, stop = cwjobs.New(jobs)
 	e.cleanup.Add(stop)
 }
@@ -41,6 +41,9 @@
 	return ok
 }
 
+// handBack takes what the scheduler no longer holds of a durable task.
+func (e *Entry) handBack(action actionOf) { e.jobs.Action(action) }
+
 // ended hands the result of an attempt to the jobs or to the scheduler.
 func (e *Entry) ended(ctx context.Context, result cwmodel.Result) error {
 	if isDurable(result.Attempt.Task) {
--- a/internal/app/cwjobs/entry.go
+++ b/internal/app/cwjobs/entry.go
@@ -295,8 +295,15 @@
 func (j *Jobs) action(ctx context.Context, a cwdecider.Action) {
 	id, n, ok := cwjob.ParseTaskID(a.Attempt.Task)
 	e, known := j.entries[id]
-	if a.Kind == cwdecider.ActionStop {
-		if ok && known && j.isHome(e) && e.job.Tasks[n].Phase == cwjob.PhaseOrdered && e.job.Tasks[n].Attempt == a.Attempt {
+	switch a.Kind {
+	case cwdecider.ActionStart:
+	case cwdecider.ActionLost:
+		if known {
+			e.task(n).generation = 0
+		}
+		return
+	default:
+		if ok && known && a.Kind == cwdecider.ActionStop && j.isHome(e) && e.job.Tasks[n].Phase == cwjob.PhaseOrdered && e.job.Tasks[n].Attempt == a.Attempt {
 			j.opts.Order(a)
 		}
 		return
