Run keyed requests that may not be repeated once for each key

Cause: a parts order or a filing that is sent again, at any entry host, must not run twice. Ruled out: keys in the memory of an entry host (a retry reaches another one, and hosts keep nothing); a lock on the key (the holder may be gone). Change: cwintent. An intent row is committed, insert if absent, through the ledger before the dispatch; whoever finds a row never runs the request but gets the first outcome, waits for it inside its own deadline, or is told unknown. A different body is refused (key-reused, 400); while the table is away the request is refused as not run (store-unavailable). An intent whose process is gone is unknown. cwintake: the hook Once; cwmodel: ReasonKeyReused. Seen red: without the version check TestOneRunForEachKey and TestManyAskAtOnce fail; without the check of the digest 'another body' fails; without isRunning 'the first host is gone' waits beyond the test's limit.

--- a/internal/adapter/cwfront/front.go
+++ b/internal/adapter/cwfront/front.go
@@ -127,6 +127,8 @@
 	switch answer.Reason {
 	case cwmodel.ReasonUnknownProfile, cwmodel.ReasonUnknownTeam:
 		return fasthttp.StatusNotFound
+	case cwmodel.ReasonKeyReused:
+		return fasthttp.StatusBadRequest
 	case cwmodel.ReasonTooLarge, cwmodel.ReasonOverQuota:
 		return fasthttp.StatusUnprocessableEntity
 	case cwmodel.ReasonDeadlinePassed, cwmodel.ReasonNoTimeLeft:
--- a/internal/app/cwentry/entry.go
+++ b/internal/app/cwentry/entry.go
@@ -15,6 +15,7 @@
 	"currantward/internal/adapter/cwmetric"
 	"currantward/internal/adapter/cwpeer"
 	"currantward/internal/app/cwintake"
+	"currantward/internal/app/cwintent"
 	"currantward/internal/app/cwjobs"
 	"currantward/internal/app/cwkeeper"
 	"currantward/internal/app/cwledger"
@@ -85,6 +86,7 @@
 	intake    *cwintake.Intake
 	ledger    *cwledger.Ledger
 	jobs      *cwjobs.Jobs
+	intents   *cwintent.Intents
 	peers     cwport.Peers
 	traffic   *cwhttp.Traffic // of all connections with peers
 	drain     sync.Once
@@ -179,7 +181,7 @@
 		Timer: o.Timer, Log: o.Log, Peers: peers, Self: o.Settings.HostID,
 		Configuration: e.watcher.Present, Submit: e.scheduler.Submit, Cancel: e.scheduler.Cancel,
 		HasRoom: func(demand cwmodel.Resources) bool { return demand.FitsIn(e.scheduler.Load().LargestFree) },
-		Digests: e.digests, Told: e.told,
+		Digests: e.digests, Once: e.intents.Run, Told: e.told,
 	})
 	bound, stopServer, err := cwpeer.Serve(cwpeer.ServerOptions{
 		Listen: o.Settings.ListenPeers, Timer: o.Timer, Log: o.Log, ShutdownTimeout: o.Settings.DrainTimeout, Traffic: e.traffic,
--- a/internal/app/cwentry/jobs.go
+++ b/internal/app/cwentry/jobs.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
+	"currantward/internal/app/cwintent"
 	"currantward/internal/app/cwjobs"
 	"currantward/internal/app/cwledger"
 	"currantward/internal/core/cwjob"
@@ -33,6 +35,15 @@
 	jobs.Roomiest, jobs.SubmitGang = e.roomiest, e.scheduler.SubmitGang
 	e.jobs, stop = cwjobs.New(jobs)
 	e.cleanup.Add(stop)
+
+	intents := cwintent.DefaultOptions()
+	intents.Timer, intents.Log, intents.Table, intents.Objects, intents.Self = o.Timer, o.Log, o.Table, o.Objects, home
+	intents.Write, intents.Go, intents.IsLive = e.ledger.Write, e.pool.Submit, e.isLivePeer
+	e.intents = cwintent.New(intents)
+}
+
+func (e *Entry) isLivePeer(host cwmodel.HostID) bool {
+	return slices.ContainsFunc(e.digests(), func(d cwport.Digest) bool { return d.Host == host })
 }
 
 // isDurable reports whether a task belongs to a job.
--- a/internal/app/cwintake/intake.go
+++ b/internal/app/cwintake/intake.go
@@ -39,6 +39,8 @@
 	HasRoom func(demand cwmodel.Resources) bool
 	// Digests returns the latest digests of live peers.
 	Digests func() []cwport.Digest
+	// Once runs a keyed request that may not be repeated at most once for its key.
+	Once func(ctx context.Context, request cwmodel.Request, task cwmodel.Task, run func() cwmodel.Answer) cwmodel.Answer
 	// Told is called once for each answer that a caller of this host is given.
 	Told func(request cwmodel.Request, answer cwmodel.Answer, took time.Duration)
 }
@@ -80,6 +82,14 @@
 	if reason != cwmodel.ReasonNone {
 		return refusal(id, reason)
 	}
+	if request.IdempotencyKey != "" && !task.Repeatable {
+		return i.opts.Once(ctx, request, task, func() cwmodel.Answer { return i.route(ctx, task) })
+	}
+	return i.route(ctx, task)
+}
+
+// route places a task here or hands it to a peer with room.
+func (i *Intake) route(ctx context.Context, task cwmodel.Task) cwmodel.Answer {
 	if !i.opts.HasRoom(task.Demand) {
 		if addr, ok := roomiest(i.opts.Digests(), task.Demand); ok {
 			return i.forward(ctx, addr, task)
--- a/internal/core/cwmodel/model.go
+++ b/internal/core/cwmodel/model.go
@@ -92,6 +92,7 @@
 	ReasonStoreUnavailable Reason = "store-unavailable"  // the platform's table could not be written
 	ReasonRefusedByWorker  Reason = "refused-by-worker"  // the worker refused the start for good
 	ReasonNoConfiguration  Reason = "no-configuration"   // the host holds no configuration yet
+	ReasonKeyReused        Reason = "key-reused"         // the idempotency key was used for another request
 	ReasonAttemptsSpent    Reason = "attempts-exhausted" // every allowed attempt failed
 )
 
