--- a/internal/app/cwdev/job_test.go
+++ b/internal/app/cwdev/job_test.go
@@ -27,6 +27,8 @@
 		outcome string
 	}{
 		{"batch of three", `{"profile":"bundles","team":"riders","tasks":3,"payload":{"bundle":1}}`, 201, false, "done"},
+		{"gang of five", `{"profile":"all-at-once","team":"riders","tasks":5,"payload":{"simulate":{"run":"20ms"}}}`, 201, false, "done"},
+		{"gang that fits nowhere", `{"profile":"all-at-once","team":"riders","tasks":200}`, 201, false, "not-run"},
 		{"large payload", `{"profile":"bundles","team":"riders","payload":{"bundle":"` + large + `"}}`, 201, false, "done"},
 		{"fails for good", `{"profile":"bundles","team":"riders","payload":{"simulate":{"end":"failed"}}}`, 201, false, "failed"},
 		{"never fits", `{"profile":"bundles","team":"riders","demand":{"processors":99}}`, 201, false, "not-run"},
--- a/internal/app/cwentry/jobs.go
+++ b/internal/app/cwentry/jobs.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
+	"currantward/internal/app/cwintent"
 	"currantward/internal/app/cwjobs"
 	"currantward/internal/app/cwledger"
 	"currantward/internal/core/cwjob"
 	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwport"
 )
 
 // startJobs starts the ledger and the duty that drives the jobs of this home.
@@ -29,8 +32,18 @@
 	jobs.Configuration, jobs.Write = e.watcher.Present, e.ledger.Write
 	jobs.Submit, jobs.Cancel, jobs.Ended = e.scheduler.Submit, e.scheduler.Cancel, e.scheduler.Ended
 	jobs.Order, jobs.Acknowledge = e.links.Order, e.links.Acknowledge
+	jobs.Roomiest, jobs.SubmitGang = e.roomiest, e.scheduler.SubmitGang
 	e.jobs, stop = cwjobs.New(jobs)
 	e.cleanup.Add(stop)
+
+	intents := cwintent.DefaultOptions()
+	intents.Timer, intents.Log, intents.Table, intents.Objects, intents.Self = o.Timer, o.Log, o.Table, o.Objects, home
+	intents.Write, intents.Go, intents.IsLive = e.ledger.Write, e.pool.Submit, e.isLivePeer
+	e.intents = cwintent.New(intents)
+}
+
+func (e *Entry) isLivePeer(host cwmodel.HostID) bool {
+	return slices.ContainsFunc(e.digests(), func(d cwport.Digest) bool { return d.Host == host })
 }
 
 // isDurable reports whether a task belongs to a job.
@@ -39,6 +52,9 @@
 	return ok
 }
 
+// handBack takes what the scheduler no longer holds of a durable task.
+func (e *Entry) handBack(action actionOf) { e.jobs.Action(action) }
+
 // ended hands the result of an attempt to the jobs or to the scheduler.
 func (e *Entry) ended(ctx context.Context, result cwmodel.Result) error {
 	if isDurable(result.Attempt.Task) {
@@ -47,6 +63,20 @@
 	return e.scheduler.Ended(ctx, result)
 }
 
+// roomiest returns the peer of this data centre with the most room among those where a task of this demand would start at once.
+func (e *Entry) roomiest(demand cwmodel.Resources) (host cwmodel.HostID, ok bool) {
+	var best cwport.Digest
+	for _, d := range e.digests() {
+		if d.Leaving || d.DataCentre != e.opts.Settings.DataCentre || !demand.FitsIn(d.LargestFree) {
+			continue
+		}
+		if !ok || d.Free.MilliProcessors > best.Free.MilliProcessors {
+			best, ok = d, true
+		}
+	}
+	return best.Host, ok
+}
+
 // view hands the hosts of this data centre to the lease keeper and to the jobs.
 func (e *Entry) view(workers []cwmodel.Host, hosts []cwmodel.HostID) {
 	e.keeper.View(workers, hosts)
