--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -7,11 +7,13 @@
 
 	"github.com/alexflint/go-arg"
 
+	"currantward/internal/bench/cwexperiment"
 	"currantward/internal/bench/cwlatency"
 )
 
 type arguments struct {
-	Latency *cwlatency.Arguments `arg:"subcommand:latency" help:"added latency of a request as a ratio to calling the worker directly"`
+	Decisions *cwexperiment.Arguments `arg:"subcommand:decisions" help:"waiting, packing, cost and floods of the decider against baselines"`
+	Latency   *cwlatency.Arguments    `arg:"subcommand:latency" help:"added latency of a request as a ratio to calling the worker directly"`
 }
 
 func main() {
@@ -19,6 +21,8 @@
 	parser := arg.MustParse(&a)
 	var err error
 	switch {
+	case a.Decisions != nil:
+		err = cwexperiment.Run(*a.Decisions, os.Stdout)
 	case a.Latency != nil:
 		err = cwlatency.Run(*a.Latency, os.Stdout)
 	default:
--- /dev/null
+++ b/internal/bench/cwexperiment/driver.go
@@ -0,0 +1,243 @@
+package cwexperiment
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwdecider"
+	"currantward/internal/core/cwmodel"
+)
+
+// start is the time at which each run begins.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Periods of the driver.
+const (
+	tickEvery       = 25 * time.Millisecond
+	checkpointDelay = 200 * time.Millisecond // from a stop order to the end of the attempt
+)
+
+// moment is one future event.
+type moment struct {
+	at      time.Time
+	number  int // breaks ties in the order of creation
+	source  *source
+	attempt cwmodel.Attempt
+	end     cwmodel.End
+	began   time.Time
+}
+
+type agenda []moment
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	if !a[i].at.Equal(a[j].at) {
+		return a[i].at.Before(a[j].at)
+	}
+	return a[i].number < a[j].number
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+
+// Push adds a moment; it is called by package heap.
+func (a *agenda) Push(x any) { *a = append(*a, x.(moment)) }
+
+// Pop removes the last moment; it is called by package heap.
+func (a *agenda) Pop() any {
+	last := len(*a) - 1
+	m := (*a)[last]
+	*a = (*a)[:last]
+	return m
+}
+
+// running is an attempt in the driver's fleet.
+type running struct {
+	demand cwmodel.Resources
+	began  time.Time
+	ends   time.Time
+}
+
+// driver runs one engine on one deployment with a manual clock.
+type driver struct {
+	engine  Engine
+	timer   *cwtimer.Service // wall time, for the cost of decisions
+	now     time.Time
+	agenda  agenda
+	number  int
+	runs    map[cwmodel.TaskID]time.Duration // true run times that are left
+	tasks   map[cwmodel.TaskID]cwmodel.Task
+	live    map[cwmodel.Attempt]running
+	total   cwmodel.Resources
+	used    cwmodel.Resources
+	counted time.Time
+	report  *Report
+}
+
+// drainFor is how long after the last arrival a run goes on.
+const drainFor = time.Minute
+
+// Drive runs one engine on a deployment and returns what was measured of its first streams; zero means all.
+func Drive(engine Engine, d Deployment, seed uint64, streams int, timer *cwtimer.Service) *Report {
+	r := &driver{
+		engine: engine, timer: timer, now: start, runs: map[cwmodel.TaskID]time.Duration{}, tasks: map[cwmodel.TaskID]cwmodel.Task{},
+		live: map[cwmodel.Attempt]running{}, counted: start.Add(d.WarmUp), report: newReport(engine.Name),
+	}
+	r.report.streams, r.report.window = streams, d.Length-d.WarmUp
+	engine.Configure(r.now, d.configuration())
+	for _, w := range d.Workers {
+		r.total = r.total.Plus(w.Capacity)
+		engine.AddWorker(r.now, w)
+	}
+	for n, stream := range d.Streams {
+		s := &source{Stream: stream, number: n, teams: d.Teams, random: rand.New(rand.NewPCG(seed, uint64(n)))}
+		r.add(moment{at: start.Add(stream.From + s.gap()), source: s})
+	}
+	r.run(start.Add(d.Length))
+	return r.report
+}
+
+func (r *driver) add(m moment) {
+	r.number++
+	m.number = r.number
+	heap.Push(&r.agenda, m)
+}
+
+func (r *driver) run(until time.Time) {
+	nextTick := start
+	for len(r.agenda) > 0 && nextTick.Before(until.Add(drainFor)) {
+		m := r.agenda[0]
+		if m.at.After(nextTick) {
+			r.moveTo(nextTick)
+			nextTick = nextTick.Add(tickEvery)
+			r.decide(func() { r.engine.Tick(r.now) }, false)
+			continue
+		}
+		heap.Pop(&r.agenda)
+		if m.source != nil && m.at.After(until) {
+			continue
+		}
+		r.moveTo(m.at)
+		if m.source != nil {
+			r.arrive(m.source)
+			continue
+		}
+		r.end(m)
+	}
+	r.report.finish()
+}
+
+// moveTo advances the clock and adds up what was used meanwhile.
+func (r *driver) moveTo(at time.Time) {
+	if r.now.After(r.counted) && !r.now.After(r.counted.Add(r.report.window)) {
+		r.report.use(at.Sub(r.now), r.used, r.total)
+	}
+	r.now = at
+}
+
+func (r *driver) arrive(s *source) {
+	if s.To == 0 || r.now.Before(start.Add(s.To)) {
+		r.add(moment{at: r.now.Add(s.gap()), source: s})
+	}
+	if s.Gang > 0 {
+		r.arriveGang(s)
+		return
+	}
+	t, run := s.next(r.now)
+	r.remember(t, run, s.number)
+	r.decide(func() { r.engine.Submit(r.now, t) }, true)
+}
+
+func (r *driver) arriveGang(s *source) {
+	var tasks []cwmodel.Task
+	for range s.Gang {
+		t, run := s.next(r.now)
+		t.Job = cwmodel.JobID(fmt.Sprintf("gang-%d-%d", s.number, s.count/s.Gang))
+		t.Team = teamName(s.count / s.Gang % s.teams)
+		if len(tasks) > 0 {
+			t.Job, t.Team = tasks[0].Job, tasks[0].Team
+		}
+		r.remember(t, run, s.number)
+		tasks = append(tasks, t)
+	}
+	r.decide(func() { r.engine.Gang(r.now, tasks) }, true)
+}
+
+func (r *driver) remember(t cwmodel.Task, run time.Duration, stream int) {
+	r.tasks[t.ID] = t
+	r.runs[t.ID] = run
+	if !t.Arrived.Before(r.counted) {
+		r.report.ask(t, stream)
+	}
+}
+
+// end reports the end of an attempt unless it ended before.
+func (r *driver) end(m moment) {
+	state, ok := r.live[m.attempt]
+	if !ok {
+		return
+	}
+	delete(r.live, m.attempt)
+	r.used = r.used.Minus(state.demand)
+	if m.end == cwmodel.EndCheckpoint {
+		r.runs[m.attempt.Task] = max(state.ends.Sub(r.now), time.Millisecond)
+	}
+	result := cwmodel.Result{Attempt: m.attempt, End: m.end, Began: state.began, Ended: r.now, Used: state.demand}
+	r.decide(func() { r.engine.Ended(r.now, result) }, true)
+}
+
+// decide hands one event to the engine, times it and carries out its actions.
+func (r *driver) decide(event func(), timed bool) {
+	began := r.timer.Now()
+	event()
+	actions := r.engine.Actions()
+	took := r.timer.Now().Sub(began)
+	if r.now.After(r.counted) {
+		r.report.spend(took, timed)
+	}
+	for _, a := range actions {
+		r.carryOut(a)
+	}
+}
+
+func (r *driver) carryOut(a cwdecider.Action) {
+	switch a.Kind {
+	case cwdecider.ActionStart:
+		r.start(a)
+	case cwdecider.ActionStop:
+		r.stop(a)
+	case cwdecider.ActionAnswer:
+		t := r.tasks[a.Answer.Task]
+		delete(r.tasks, a.Answer.Task)
+		delete(r.runs, a.Answer.Task)
+		r.report.answer(t, a.Answer, r.now)
+	case cwdecider.ActionLost, cwdecider.ActionOrphan:
+	}
+}
+
+func (r *driver) start(a cwdecider.Action) {
+	t := r.tasks[a.Attempt.Task]
+	ends := r.now.Add(r.runs[t.ID])
+	r.live[a.Attempt] = running{demand: a.Task.Demand, began: r.now, ends: ends}
+	r.used = r.used.Plus(a.Task.Demand)
+	if !r.used.FitsIn(r.total) {
+		panic("the fleet is given more than it has")
+	}
+	r.report.start(t, r.now)
+	end := cwmodel.EndDone
+	if !t.Deadline.IsZero() && ends.After(t.Deadline) {
+		ends, end = t.Deadline, cwmodel.EndStopped
+	}
+	r.add(moment{at: ends, attempt: a.Attempt, end: end})
+}
+
+func (r *driver) stop(a cwdecider.Action) {
+	switch a.Mode {
+	case cwmodel.StopCheckpoint:
+		r.add(moment{at: r.now.Add(checkpointDelay), attempt: a.Attempt, end: cwmodel.EndCheckpoint})
+	case cwmodel.StopNow:
+		r.add(moment{at: r.now.Add(time.Millisecond), attempt: a.Attempt, end: cwmodel.EndStopped})
+	case cwmodel.StopThrottle:
+	}
+}
--- /dev/null
+++ b/internal/bench/cwexperiment/engine.go
@@ -0,0 +1,157 @@
+package cwexperiment
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"currantward/internal/core/cwdecider"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwpolicy"
+)
+
+// Engine is a scheduler under measurement: the decider or a baseline.
+type Engine struct {
+	Name      string
+	Configure func(now time.Time, cfg cwpolicy.Configuration)
+	AddWorker func(now time.Time, w cwmodel.Worker)
+	Submit    func(now time.Time, t cwmodel.Task)
+	Gang      func(now time.Time, tasks []cwmodel.Task)
+	Ended     func(now time.Time, r cwmodel.Result)
+	Tick      func(now time.Time)
+	Actions   func() []cwdecider.Action
+	Waiting   func() int
+}
+
+// NewDecider returns the decider as an engine.
+func NewDecider(name string, opts cwdecider.Options) Engine {
+	d := cwdecider.New(opts)
+	return Engine{
+		Name:      name,
+		Configure: d.Configure,
+		AddWorker: func(now time.Time, w cwmodel.Worker) { d.AddWorker(now, w, 1, nil) },
+		Submit:    d.Submit,
+		Gang:      d.SubmitGang,
+		Ended:     d.Ended,
+		Tick:      d.Tick,
+		Actions:   d.Actions,
+		Waiting:   func() int { return d.Load().Waiting },
+	}
+}
+
+// baseline is one FIFO queue in front of a rule that chooses a worker.
+type baseline struct {
+	workers []*machine
+	byID    map[cwmodel.HostID]*machine
+	queue   []cwmodel.Task
+	running map[cwmodel.Attempt]cwmodel.Resources
+	actions []cwdecider.Action
+	choose  func(demand cwmodel.Resources) *machine
+}
+
+// machine is a worker of a baseline.
+type machine struct {
+	worker cwmodel.Worker
+	free   cwmodel.Resources
+}
+
+// NewFirstFit returns the baseline that takes the first worker with room.
+func NewFirstFit() Engine {
+	b := newBaseline()
+	b.choose = func(demand cwmodel.Resources) *machine {
+		for _, m := range b.workers {
+			if demand.FitsIn(m.free) {
+				return m
+			}
+		}
+		return nil
+	}
+	return b.engine("first-fit")
+}
+
+// NewRandomOfTwo returns the baseline that takes the emptier of two random workers.
+func NewRandomOfTwo(seed uint64) Engine {
+	b := newBaseline()
+	random := rand.New(rand.NewPCG(seed, 2))
+	b.choose = func(demand cwmodel.Resources) *machine {
+		first, second := b.workers[random.IntN(len(b.workers))], b.workers[random.IntN(len(b.workers))]
+		if first.free.DominantShare(first.worker.Capacity) < second.free.DominantShare(second.worker.Capacity) {
+			first, second = second, first
+		}
+		if demand.FitsIn(first.free) {
+			return first
+		}
+		if demand.FitsIn(second.free) {
+			return second
+		}
+		return nil
+	}
+	return b.engine("random-of-two")
+}
+
+func newBaseline() *baseline {
+	return &baseline{byID: map[cwmodel.HostID]*machine{}, running: map[cwmodel.Attempt]cwmodel.Resources{}}
+}
+
+func (b *baseline) engine(name string) Engine {
+	return Engine{
+		Name:      name,
+		Configure: func(time.Time, cwpolicy.Configuration) {},
+		AddWorker: func(_ time.Time, w cwmodel.Worker) {
+			m := &machine{worker: w, free: w.Capacity}
+			b.workers = append(b.workers, m)
+			b.byID[w.ID] = m
+		},
+		Submit: func(now time.Time, t cwmodel.Task) {
+			b.queue = append(b.queue, t)
+			if len(b.queue) == 1 {
+				b.place(now)
+			}
+		},
+		Gang: func(now time.Time, tasks []cwmodel.Task) {
+			b.queue = append(b.queue, tasks...)
+			b.place(now)
+		},
+		Ended: b.ended,
+		Tick:  b.place,
+		Actions: func() []cwdecider.Action {
+			actions := b.actions
+			b.actions = b.actions[:0]
+			return actions
+		},
+		Waiting: func() int { return len(b.queue) },
+	}
+}
+
+func (b *baseline) ended(now time.Time, r cwmodel.Result) {
+	m := b.byID[r.Attempt.Worker]
+	m.free = m.free.Plus(b.running[r.Attempt])
+	delete(b.running, r.Attempt)
+	answer := cwmodel.Answer{Task: r.Attempt.Task, Outcome: cwmodel.OutcomeFailed}
+	if r.End == cwmodel.EndDone {
+		answer.Outcome = cwmodel.OutcomeDone
+	}
+	b.actions = append(b.actions, cwdecider.Action{Kind: cwdecider.ActionAnswer, Attempt: r.Attempt, Answer: answer})
+	b.place(now)
+}
+
+// place starts the head of the queue as long as the rule finds a worker; what is past its deadline is dropped.
+func (b *baseline) place(now time.Time) {
+	for len(b.queue) > 0 {
+		t := b.queue[0]
+		if !t.Deadline.IsZero() && !t.Deadline.After(now) {
+			b.queue = b.queue[1:]
+			answer := cwmodel.Answer{Task: t.ID, Outcome: cwmodel.OutcomeNotRun, Reason: cwmodel.ReasonDeadlinePassed}
+			b.actions = append(b.actions, cwdecider.Action{Kind: cwdecider.ActionAnswer, Task: t, Answer: answer})
+			continue
+		}
+		m := b.choose(t.Demand)
+		if m == nil {
+			return
+		}
+		b.queue = b.queue[1:]
+		m.free = m.free.Minus(t.Demand)
+		attempt := cwmodel.Attempt{Task: t.ID, Number: 1, Worker: m.worker.ID, Epoch: 1}
+		b.running[attempt] = t.Demand
+		b.actions = append(b.actions, cwdecider.Action{Kind: cwdecider.ActionStart, Task: t, Attempt: attempt})
+	}
+}
--- /dev/null
+++ b/internal/bench/cwexperiment/report.go
@@ -0,0 +1,132 @@
+package cwexperiment
+
+import (
+	"slices"
+	"time"
+
+	"currantward/internal/core/cwmodel"
+)
+
+// Line is what one profile got; tasks of a flood are not counted.
+type Line struct {
+	Asked  int
+	OnTime int // done before the deadline
+	NotRun int
+	waits  []time.Duration
+}
+
+// Wait returns a quantile of the time from arrival to the first start.
+func (l *Line) Wait(q float64) time.Duration { return quantile(l.waits, q) }
+
+// Report is what one engine did in one run.
+type Report struct {
+	Engine  string
+	Starts  int
+	Events  int
+	lines   map[cwmodel.ProfileName]*Line
+	base    map[cwmodel.TaskID]bool // tasks of the usual load that are counted and not answered yet
+	began   map[cwmodel.TaskID]bool
+	streams int // streams below this number are usual load; 0 for all
+	window  time.Duration
+	spent   time.Duration
+	costs   []time.Duration
+	area    used
+	over    time.Duration
+}
+
+// used are shares of the fleet's processors, memory, accelerators and slots, times seconds while they are added up.
+type used struct{ processors, memory, accelerators, slots float64 }
+
+func newReport(engine string) *Report {
+	return &Report{
+		Engine: engine, lines: map[cwmodel.ProfileName]*Line{}, base: map[cwmodel.TaskID]bool{}, began: map[cwmodel.TaskID]bool{}, window: 1 << 62,
+	}
+}
+
+func quantile(list []time.Duration, q float64) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	return list[int(q*float64(len(list)-1))]
+}
+
+// Line returns the line of a profile.
+func (r *Report) Line(name cwmodel.ProfileName) *Line {
+	l, ok := r.lines[name]
+	if !ok {
+		l = &Line{}
+		r.lines[name] = l
+	}
+	return l
+}
+
+func (r *Report) ask(t cwmodel.Task, stream int) {
+	if r.streams > 0 && stream >= r.streams {
+		return
+	}
+	r.base[t.ID] = true
+	r.Line(t.Profile).Asked++
+}
+
+func (r *Report) start(t cwmodel.Task, now time.Time) {
+	r.Starts++
+	if r.base[t.ID] && !r.began[t.ID] {
+		r.began[t.ID] = true
+		l := r.Line(t.Profile)
+		l.waits = append(l.waits, now.Sub(t.Arrived))
+	}
+}
+
+func (r *Report) answer(t cwmodel.Task, answer cwmodel.Answer, now time.Time) {
+	if !r.base[t.ID] {
+		return
+	}
+	delete(r.base, t.ID)
+	delete(r.began, t.ID)
+	l := r.Line(t.Profile)
+	switch {
+	case answer.Outcome == cwmodel.OutcomeNotRun:
+		l.NotRun++
+	case answer.Outcome == cwmodel.OutcomeDone && (t.Deadline.IsZero() || !now.After(t.Deadline)):
+		l.OnTime++
+	}
+}
+
+func (r *Report) spend(took time.Duration, timed bool) {
+	r.spent += took
+	r.Events++
+	if timed {
+		r.costs = append(r.costs, took)
+	}
+}
+
+func (r *Report) use(d time.Duration, in, total cwmodel.Resources) {
+	part := func(used, whole int64) float64 { return d.Seconds() * float64(used) / float64(max(whole, 1)) }
+	r.area.processors += part(in.MilliProcessors, total.MilliProcessors)
+	r.area.memory += part(in.MemoryBytes, total.MemoryBytes)
+	r.area.accelerators += part(in.Accelerators, total.Accelerators)
+	r.area.slots += part(in.Slots, total.Slots)
+	r.over += d
+}
+
+func (r *Report) finish() {
+	slices.Sort(r.costs)
+	for _, l := range r.lines {
+		slices.Sort(l.waits)
+	}
+}
+
+// Packing returns the mean use of each dimension over the counted part of the run.
+func (r *Report) Packing() (u used) {
+	seconds := max(r.over.Seconds(), 1e-9)
+	return used{r.area.processors / seconds, r.area.memory / seconds, r.area.accelerators / seconds, r.area.slots / seconds}
+}
+
+// bottleneck returns the use of the host dimension, processors, memory or slots, that is used most.
+func (u used) bottleneck() float64 { return max(u.processors, u.memory, u.slots) }
+
+// Cost returns a quantile of the time that one event took.
+func (r *Report) Cost(q float64) time.Duration { return quantile(r.costs, q) }
+
+// PerSecond returns events handled per second of the engine's own time.
+func (r *Report) PerSecond() float64 { return float64(r.Events) / max(r.spent.Seconds(), 1e-9) }
--- a/internal/core/cwcapacity/tree.go
+++ b/internal/core/cwcapacity/tree.go
@@ -1,6 +1,10 @@
 package cwcapacity
 
-import "currantward/internal/core/cwmodel"
+import (
+	"math"
+
+	"currantward/internal/core/cwmodel"
+)
 
 // The tree is a treap: ordered by score from left to right, a heap by priority. Each node knows the
 // largest free capacity of its subtree, so that a search passes over subtrees which cannot hold a demand.
@@ -98,20 +102,54 @@
 	return right
 }
 
-// find returns the leftmost node that holds the demand.
+// candidates is how many of the fullest workers that hold a demand are compared.
+const candidates = 32
+
+// search looks for the worker that a demand leaves most balanced among the fullest that hold it.
+type search struct {
+	demand cwmodel.Resources
+	accept func(*Node) bool
+	left   int // candidates still to look at
+	best   *Node
+	least  float64
+}
+
+// find returns the best node for a demand, or nil.
 func find(root *Node, demand cwmodel.Resources, accept func(*Node) bool) *Node {
-	if root == nil || !demand.FitsIn(root.most) {
-		return nil
-	}
-	if n := find(root.left, demand, accept); n != nil {
-		return n
-	}
-	if demand.FitsIn(root.free) && (accept == nil || accept(root)) {
-		return root
-	}
-	return find(root.right, demand, accept)
+	s := search{demand: demand, accept: accept, left: candidates}
+	s.visit(root)
+	return s.best
+}
+
+// visit looks at the nodes of a subtree from the fullest on.
+func (s *search) visit(n *Node) {
+	if n == nil || s.left == 0 || !s.demand.FitsIn(n.most) {
+		return
+	}
+	s.visit(n.left)
+	if s.left == 0 {
+		return
+	}
+	if s.demand.FitsIn(n.free) && (s.accept == nil || s.accept(n)) {
+		s.left--
+		if waste := strandedBy(n, &s.demand); s.best == nil || waste < s.least {
+			s.best, s.least = n, waste
+		}
+	}
+	s.visit(n.right)
 }
 
+// strandedBy returns how unequal the free shares of processors and memory are after a placement,
+// plus how much is left: both make it harder to fill the rest.
+func strandedBy(n *Node, demand *cwmodel.Resources) float64 {
+	processors := share(n.free.MilliProcessors-demand.MilliProcessors, n.worker.Capacity.MilliProcessors)
+	memory := share(n.free.MemoryBytes-demand.MemoryBytes, n.worker.Capacity.MemoryBytes)
+	return math.Abs(processors-memory) + balanceWeight*(processors+memory)
+}
+
+// balanceWeight weighs what is left against its imbalance.
+const balanceWeight = 0.1
+
 func last(root *Node) *Node {
 	for root != nil && root.right != nil {
 		root = root.right
--- a/internal/core/cwdecider/gang.go
+++ b/internal/core/cwdecider/gang.go
@@ -127,8 +127,9 @@
 // charge counts what a task holds, or no longer holds, for its profile, team and rack.
 func (d *Decider) charge(state *task, w *worker, by int64) {
 	amount := state.reserved.Times(by)
-	state.profile.account.Used = state.profile.account.Used.Plus(amount)
-	state.team.account.Used = state.team.account.Used.Plus(amount)
+	total := d.fleet.Total()
+	state.profile.account.Charge(amount, total)
+	state.team.account.Charge(amount, total)
 	d.countRack(state, w, int(by))
 }
 
--- a/internal/core/cwdecider/place.go
+++ b/internal/core/cwdecider/place.go
@@ -43,15 +43,14 @@
 // nextProfile returns the profile that is served next: those below their floors by class,
 // then the others by class and weighted dominant share.
 func (d *Decider) nextProfile() (best *profile) {
-	total := d.fleet.Total()
 	var bestBelow bool
 	var bestShare float64
 	for _, p := range d.profiles {
 		if p.waiting == 0 || p.blocked == d.pass {
 			continue
 		}
-		below := p.account.IsBelowFloor(total)
-		share := p.account.Weighted(total)
+		below := p.account.IsBelowFloor()
+		share := p.account.Weighted()
 		if best == nil || goesFirst(below, p.rank, share, bestBelow, best.rank, bestShare) {
 			best, bestBelow, bestShare = p, below, share
 		}
@@ -71,20 +70,30 @@
 
 // nextQueue returns the queue of the team with the least weighted dominant share.
 func (d *Decider) nextQueue(p *profile) (best *queue) {
-	total := d.fleet.Total()
 	var least float64
 	for _, q := range p.queues {
 		if q.Len() == 0 || q.blocked == d.pass {
 			continue
 		}
-		share := q.team.account.Weighted(total)
-		if best == nil || share < least {
-			best, least = q, share
+		share := q.team.account.Weighted()
+		if best != nil && share >= least {
+			continue
 		}
+		if len(d.misfits) > 0 && d.isFirstMisfit(q) {
+			q.blocked = d.pass
+			continue
+		}
+		best, least = q, share
 	}
 	return best
 }
 
+// isFirstMisfit reports whether the first task of a queue is known to find no worker in the present pass.
+func (d *Decider) isFirstMisfit(q *queue) bool {
+	state := q.First()
+	return state.gang == nil && len(d.suspects) == 0 && d.isMisfit(d.reservation(state))
+}
+
 // tryFirst starts or answers the first task of a queue and returns false if it has to go on waiting.
 func (d *Decider) tryFirst(now time.Time, q *queue) bool {
 	state := q.First()
@@ -128,7 +137,7 @@
 // Work that ends soon or can be preempted may; long work that cannot leaves the guarantees free.
 func (d *Decider) mayBorrow(state *task, demand cwmodel.Resources) bool {
 	p := state.profile
-	if d.opts.WithoutFloors || isPreemptible(state) || p.account.IsBelowFloor(d.fleet.Total()) {
+	if d.opts.WithoutFloors || isPreemptible(state) || p.account.IsBelowFloor() {
 		return true
 	}
 	expected := p.estimate.LongRunTime(p.RunTime)
@@ -142,7 +151,7 @@
 func (d *Decider) unusedGuarantees(except *profile) (sum cwmodel.Resources) {
 	total := d.fleet.Total()
 	for _, p := range d.profiles {
-		unused := p.GuaranteedShare - p.account.Share(total)
+		unused := p.GuaranteedShare - p.account.Share()
 		if p == except || p.retired || !p.isActive || unused <= 0 {
 			continue
 		}
@@ -212,10 +221,10 @@
 
 const maxMisfits = 8
 
-// isMisfit reports whether this demand, or a smaller one, found no worker in the present pass.
+// isMisfit reports whether this demand, or a smaller one that may use the same workers, found none in the present pass.
 func (d *Decider) isMisfit(demand cwmodel.Resources) bool {
 	for _, m := range d.misfits[:min(len(d.misfits), maxMisfits)] {
-		if m.FitsIn(demand) {
+		if m.FitsIn(demand) && (m.Accelerators > 0) == (demand.Accelerators > 0) {
 			return true
 		}
 	}
--- a/internal/core/cwdecider/preempt.go
+++ b/internal/core/cwdecider/preempt.go
@@ -57,11 +57,10 @@
 
 // mayPreempt reports whether p may take capacity from v: never from what v is entitled to.
 func (d *Decider) mayPreempt(p, v *profile) bool {
-	total := d.fleet.Total()
-	if p == v || v.account.IsBelowFloor(total) {
+	if p == v || v.account.IsBelowFloor() {
 		return false
 	}
-	return p.rank < v.rank || p.account.IsBelowFloor(total)
+	return p.rank < v.rank || p.account.IsBelowFloor()
 }
 
 // makeWay preempts tasks on one worker so that a blocked task fits there.
--- a/internal/core/cwdecider/profile.go
+++ b/internal/core/cwdecider/profile.go
@@ -76,6 +76,17 @@
 	})
 }
 
+// updateShares recomputes all shares after a change of the fleet or the configuration.
+func (d *Decider) updateShares() {
+	total := d.fleet.Total()
+	for _, p := range d.profiles {
+		p.account.Update(total)
+	}
+	for _, t := range d.teams {
+		t.account.Update(total)
+	}
+}
+
 func (d *Decider) teamOf(name cwmodel.TeamName) *team {
 	if t, ok := d.teams[name]; ok {
 		return t
@@ -118,6 +129,7 @@
 		t.account.Weight, t.quota = settings.Weight, settings.Quota
 		t.account.Quota = partOf(settings.Quota, d.opts.QuotaShare)
 	}
+	d.updateShares()
 }
 
 func partOf(quota cwmodel.Resources, share float64) cwmodel.Resources {
--- a/internal/core/cwdecider/reserve.go
+++ b/internal/core/cwdecider/reserve.go
@@ -33,9 +33,8 @@
 
 func (d *Decider) newReservation(now time.Time) {
 	var blocked *task
-	total := d.fleet.Total()
 	for _, p := range d.profiles {
-		if p.waiting == 0 || !p.account.IsBelowFloor(total) {
+		if p.waiting == 0 || !p.account.IsBelowFloor() {
 			continue
 		}
 		for _, q := range p.queues {
--- a/internal/core/cwdecider/usage.go
+++ b/internal/core/cwdecider/usage.go
@@ -30,8 +30,8 @@
 	}
 	d.fleet.Adjust(state.worker.node, delta)
 	state.reserved = state.reserved.Plus(delta)
-	state.profile.account.Used = state.profile.account.Used.Plus(delta)
-	state.team.account.Used = state.team.account.Used.Plus(delta)
+	state.profile.account.Charge(delta, d.fleet.Total())
+	state.team.account.Charge(delta, d.fleet.Total())
 }
 
 // relieve acts on a worker whose tasks have outgrown it: throttle for processors; for memory
--- a/internal/core/cwdecider/worker.go
+++ b/internal/core/cwdecider/worker.go
@@ -29,6 +29,7 @@
 	added := &worker{node: cwcapacity.NewNode(w), epoch: epoch, breaker: d.breakerOf(w.ID)}
 	d.workers[w.ID] = added
 	d.fleet.Add(added.node)
+	d.updateShares()
 	d.addRack(w.Rack)
 	for _, r := range running {
 		d.adoptRunning(now, added, r)
@@ -107,6 +108,7 @@
 	d.dropHoldsOn(lost)
 	delete(d.workers, id)
 	d.fleet.Remove(lost.node)
+	d.updateShares()
 	if lost.breaker.State(now) == cwquarantine.StateClosed {
 		delete(d.breakers, id)
 	}
--- a/internal/core/cwfairness/account.go
+++ b/internal/core/cwfairness/account.go
@@ -13,20 +13,33 @@
 	Floor   float64 // share of the fleet that comes before anybody's surplus
 	Ceiling float64 // share of the fleet that is never exceeded; zero for no limit
 	Quota   cwmodel.Resources
+
+	share    float64
+	weighted float64
 }
 
-// Share returns the dominant share of the fleet that is in use.
-func (a *Account) Share(total cwmodel.Resources) float64 { return a.Used.DominantShare(total) }
+// Charge adds to what is used; total is the capacity of the fleet.
+func (a *Account) Charge(amount, total cwmodel.Resources) {
+	a.Used = a.Used.Plus(amount)
+	a.Update(total)
+}
 
-// Weighted returns the dominant share divided by the weight.
-func (a *Account) Weighted(total cwmodel.Resources) float64 {
-	return a.Share(total) / max(a.Weight, minWeight)
+// Update recomputes the shares after a change of the use, the weight or the fleet.
+func (a *Account) Update(total cwmodel.Resources) {
+	a.share = a.Used.DominantShare(total)
+	a.weighted = a.share / max(a.Weight, minWeight)
 }
 
 const minWeight = 1e-6
 
+// Share returns the dominant share of the fleet that is in use.
+func (a *Account) Share() float64 { return a.share }
+
+// Weighted returns the dominant share divided by the weight.
+func (a *Account) Weighted() float64 { return a.weighted }
+
 // IsBelowFloor reports whether less than the floor is in use.
-func (a *Account) IsBelowFloor(total cwmodel.Resources) bool { return a.Share(total) < a.Floor }
+func (a *Account) IsBelowFloor() bool { return a.share < a.Floor }
 
 // Allows reports whether a demand keeps within the ceiling; a first task is always allowed.
 func (a *Account) Allows(demand, total cwmodel.Resources) bool {
