--- /dev/null
+++ b/internal/bench/cwexperiment/decision_test.go
@@ -0,0 +1,69 @@
+package cwexperiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"currantward/internal/core/cwdecider"
+	"currantward/internal/core/cwmodel"
+)
+
+// BenchmarkDecision replaces one running task by a new one in a full fleet: one end, one submission, one start.
+func BenchmarkDecision(b *testing.B) {
+	for _, count := range []int{50, 700, 7000} {
+		b.Run(fmt.Sprint(count, "-workers"), func(b *testing.B) { benchmarkDecision(b, count) })
+	}
+}
+
+func benchmarkDecision(b *testing.B, count int) {
+	d := Nilecraft()
+	d.Workers = fleet("runner", count, resources(64, 256, 0, 8, 60))
+	decider := cwdecider.New(cwdecider.Options{Seed: 1})
+	now := start
+	decider.Configure(now, d.configuration())
+	for _, w := range d.Workers {
+		decider.AddWorker(now, w, 1, nil)
+	}
+	ids := make([]cwmodel.TaskID, 1<<20)
+	for n := range ids {
+		ids[n] = cwmodel.TaskID(fmt.Sprint(n))
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	var live []cwmodel.Attempt
+	next := 0
+	submit := func() {
+		p := d.Streams[random.IntN(len(d.Streams))].Profile
+		decider.Submit(now, cwmodel.Task{
+			ID: ids[next%len(ids)], Attempt: 1, Profile: p.Name, Team: teamName(random.IntN(d.Teams)), Kind: p.Kind, Demand: p.Demand,
+			Arrived: now, Deadline: now.Add(time.Hour), Lease: p.Lease, MaxAttempts: 1,
+		})
+		next++
+		for _, a := range decider.Actions() {
+			if a.Kind == cwdecider.ActionStart {
+				live = append(live, a.Attempt)
+			}
+		}
+	}
+	for range count * 6 {
+		submit()
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		now = now.Add(time.Millisecond)
+		at := random.IntN(len(live))
+		ended := live[at]
+		live[at] = live[len(live)-1]
+		live = live[:len(live)-1]
+		decider.Ended(now, cwmodel.Result{Attempt: ended, End: cwmodel.EndDone, Began: now.Add(-time.Second), Ended: now})
+		for _, a := range decider.Actions() {
+			if a.Kind == cwdecider.ActionStart {
+				live = append(live, a.Attempt)
+			}
+		}
+		submit()
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "decisions/s")
+}
--- a/internal/bench/cwexperiment/report.go
+++ b/internal/bench/cwexperiment/report.go
@@ -30,12 +30,12 @@
 	window  time.Duration
 	spent   time.Duration
 	costs   []time.Duration
-	area    used
+	area    Use
 	over    time.Duration
 }
 
-// used are shares of the fleet's processors, memory, accelerators and slots, times seconds while they are added up.
-type used struct{ processors, memory, accelerators, slots float64 }
+// Use holds shares of the fleet's processors, memory, accelerators and slots.
+type Use struct{ processors, memory, accelerators, slots float64 }
 
 func newReport(engine string) *Report {
 	return &Report{
@@ -117,13 +117,13 @@
 }
 
 // Packing returns the mean use of each dimension over the counted part of the run.
-func (r *Report) Packing() (u used) {
+func (r *Report) Packing() (u Use) {
 	seconds := max(r.over.Seconds(), 1e-9)
-	return used{r.area.processors / seconds, r.area.memory / seconds, r.area.accelerators / seconds, r.area.slots / seconds}
+	return Use{r.area.processors / seconds, r.area.memory / seconds, r.area.accelerators / seconds, r.area.slots / seconds}
 }
 
 // bottleneck returns the use of the host dimension, processors, memory or slots, that is used most.
-func (u used) bottleneck() float64 { return max(u.processors, u.memory, u.slots) }
+func (u Use) bottleneck() float64 { return max(u.processors, u.memory, u.slots) }
 
 // Cost returns a quantile of the time that one event took.
 func (r *Report) Cost(q float64) time.Duration { return quantile(r.costs, q) }
--- a/internal/core/cwdecider/decider.go
+++ b/internal/core/cwdecider/decider.go
@@ -51,11 +51,10 @@
 	Violated func(message string)
 
 	// Switches for measurements of the policy without one of its parts.
-	WithoutRetryBudget bool
-	WithoutJitter      bool
-	WithoutBreaker     bool
-	WithoutEstimates   bool
-	WithoutFloors      bool
+	WithoutJitter    bool
+	WithoutBreaker   bool
+	WithoutEstimates bool
+	WithoutFloors    bool
 }
 
 func (o *Options) setDefaults() {
@@ -99,6 +98,7 @@
 	revoked  tombstones
 	waiting  int
 	running  int
+	failing  int // workers whose latest result is a failure
 	pass     uint64
 	misfits  []cwmodel.Resources // demands that found no worker in the present pass
 	free     []*task             // records for reuse
--- a/internal/core/cwdecider/preempt.go
+++ b/internal/core/cwdecider/preempt.go
@@ -72,20 +72,25 @@
 	if !state.profile.account.Allows(demand, d.fleet.Total()) || !state.team.account.InQuota(demand) || d.CanStart(demand) {
 		return false
 	}
+	return d.preemptFor(now, state, demand) != nil
+}
+
+// preemptFor preempts tasks of the least urgent profile that allows it and returns their worker, or nil.
+func (d *Decider) preemptFor(now time.Time, state *task, demand cwmodel.Resources) *worker {
 	for n := len(d.profiles) - 1; n >= 0; n-- {
 		v := d.profiles[n]
 		if len(v.victims) == 0 || !d.mayPreempt(state.profile, v) {
 			continue
 		}
-		if d.makeWayFrom(now, state, demand, v) {
-			return true
+		if w := d.makeWayFrom(now, state, demand, v); w != nil {
+			return w
 		}
 	}
-	return false
+	return nil
 }
 
 // makeWayFrom looks at the latest started victims of one profile, which lose the least work.
-func (d *Decider) makeWayFrom(now time.Time, state *task, demand cwmodel.Resources, v *profile) bool {
+func (d *Decider) makeWayFrom(now time.Time, state *task, demand cwmodel.Resources, v *profile) *worker {
 	for n := len(v.victims) - 1; n >= max(len(v.victims)-maxCandidates, 0); n-- {
 		candidate := v.victims[n]
 		w := candidate.worker
@@ -100,10 +105,10 @@
 		}
 		if len(victims) > 0 {
 			state.relief = now.Add(reliefLimit)
-			return true
+			return w
 		}
 	}
-	return false
+	return nil
 }
 
 func stopModeOf(victim *task) cwmodel.StopMode {
--- a/internal/core/cwdecider/profile.go
+++ b/internal/core/cwdecider/profile.go
@@ -10,7 +10,6 @@
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwpolicy"
 	"currantward/internal/core/cwquarantine"
-	"currantward/internal/core/cwretry"
 )
 
 // profile is a profile with its queues, its use and what was learned of it.
@@ -26,7 +25,6 @@
 	victims  []*task
 	estimate cwestimate.Estimate
 	failures cwquarantine.Rate
-	budget   cwretry.Budget
 	rate     rate
 	busyAt   time.Time // when it last had work
 	isActive bool      // it had work within guaranteeMemory
--- a/internal/core/cwdecider/quarantine.go
+++ b/internal/core/cwdecider/quarantine.go
@@ -22,10 +22,11 @@
 	if d.opts.WithoutBreaker {
 		return
 	}
+	d.noteFailing(w, failed)
 	switch {
 	case !failed:
 		w.breaker.Succeeded(now)
-	case expected > commonFailure:
+	case expected > commonFailure || d.failsEverywhere():
 		return
 	case w.suspect || 2*(len(d.suspects)+1) <= len(d.workers):
 		w.breaker.Failed(now, expected)
@@ -36,6 +37,27 @@
 	d.refresh(w)
 }
 
+// noteFailing counts the workers whose latest result is a failure.
+func (d *Decider) noteFailing(w *worker, failed bool) {
+	if w.failing == failed {
+		return
+	}
+	w.failing = failed
+	if failed {
+		d.failing++
+		return
+	}
+	d.failing--
+}
+
+// failsEverywhere reports whether so many workers fail at once that the cause is not in any one of them.
+func (d *Decider) failsEverywhere() bool {
+	return d.failing > 1 && float64(d.failing) > maxFailing*float64(len(d.workers))
+}
+
+// maxFailing is the part of the workers that may fail before no worker is blamed.
+const maxFailing = 0.2
+
 func (d *Decider) suspect(w *worker) {
 	if !w.suspect {
 		w.suspect = true
--- a/internal/core/cwdecider/reserve.go
+++ b/internal/core/cwdecider/reserve.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"currantward/internal/core/cwmodel"
 )
 
 // reservation gathers capacity for one blocked task or gang at a time, so that smaller work cannot starve it.
@@ -91,7 +93,7 @@
 		node := d.findNode(state, demand)
 		if node == nil {
 			missing++
-			d.keepWorker(state)
+			d.clearWorker(now, state, demand)
 			continue
 		}
 		r.places[n] = d.workers[node.Worker().ID]
@@ -121,6 +123,18 @@
 // maxKept bounds the workers that one reservation closes to other work.
 const maxKept = 64
 
+// clearWorker preempts tasks on a worker for a reserved task, or else has the emptiest worker drain.
+func (d *Decider) clearWorker(now time.Time, state *task, demand cwmodel.Resources) {
+	if state.relief.After(now) {
+		return
+	}
+	if w := d.preemptFor(now, state, demand); w != nil {
+		d.reserved.kept = append(d.reserved.kept, w)
+		return
+	}
+	d.keepWorker(state)
+}
+
 // keepWorker chooses the emptiest worker that could hold a task once it has drained.
 func (d *Decider) keepWorker(state *task) {
 	r := d.reserved
--- a/internal/core/cwdecider/settle.go
+++ b/internal/core/cwdecider/settle.go
@@ -40,7 +40,6 @@
 	}
 	if r.End == cwmodel.EndDone {
 		state.profile.estimate.Used(state.Demand, r.Used)
-		state.profile.budget.Earn()
 	}
 }
 
@@ -113,22 +112,19 @@
 	return false
 }
 
-// retry arranges a further attempt after a delay, inside the deadline and the budget of the profile.
+// retry arranges a further attempt after a delay, inside the deadline.
 func (d *Decider) retry(now time.Time, state *task, ran bool) bool {
 	if ran && (!state.Repeatable || state.ran-state.moved >= state.MaxAttempts) {
 		return false
 	}
-	delay := cwretry.Base
+	delay := cwretry.Base(ran)
 	if !d.opts.WithoutJitter {
-		delay = cwretry.Delay(d.random, state.delay)
+		delay = cwretry.Delay(d.random, delay, state.delay)
 	}
 	due := now.Add(delay)
 	if !state.Deadline.IsZero() && !due.Add(d.shortRunTime(state.profile, state.Task)).Before(state.Deadline) {
 		return false
 	}
-	if !d.opts.WithoutRetryBudget && !state.profile.budget.Spend() {
-		return false
-	}
 	state.delay, state.phase = delay, phaseDelayed
 	d.setAlarm(state, due)
 	return true
--- a/internal/core/cwdecider/worker.go
+++ b/internal/core/cwdecider/worker.go
@@ -18,6 +18,7 @@
 	probing bool // a probe runs on it
 	breaker *cwquarantine.Breaker
 	suspect bool // listed as a suspect
+	failing bool // its latest result is a failure
 }
 
 // AddWorker takes an owned worker with its inventory; what runs there is counted before anything is placed.
@@ -113,6 +114,7 @@
 		delete(d.breakers, id)
 	}
 	d.forgetSuspect(lost)
+	d.noteFailing(lost, false)
 	for len(lost.tasks) > 0 {
 		state := lost.tasks[len(lost.tasks)-1]
 		if state.Durable && !state.answered {
--- a/internal/core/cwretry/retry.go
+++ b/internal/core/cwretry/retry.go
@@ -35,32 +35,21 @@
 
 // Bounds of the delay before a further attempt.
 const (
-	Base = 10 * time.Millisecond
-	Cap  = 2 * time.Second
+	baseAgain  = 10 * time.Millisecond  // after an attempt that never began
+	baseRepeat = 100 * time.Millisecond // after an attempt that ran
+	longest    = 2 * time.Second
 )
 
-// Delay draws the next delay by decorrelated jitter: evenly between the base and three times the previous delay.
-func Delay(random *rand.Rand, previous time.Duration) time.Duration {
-	upper := min(max(3*previous, 2*Base), Cap)
-	return Base + time.Duration(random.Int64N(int64(upper-Base)))
+// Base returns the shortest delay before a further attempt.
+func Base(ran bool) time.Duration {
+	if ran {
+		return baseRepeat
+	}
+	return baseAgain
 }
 
-// Budget bounds retries to a part of the work that ends well.
-type Budget struct{ spent float64 }
-
-const (
-	burst    = 50.0 // retries that are always allowed
-	perEnded = 0.2  // retries that each task that ended well adds
-)
-
-// Earn counts one task that ended well.
-func (b *Budget) Earn() { b.spent = max(b.spent-perEnded, 0) }
-
-// Spend takes one retry and reports whether the budget held it.
-func (b *Budget) Spend() bool {
-	if b.spent+1 > burst {
-		return false
-	}
-	b.spent++
-	return true
+// Delay draws the next delay by decorrelated jitter: evenly between the base and three times the previous delay.
+func Delay(random *rand.Rand, base, previous time.Duration) time.Duration {
+	upper := min(max(3*previous, 2*base), longest)
+	return base + time.Duration(random.Int64N(int64(upper-base)))
 }
