--- a/internal/core/cwdecider/decider.go
+++ b/internal/core/cwdecider/decider.go
@@ -95,6 +95,7 @@
 	spread   map[cwmodel.JobID]rackCount // where gangs and services run
 	alarms   cwheap.Heap[task]
 	reserved *reservation
+	rooms    []*task // have a worker that is being cleared for them
 	revoked  tombstones
 	waiting  int
 	running  int
@@ -227,6 +228,7 @@
 func (d *Decider) Tick(now time.Time) {
 	d.ringAlarms(now)
 	d.expireHolds(now)
+	d.expireRooms(now)
 	d.review(now)
 	for _, p := range d.profiles {
 		p.noteWork(now)
--- a/internal/core/cwdecider/place.go
+++ b/internal/core/cwdecider/place.go
@@ -91,7 +91,7 @@
 // isFirstMisfit reports whether the first task of a queue is known to find no worker in the present pass.
 func (d *Decider) isFirstMisfit(q *queue) bool {
 	state := q.First()
-	return state.gang == nil && len(d.suspects) == 0 && d.isMisfit(d.reservation(state))
+	return state.gang == nil && state.room == nil && len(d.suspects) == 0 && d.isMisfit(d.reservation(state))
 }
 
 // tryFirst starts or answers the first task of a queue and returns false if it has to go on waiting.
@@ -112,7 +112,10 @@
 	if !d.mayUse(state, demand) {
 		return false
 	}
-	w := d.findWorker(now, state, demand)
+	w := state.readyRoom(demand)
+	if w == nil {
+		w = d.findWorker(now, state, demand)
+	}
 	if w == nil {
 		return false
 	}
--- a/internal/core/cwdecider/preempt.go
+++ b/internal/core/cwdecider/preempt.go
@@ -1,6 +1,7 @@
 package cwdecider
 
 import (
+	"slices"
 	"time"
 
 	"currantward/internal/core/cwmodel"
@@ -9,6 +10,7 @@
 // Bounds of one round of preemption.
 const (
 	maxPreemptions = 16              // tasks that one round makes room for
+	maxRooms       = 64              // workers that are being cleared at once
 	maxCandidates  = 64              // victims that are looked at for one of them
 	reliefLimit    = 2 * time.Second // how long a preemption may take before it is tried again
 )
@@ -65,14 +67,58 @@
 
 // makeWay preempts tasks on one worker so that a blocked task fits there.
 func (d *Decider) makeWay(now time.Time, state *task) bool {
-	if state.relief.After(now) || state.gang != nil || d.isReserved(state) {
+	if state.relief.After(now) || state.gang != nil || d.isReserved(state) || len(d.rooms) >= maxRooms {
 		return false
 	}
 	demand := d.reservation(state)
 	if !state.profile.account.Allows(demand, d.fleet.Total()) || !state.team.account.InQuota(demand) || d.CanStart(demand) {
 		return false
 	}
-	return d.preemptFor(now, state, demand) != nil
+	w := d.preemptFor(now, state, demand)
+	if w == nil {
+		return false
+	}
+	state.room, w.cleared = w, true
+	d.rooms = append(d.rooms, state)
+	d.refresh(w)
+	return true
+}
+
+// readyRoom returns the worker that was cleared for a task once it holds the demand.
+func (t *task) readyRoom(demand cwmodel.Resources) *worker {
+	if t.room == nil || t.room.suspect || t.room.leaving || !demand.FitsIn(t.room.node.Free()) {
+		return nil
+	}
+	return t.room
+}
+
+// releaseRoom opens the worker that was cleared for a task.
+func (d *Decider) releaseRoom(state *task) {
+	if state.room == nil {
+		return
+	}
+	state.room.cleared = false
+	d.refresh(state.room)
+	state.room = nil
+	d.rooms = slices.DeleteFunc(d.rooms, func(t *task) bool { return t == state })
+}
+
+// expireRooms gives up preemptions that took too long.
+func (d *Decider) expireRooms(now time.Time) {
+	for n := len(d.rooms) - 1; n >= 0; n-- {
+		if !d.rooms[n].relief.After(now) {
+			d.releaseRoom(d.rooms[n])
+		}
+	}
+}
+
+// releaseRoomsOn gives up the preemptions on a worker that is no longer owned.
+func (d *Decider) releaseRoomsOn(w *worker) {
+	for n := len(d.rooms) - 1; n >= 0; n-- {
+		if d.rooms[n].room == w {
+			d.releaseRoom(d.rooms[n])
+		}
+	}
 }
 
 // preemptFor preempts tasks of the least urgent profile that allows it and returns their worker, or nil.
--- a/internal/core/cwdecider/queue.go
+++ b/internal/core/cwdecider/queue.go
@@ -50,6 +50,7 @@
 // dequeue takes a task out of its queue and gives back what was reserved for it.
 func (d *Decider) dequeue(state *task) {
 	d.releaseReservationOf(state)
+	d.releaseRoom(state)
 	state.queue.Remove(state)
 	state.profile.waiting--
 	d.waiting--
--- a/internal/core/cwdecider/task.go
+++ b/internal/core/cwdecider/task.go
@@ -47,6 +47,7 @@
 	alarm    time.Time
 	certain  time.Time // when a lost attempt is known to be over
 	relief   time.Time // until when a preemption for it is under way
+	room     *worker   // kept free for it meanwhile
 	probe    bool
 
 	cancelled bool
--- a/internal/core/cwdecider/worker.go
+++ b/internal/core/cwdecider/worker.go
@@ -14,7 +14,8 @@
 	epoch   cwmodel.Epoch
 	tasks   []*task
 	leaving bool
-	kept    bool // reserved for a blocked task
+	kept    bool // closed until a reservation has room on it
+	cleared bool // closed until the task that others were preempted for has started
 	probing bool // a probe runs on it
 	breaker *cwquarantine.Breaker
 	suspect bool // listed as a suspect
@@ -106,6 +107,7 @@
 func (d *Decider) forget(now time.Time, lost *worker, renewed time.Time) (durable []*task) {
 	id := lost.node.Worker().ID
 	d.releaseKept(lost)
+	d.releaseRoomsOn(lost)
 	d.dropHoldsOn(lost)
 	delete(d.workers, id)
 	d.fleet.Remove(lost.node)
@@ -183,7 +185,7 @@
 
 // refresh opens or closes a worker for new work.
 func (d *Decider) refresh(w *worker) {
-	if !w.leaving && !w.kept && !w.suspect {
+	if !w.leaving && !w.kept && !w.cleared && !w.suspect {
 		d.fleet.Open(w.node)
 		return
 	}
