--- a/internal/app/cwdev/dev_test.go
+++ b/internal/app/cwdev/dev_test.go
@@ -21,7 +21,7 @@
 	"currantward/internal/standin/cwrunner"
 )
 
-func startDeployment(t *testing.T) *cwdev.Deployment {
+func startDeployment(t testing.TB) *cwdev.Deployment {
 	t.Helper()
 	is := is.New(t)
 	document := cwsettings.Defaults()
--- a/internal/app/cwdev/job_test.go
+++ b/internal/app/cwdev/job_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -11,7 +13,9 @@
 
 	"currantward/internal/adapter/cwcodec"
 	"currantward/internal/adapter/cwfront"
+	"currantward/internal/app/cwdev"
 	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwtimer"
 )
 
 func TestJobIsServedFromEndToEnd(t *testing.T) {
@@ -99,3 +103,57 @@
 	}
 	is.Equal(len(ids), 1)
 }
+
+// BenchmarkJobStarts submits jobs at the peak rate of 45 task starts a second; -benchtime 450x takes ten seconds for each case.
+func BenchmarkJobStarts(b *testing.B) {
+	cases := []struct {
+		name  string
+		tasks int
+	}{{"one task a job", 1}, {"ten tasks a job", 10}}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) { benchmarkStarts(b, c.tasks) })
+	}
+}
+
+func benchmarkStarts(b *testing.B, tasks int) {
+	const starts = 45
+	d := startDeployment(b)
+	client, stop := cwhttp.NewClient(cwhttp.DefaultClientOptions())
+	defer stop()
+	timer, stopTimer := cwtimer.New()
+	defer stopTimer()
+	jobs := max(b.N/tasks, 1)
+	body := json.RawMessage(fmt.Sprintf(`{"profile":"bundles","team":"riders","tasks":%d,"payload":{"bundle":1}}`, tasks))
+	before, began := d.Entry.LedgerStats(), timer.Now()
+	accepted := make(chan error, jobs)
+	for range jobs {
+		go func() {
+			accepted <- client.Call(context.Background(), "POST", d.Entry.Callers, cwfront.PathJobs, body, nil)
+		}()
+		timer.Sleep(nil, time.Duration(tasks)*time.Second/starts)
+	}
+	for range jobs {
+		if err := <-accepted; err != nil {
+			b.Fatal(err)
+		}
+	}
+	for is := awaitEnds(b, client, d); !is; is = awaitEnds(b, client, d) {
+		timer.Sleep(nil, 10*time.Millisecond)
+	}
+	stats, took := d.Entry.LedgerStats(), timer.Now().Sub(began).Seconds()
+	rows, transactions := float64(stats.Rows-before.Rows), float64(stats.Transactions-before.Transactions)
+	b.ReportMetric(rows/float64(jobs*tasks), "rows/start")
+	b.ReportMetric(transactions/float64(jobs*tasks), "transactions/start")
+	b.ReportMetric(rows/took, "rows/s")
+	b.ReportMetric(transactions/took, "transactions/s")
+}
+
+// awaitEnds reports whether every listed job is over.
+func awaitEnds(b *testing.B, client *cwhttp.Client, d *cwdev.Deployment) bool {
+	b.Helper()
+	var list cwcodec.JobList
+	if err := client.Call(context.Background(), "GET", d.Entry.Callers, cwfront.PathJobs+"?team=riders", nil, &list); err != nil {
+		b.Fatal(err)
+	}
+	return !slices.ContainsFunc(list.Jobs, func(j cwcodec.JobView) bool { return !j.Over })
+}
--- a/internal/app/cwentry/entry.go
+++ b/internal/app/cwentry/entry.go
@@ -116,6 +116,7 @@
 		return nil, nil, err
 	}
 	e.publishGauges()
+	e.publishLedger()
 	close(e.started)
 	opts.Log.WithFields(logrus.Fields{
 		"host-id": opts.Settings.HostID, "data-centre": opts.Settings.DataCentre, "callers": e.Callers, "operators": e.Operators, "peers": e.Peers,
--- a/internal/app/cwentry/jobs.go
+++ b/internal/app/cwentry/jobs.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"slices"
+	"time"
 
 	"currantward/internal/app/cwintent"
 	"currantward/internal/app/cwjobs"
 	"currantward/internal/app/cwledger"
+	"currantward/internal/app/cwsweep"
 	"currantward/internal/core/cwjob"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/port/cwport"
@@ -40,6 +42,50 @@
 	intents.Timer, intents.Log, intents.Table, intents.Objects, intents.Self = o.Timer, o.Log, o.Table, o.Objects, home
 	intents.Write, intents.Go, intents.IsLive = e.ledger.Write, e.pool.Submit, e.isLivePeer
 	e.intents = cwintent.New(intents)
+	e.startSweep()
+}
+
+// How long rows are kept, and how fast the sweep goes round.
+const (
+	keepIntents = 24 * time.Hour
+	keepJobs    = 48 * time.Hour
+	sweepEvery  = 30 * time.Second
+	sweepPage   = 100
+	sweepCall   = 5 * time.Second
+)
+
+// startSweep starts the duty that removes expired intents and ended jobs.
+func (e *Entry) startSweep() {
+	o := e.opts
+	e.cleanup.Add(cwsweep.New(cwsweep.Options{
+		Timer: o.Timer, Log: o.Log, Table: o.Table, Objects: o.Objects, Write: e.ledger.Write,
+		Every: sweepEvery, PageSize: sweepPage, CallLimit: sweepCall,
+		Rules: []cwsweep.Rule{
+			{Prefix: cwintent.Prefix, Expired: func(now time.Time, value []byte) ([]string, bool) {
+				return cwintent.Expired(now, value, keepIntents)
+			}},
+			{Prefix: cwjobs.PrefixEnded, Expired: func(now time.Time, value []byte) ([]string, bool) {
+				return cwjobs.Expired(now, value, keepJobs)
+			}},
+		},
+	}))
+}
+
+// LedgerStats returns what this host has written through its ledger.
+func (e *Entry) LedgerStats() cwledger.Stats { return e.ledger.Stats() }
+
+// publishLedger publishes the counts of the ledger.
+func (e *Entry) publishLedger() {
+	e.metrics.Gauge("currantward_ledger_transactions", "Calls that the ledger made to the table.", func() float64 { return float64(e.ledger.Stats().Transactions) })
+	e.metrics.Gauge("currantward_ledger_rows", "Rows that the ledger has written.", func() float64 { return float64(e.ledger.Stats().Rows) })
+	e.metrics.Gauge("currantward_table_away", "One while the table cannot be reached.", func() float64 { return boolGauge(e.ledger.IsAway()) })
+}
+
+func boolGauge(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
 }
 
 func (e *Entry) isLivePeer(host cwmodel.HostID) bool {
--- a/internal/app/cwintent/intent.go
+++ b/internal/app/cwintent/intent.go
@@ -212,3 +212,15 @@
 func unknown(id cwmodel.TaskID, message string) cwmodel.Answer {
 	return cwmodel.Answer{Task: id, Outcome: cwmodel.OutcomeUnknown, Message: message}
 }
+
+// Expired reports whether an intent is older than keep, and which object belongs to it.
+func Expired(now time.Time, value []byte, keep time.Duration) (objects []string, ok bool) {
+	var intent cwcodec.Intent
+	if json.Unmarshal(value, &intent) != nil || now.Sub(intent.Recorded) < keep {
+		return nil, false
+	}
+	if intent.PayloadKey != "" {
+		objects = append(objects, intent.PayloadKey)
+	}
+	return objects, true
+}
--- a/internal/app/cwjobs/entry.go
+++ b/internal/app/cwjobs/entry.go
@@ -219,6 +219,9 @@
 	} else {
 		w.Puts = []cwport.Put{{Key: keyLive(e.id), Value: value}}
 	}
+	if former := e.job.Home.Host; former != e.next.Home.Host {
+		w.Deletes = append(w.Deletes, keyHint(former, e.id))
+	}
 	if home := e.next.Home.Host; home != j.opts.Self.Host {
 		w.Puts = append(w.Puts, cwport.Put{Key: keyHint(home, e.id)})
 	}
--- a/internal/app/cwjobs/submit.go
+++ b/internal/app/cwjobs/submit.go
@@ -261,3 +261,23 @@
 		done:  func(bool) { c.reply(cwledger.Committed) },
 	})
 }
+
+// PrefixEnded starts the keys of the rows of ended jobs.
+const PrefixEnded = prefixEnded
+
+// Expired reports whether a job has ended longer than keep ago, and which objects belong to it.
+func Expired(now time.Time, value []byte, keep time.Duration) (objects []string, ok bool) {
+	job, err := cwcodec.DecodeJob(value)
+	if err != nil || job.Ended.IsZero() || now.Sub(job.Ended) < keep {
+		return nil, false
+	}
+	if job.PayloadKey != "" {
+		objects = append(objects, job.PayloadKey)
+	}
+	for _, t := range job.Tasks {
+		if t.AnswerKey != "" {
+			objects = append(objects, t.AnswerKey)
+		}
+	}
+	return objects, true
+}
--- /dev/null
+++ b/internal/app/cwsweep/sweep_test.go
@@ -0,0 +1,51 @@
+package cwsweep
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"currantward/internal/adapter/cwmemory"
+	"currantward/internal/app/cwledger"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/port/cwport"
+)
+
+func TestSweepRemovesWhatHasExpired(t *testing.T) {
+	cases := []struct {
+		name       string
+		rows, page int
+		refuses    bool // the object store is away
+		left       int
+	}{
+		{"nothing", 0, 10, false, 0},
+		{"one page", 6, 10, false, 3},
+		{"several pages", 50, 7, false, 25},
+		{"objects cannot be removed", 6, 10, true, 6},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table, clock := cwmemory.NewTable(), cwtimer.NewManual(time.Unix(1000, 0))
+			faulty := cwmemory.NewFaulty(clock.Service, 1)
+			faulty.Set(cwmemory.Faults{Down: c.refuses})
+			for n := range c.rows {
+				is.NoErr(table.Commit(cwport.Txn{Puts: []cwport.Put{{Key: fmt.Sprintf("old/%03d", n), Value: []byte{byte(n % 2)}}}}))
+			}
+			rule := Rule{Prefix: "old/", Expired: func(_ time.Time, value []byte) ([]string, bool) { return []string{"object"}, value[0] == 1 }}
+			s := &Sweep{opts: Options{
+				Timer: clock.Service, Log: cwlog.Discard(), Table: table.Port(), Objects: faulty.Objects(cwmemory.NewObjects().Port()),
+				Rules: []Rule{rule, {Prefix: "other/"}}, PageSize: c.page, CallLimit: time.Second,
+				Write: func(e cwledger.Entry) { _ = table.Commit(cwport.Txn{Checks: e.Checks, Deletes: e.Deletes}) },
+			}}
+			for range 20 {
+				s.sweep(context.Background(), clock.Now())
+			}
+			is.Equal(len(table.Scan("old/", "", 1000)), c.left)
+		})
+	}
+}
