--- a/internal/app/cwcommand/command.go
+++ b/internal/app/cwcommand/command.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -19,6 +20,7 @@
 	"currantward/internal/app/cwdev"
 	"currantward/internal/app/cwsettings"
 	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwhttp"
 	"currantward/internal/base/cwlog"
 	"currantward/internal/base/cwtimer"
 )
@@ -203,14 +205,20 @@
 	return nil
 }
 
+// call carries out one operation on the listener for operators.
 func (r *runtime) call(a operatorArgs, method, path string, in, out any) error {
-	const limit = 10 * time.Second
 	client, stop, err := r.client(a)
 	if err != nil {
 		return err
 	}
 	defer stop()
+	return callWithin(client, a.Operators, method, path, in, out)
+}
+
+// callWithin carries out one call within the time that the command line grants.
+func callWithin(client *cwhttp.Client, addr netip.AddrPort, method, path string, in, out any) error {
+	const limit = 10 * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	return client.Call(ctx, method, a.Operators, path, in, out)
+	return client.Call(ctx, method, addr, path, in, out)
 }
