State and test what goes on, waits and is refused in an outage

Seen red: without the hook Once in cwintake 'keyed request, down' answers done; with a read-back that retries what it finds committed 'keyed request, answers lost' fails. 'job accept, answers lost' stays green then: the conflict finds the same job and returns it.

--- a/internal/app/cwdev/dev.go
+++ b/internal/app/cwdev/dev.go
@@ -36,7 +36,8 @@
 
 // Deployment is a running deployment.
 type Deployment struct {
-	Entry *cwentry.Entry
+	Entry    *cwentry.Entry
+	Platform netip.AddrPort
 }
 
 // anyPort lets the system choose a loopback port.
@@ -70,7 +71,7 @@
 	if err = Prepare(entry.Operators, client, opts); err != nil {
 		return nil, nil, err
 	}
-	return &Deployment{Entry: entry}, cleanup.Run, nil
+	return &Deployment{Entry: entry, Platform: platform}, cleanup.Run, nil
 }
 
 // StartEntry starts one entry host on the adapters that its settings name.
--- a/internal/app/cwdev/dev_test.go
+++ b/internal/app/cwdev/dev_test.go
@@ -42,6 +42,9 @@
 			}, {
 				Name: "bundles", Kind: cwmodel.KindBatch, Class: cwmodel.ClassBatch, Weight: 1, Ceiling: 1, QueueLimit: 100,
 				Lease: 10 * time.Second, MaxAttempts: 2, Repeatable: true, Demand: cwmodel.Resources{MilliProcessors: 1000},
+			}, {
+				Name: "orders", Kind: cwmodel.KindRequest, Class: cwmodel.ClassUrgent, Weight: 1, Ceiling: 1, QueueLimit: 100,
+				Deadline: 5 * time.Second, Lease: 10 * time.Second, MaxAttempts: 1, Demand: cwmodel.Resources{MilliProcessors: 1000, Slots: 1, Connections: 1},
 			}, {
 				Name: "all-at-once", Kind: cwmodel.KindGang, Class: cwmodel.ClassBatch, Weight: 1, Ceiling: 1, QueueLimit: 100,
 				Lease: 10 * time.Second, MaxAttempts: 2, Repeatable: true, Demand: cwmodel.Resources{MilliProcessors: 1000},
--- /dev/null
+++ b/internal/app/cwdev/outage_test.go
@@ -0,0 +1,111 @@
+package cwdev_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/adapter/cwfront"
+	"currantward/internal/app/cwdev"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/standin/cwstore"
+)
+
+// TestOutageTable holds the table of docs/design/jobs.md for what callers do while the platform misbehaves.
+func TestOutageTable(t *testing.T) {
+	slow := cwstore.Faults{Delay: cwcodec.Duration(150 * time.Millisecond)}
+	cases := []struct {
+		name   string
+		faults cwstore.Faults
+		method string
+		path   string
+		body   string
+		status int
+		says   string // outcome of an answer, or code of an error
+	}{
+		{"request, down", cwstore.Faults{Down: true}, "POST", cwfront.PathRequests, `{"profile":"diagnostics","team":"riders"}`, 200, "done"},
+		{"keyed request, down", cwstore.Faults{Down: true}, "POST", cwfront.PathRequests, `{"profile":"orders","team":"riders","idempotency-key":"a"}`, 503, "not-run"},
+		{"keyed request, slow", slow, "POST", cwfront.PathRequests, `{"profile":"orders","team":"riders","idempotency-key":"b"}`, 200, "done"},
+		{"keyed request, answers lost", cwstore.Faults{LoseAnswer: 2}, "POST", cwfront.PathRequests, `{"profile":"orders","team":"riders","idempotency-key":"c"}`, 200, "done"},
+		{"repeatable keyed request, down", cwstore.Faults{Down: true}, "POST", cwfront.PathRequests, `{"profile":"diagnostics","team":"riders","idempotency-key":"d"}`, 200, "done"},
+		{"job accept, down", cwstore.Faults{Down: true}, "POST", cwfront.PathJobs, `{"profile":"bundles","team":"riders"}`, 503, "unavailable"},
+		{"job accept, slow", slow, "POST", cwfront.PathJobs, `{"profile":"bundles","team":"riders"}`, 201, ""},
+		{"job accept, answers lost", cwstore.Faults{LoseAnswer: 2}, "POST", cwfront.PathJobs, `{"profile":"bundles","team":"riders"}`, 201, ""},
+		{"get, down", cwstore.Faults{Down: true}, "GET", cwfront.PathJobs + "/riders.none", "", 503, "unavailable"},
+		{"list, down", cwstore.Faults{Down: true}, "GET", cwfront.PathJobs + "?team=riders", "", 503, "unavailable"},
+		{"cancel, down", cwstore.Faults{Down: true}, "DELETE", cwfront.PathJobs + "/riders.none", "", 503, "unavailable"},
+	}
+	d := startDeployment(t)
+	client, stop := cwhttp.NewClient(cwhttp.ClientOptions{Timeout: 20 * time.Second, MaxConnsPerHost: 10, MaxResponseBytes: 1 << 20})
+	defer stop()
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			setFaults(t, client, d, c.faults)
+			defer setFaults(t, client, d, cwstore.Faults{})
+			status, body, err := client.Do(context.Background(), c.method, d.Entry.Callers, c.path, []byte(c.body))
+			is.NoErr(err)
+			is.Equal(status, c.status)
+			var said struct{ Outcome, Error string }
+			is.NoErr(json.Unmarshal(body, &said))
+			is.Equal(said.Outcome+said.Error, c.says)
+		})
+	}
+}
+
+func setFaults(t *testing.T, client *cwhttp.Client, d *cwdev.Deployment, faults cwstore.Faults) {
+	t.Helper()
+	if err := client.Call(context.Background(), "POST", d.Platform, cwstore.PathFaults, faults, nil); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestJobsGoOnThroughOutages lets tasks end, and a cancellation come, while the table is away.
+func TestJobsGoOnThroughOutages(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults cwstore.Faults
+	}{
+		{"down", cwstore.Faults{DownFor: cwcodec.Duration(time.Second)}},
+		{"answers lost", cwstore.Faults{LoseRate: 0.4, Seed: 3}},
+		{"slow", cwstore.Faults{Delay: cwcodec.Duration(100 * time.Millisecond)}},
+	}
+	d := startDeployment(t)
+	client, stop := cwhttp.NewClient(cwhttp.ClientOptions{Timeout: 20 * time.Second, MaxConnsPerHost: 10, MaxResponseBytes: 1 << 20})
+	defer stop()
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var view cwcodec.JobView
+			body := json.RawMessage(`{"profile":"bundles","team":"riders","tasks":3,"payload":{"simulate":{"run":"300ms"}}}`)
+			is.NoErr(client.Call(context.Background(), "POST", d.Entry.Callers, cwfront.PathJobs, body, &view))
+			path := cwfront.PathJobs + "/" + view.ID
+			for !isRunning(view) {
+				is.NoErr(client.Call(context.Background(), "GET", d.Entry.Callers, path, nil, &view))
+			}
+			setFaults(t, client, d, c.faults)
+			defer setFaults(t, client, d, cwstore.Faults{})
+			for !view.Over {
+				_ = client.Call(context.Background(), "GET", d.Entry.Callers, path, nil, &view)
+			}
+			for _, task := range view.Tasks {
+				is.Equal(task.Outcome, "done")
+				is.Equal(task.Attempts, 1)
+				is.True(len(task.Answer) > 0)
+			}
+		})
+	}
+}
+
+func isRunning(view cwcodec.JobView) bool {
+	for _, task := range view.Tasks {
+		if task.Phase != "ordered" {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/app/cwjobs/jobs.go
+++ b/internal/app/cwjobs/jobs.go
@@ -199,6 +199,12 @@
 	j.inbox.Offer(event{kind: eventView, workers: workers, hosts: hosts})
 }
 
+// Waiting returns how many events wait in the inbox.
+func (j *Jobs) Waiting() int { return j.inbox.Len() }
+
+// Refused returns how many events found the inbox full.
+func (j *Jobs) Refused() uint64 { return j.inbox.Refused() }
+
 // deliver hands over an event that must not be lost, without blocking its producer.
 func (j *Jobs) deliver(e event) {
 	if !j.inbox.Offer(e) {
--- a/internal/app/cwledger/ledger.go
+++ b/internal/app/cwledger/ledger.go
@@ -124,6 +124,12 @@
 	return Stats{Entries: l.entries.Load(), Transactions: l.transactions.Load(), Rows: l.rows.Load()}
 }
 
+// Waiting returns how many events wait in the inbox.
+func (l *Ledger) Waiting() int { return l.inbox.Len() }
+
+// Refused returns how many events found the inbox full.
+func (l *Ledger) Refused() uint64 { return l.inbox.Refused() }
+
 // IsAway reports whether the latest call to the table failed.
 func (l *Ledger) IsAway() bool { return l.isAway.Load() }
 
--- a/internal/app/cwledger/ledger_test.go
+++ b/internal/app/cwledger/ledger_test.go
@@ -75,10 +75,7 @@
 				faulty.Set(cwmemory.Faults{})
 			}
 			for n := range entries {
-				got := <-verdicts[n]
-				for got == Unknown {
-					got = <-verdicts[n]
-				}
+				got := finalOf(verdicts[n])
 				if c.want != nil {
 					is.Equal(got, c.want[len(c.want)-1])
 				}
@@ -89,6 +86,15 @@
 	}
 }
 
+// finalOf returns the verdict that follows any unknown.
+func finalOf(verdicts <-chan Verdict) Verdict {
+	for {
+		if verdict := <-verdicts; verdict != Unknown {
+			return verdict
+		}
+	}
+}
+
 func TestFullLedgerRefuses(t *testing.T) {
 	is := is.New(t)
 	opts := DefaultOptions()
--- a/internal/app/cwledger/machine_test.go
+++ b/internal/app/cwledger/machine_test.go
@@ -38,89 +38,109 @@
 	return cwfault.CodeOf(f.table.Commit(txn))
 }
 
+// fuzz drives a machine over a faulty table and keeps what each writer was told.
+type fuzz struct {
+	faultyTable
+	machine  *machine
+	now      time.Time
+	verdicts map[string][]Verdict
+	taken    int
+}
+
 // TestVerdictsAreTrue covers promise "when a caller is told a request was not run, it truly was not run" at the table.
 func TestVerdictsAreTrue(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := &faultyTable{table: cwmemory.NewTable()}
-		m := newMachine("w-1", rapid.Uint64().Draw(t, "seed"), testLimits)
-		now := time.Unix(1000, 0)
-		verdicts := map[string][]Verdict{}
-		taken := 0
-		drive := func(fault string) {
-			c, ok := m.next(now)
-			if !ok {
-				return
-			}
-			if c.phase == phaseRead {
-				if fault == "down" {
-					m.readBack(now, cwport.Row{}, cwfault.Unavailable)
-					return
-				}
-				m.readBack(now, f.table.Read(c.key), "")
-				return
-			}
-			m.answered(now, f.commit(fault, c.txn))
+		f := &fuzz{
+			faultyTable: faultyTable{table: cwmemory.NewTable()}, now: time.Unix(1000, 0), verdicts: map[string][]Verdict{},
+			machine: newMachine("w-1", rapid.Uint64().Draw(t, "seed"), testLimits),
 		}
-		t.Repeat(map[string]func(*rapid.T){
-			"write": func(t *rapid.T) {
-				key := fmt.Sprintf("row/%d", rapid.IntRange(0, 4).Draw(t, "row"))
-				value := fmt.Sprintf("entry-%d", taken)
-				e := Entry{
-					Checks: []cwport.Check{{Key: key, Version: f.table.Read(key).Version}},
-					Puts:   []cwport.Put{{Key: key, Value: []byte(value)}, {Key: "mark/" + value, Value: []byte(value)}},
-					Done:   func(v Verdict) { verdicts[value] = append(verdicts[value], v) },
-				}
-				if rapid.Bool().Draw(t, "deadline") {
-					e.Deadline = now.Add(50 * time.Millisecond)
-				}
-				if m.add(e) {
-					taken++
-				}
-			},
-			"call": func(t *rapid.T) {
-				drive(rapid.SampledFrom([]string{"", "", "down", "answer-lost", "request-lost", "request-delayed"}).Draw(t, "fault"))
-			},
-			"land": func(t *rapid.T) {
-				if len(f.delayed) == 0 {
-					t.Skip("nothing is delayed")
-				}
-				_ = f.table.Commit(f.delayed[0])
-				f.delayed = f.delayed[1:]
-			},
-			"wait": func(t *rapid.T) {
-				now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
-			},
-			"": func(t *rapid.T) {
-				if m.held > testLimits.entries || m.bytes > testLimits.bytes {
-					t.Fatalf("holds %d entries, %d bytes", m.held, m.bytes)
-				}
-			},
-		})
-		for range 1000 {
-			now = now.Add(testLimits.ceiling)
-			drive("")
+		t.Repeat(map[string]func(*rapid.T){"write": f.write, "call": f.call, "land": f.land, "wait": f.wait, "": f.checkBounds})
+		f.heal()
+		for n := range f.taken {
+			f.checkVerdict(t, valueOf(n))
 		}
-		for _, late := range f.delayed {
-			_ = f.table.Commit(late)
-		}
-		for n := range taken {
-			value := fmt.Sprintf("entry-%d", n)
-			told := verdicts[value]
-			mark := f.table.Read("mark/" + value)
-			final := told[len(told)-1]
-			if len(told) > 2 || (len(told) == 2 && told[0] != Unknown) {
-				t.Fatalf("%s was told %v", value, told)
-			}
-			if final == Unknown || (final == Committed) != (mark.Version == 1) || mark.Version > 1 {
-				t.Fatalf("%s was told %v, its mark has version %d", value, told, mark.Version)
-			}
-		}
-		if m.held != 0 || m.bytes != 0 {
-			t.Fatalf("still holds %d entries, %d bytes", m.held, m.bytes)
+		if f.machine.held != 0 || f.machine.bytes != 0 {
+			t.Fatalf("still holds %d entries, %d bytes", f.machine.held, f.machine.bytes)
 		}
 	})
 }
 
+func valueOf(n int) string { return fmt.Sprintf("entry-%d", n) }
+
+func (f *fuzz) write(t *rapid.T) {
+	key := fmt.Sprintf("row/%d", rapid.IntRange(0, 4).Draw(t, "row"))
+	value := valueOf(f.taken)
+	e := Entry{
+		Checks: []cwport.Check{{Key: key, Version: f.table.Read(key).Version}},
+		Puts:   []cwport.Put{{Key: key, Value: []byte(value)}, {Key: "mark/" + value, Value: []byte(value)}},
+		Done:   func(v Verdict) { f.verdicts[value] = append(f.verdicts[value], v) },
+	}
+	if rapid.Bool().Draw(t, "deadline") {
+		e.Deadline = f.now.Add(50 * time.Millisecond)
+	}
+	if f.machine.add(e) {
+		f.taken++
+	}
+}
+
+func (f *fuzz) call(t *rapid.T) {
+	f.drive(rapid.SampledFrom([]string{"", "", "down", "answer-lost", "request-lost", "request-delayed"}).Draw(t, "fault"))
+}
+
+// drive carries out the next call of the machine under one fault.
+func (f *fuzz) drive(fault string) {
+	c, ok := f.machine.next(f.now)
+	switch {
+	case !ok:
+	case c.phase == phaseRead && fault == "down":
+		f.machine.readBack(f.now, cwport.Row{}, cwfault.Unavailable)
+	case c.phase == phaseRead:
+		f.machine.readBack(f.now, f.table.Read(c.key), "")
+	default:
+		f.machine.answered(f.now, f.commit(fault, c.txn))
+	}
+}
+
+// land lets a delayed transaction reach the table.
+func (f *fuzz) land(*rapid.T) {
+	if len(f.delayed) > 0 {
+		_ = f.table.Commit(f.delayed[0])
+		f.delayed = f.delayed[1:]
+	}
+}
+
+func (f *fuzz) wait(t *rapid.T) {
+	f.now = f.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (f *fuzz) checkBounds(t *rapid.T) {
+	if f.machine.held > testLimits.entries || f.machine.bytes > testLimits.bytes {
+		t.Fatalf("holds %d entries, %d bytes", f.machine.held, f.machine.bytes)
+	}
+}
+
+func (f *fuzz) heal() {
+	for range 1000 {
+		f.now = f.now.Add(testLimits.ceiling)
+		f.drive("")
+	}
+	for len(f.delayed) > 0 {
+		f.land(nil)
+	}
+}
+
+func (f *fuzz) checkVerdict(t *rapid.T, value string) {
+	told := f.verdicts[value]
+	mark := f.table.Read("mark/" + value)
+	final := told[len(told)-1]
+	if len(told) > 2 || (len(told) == 2 && told[0] != Unknown) {
+		t.Fatalf("%s was told %v", value, told)
+	}
+	if final == Unknown || (final == Committed) != (mark.Version == 1) || mark.Version > 1 {
+		t.Fatalf("%s was told %v, its mark has version %d", value, told, mark.Version)
+	}
+}
+
 func TestOneConflictDoesNotFailTheGroup(t *testing.T) {
 	cases := []struct {
 		name    string
--- a/internal/core/cwjob/job_test.go
+++ b/internal/core/cwjob/job_test.go
@@ -90,89 +90,101 @@
 	}
 }
 
-// TestAttemptsNeverOverlap drives a job by random events and counts what runs in a plain map.
+// fuzz drives a job by random events and counts in plain maps what runs.
+type fuzz struct {
+	job      *Job
+	task     *rapid.Generator[int]
+	running  map[int]cwmodel.Attempt
+	begun    map[int]int
+	outcomes map[int]cwmodel.Outcome
+}
+
 func TestAttemptsNeverOverlap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		kind := rapid.SampledFrom([]cwmodel.Kind{cwmodel.KindBatch, cwmodel.KindGang, cwmodel.KindService}).Draw(t, "kind")
 		j := jobOf(kind, rapid.Bool().Draw(t, "repeatable"), rapid.IntRange(1, 3).Draw(t, "attempts"), rapid.IntRange(1, 4).Draw(t, "tasks"))
-		running := map[int]cwmodel.Attempt{}
-		begun := map[int]int{}
-		outcomes := map[int]cwmodel.Outcome{}
-		ends := []cwmodel.End{cwmodel.EndDone, cwmodel.EndFailed, cwmodel.EndTransient, cwmodel.EndStopped, cwmodel.EndLapsed, cwmodel.EndNeverBegan}
-		task := rapid.IntRange(0, len(j.Tasks)-1)
-		t.Repeat(map[string]func(*rapid.T){
-			"order": func(t *rapid.T) {
-				n := task.Draw(t, "task")
-				a := cwmodel.Attempt{Task: TaskID(j.ID, n), Number: j.Tasks[n].Attempt.Number + rapid.SampledFrom([]int{1, 1, 1, 1, 0, 2}).Draw(t, "step"), Worker: "w-1"}
-				if j.Order(start, n, a) != nil {
-					return
-				}
-				if _, runs := running[n]; runs || j.Cancelled || outcomes[n] == cwmodel.OutcomeFailed {
-					t.Fatalf("task %d is ordered though it runs or may not", n)
-				}
-				running[n] = a
-				begun[n]++
-			},
-			"end": func(t *rapid.T) {
-				n := task.Draw(t, "task")
-				a, runs := running[n]
-				if !runs {
-					a = j.Tasks[n].Attempt
-				}
-				end := rapid.SampledFrom(ends).Draw(t, "end")
-				if changed := j.Record(start, n, cwmodel.Result{Attempt: a, End: end}); changed != runs {
-					t.Fatalf("a result for task %d changed: %v, ran: %v", n, changed, runs)
-				}
-				if runs && end == cwmodel.EndNeverBegan {
-					begun[n]--
-				}
-				delete(running, n)
-			},
-			"late": func(t *rapid.T) {
-				n := task.Draw(t, "task")
-				old := j.Tasks[n].Attempt
-				old.Number--
-				if j.Record(start, n, cwmodel.Result{Attempt: old, End: cwmodel.EndDone}) {
-					t.Fatalf("the result of attempt %d of task %d was taken for that of the next", old.Number, n)
-				}
-			},
-			"lose": func(t *rapid.T) {
-				if rapid.IntRange(0, 3).Draw(t, "seldom") != 0 {
-					return
-				}
-				n := task.Draw(t, "task")
-				if j.Lose(start, n, j.Tasks[n].Attempt.Number) {
-					delete(running, n)
-				}
-			},
-			"cancel": func(t *rapid.T) {
-				if rapid.IntRange(0, 9).Draw(t, "rarely") == 0 {
-					j.Cancel(start)
-				}
-			},
-			"": func(t *rapid.T) {
-				for n := range j.Tasks {
-					if !j.Repeatable && begun[n] > 1 {
-						t.Fatalf("task %d began %d times", n, begun[n])
-					}
-					if kind != cwmodel.KindService && begun[n] > j.MaxAttempts {
-						t.Fatalf("task %d began %d of %d times", n, begun[n], j.MaxAttempts)
-					}
-					if j.Tasks[n].Outcome == cwmodel.OutcomeNotRun && begun[n] > 0 {
-						t.Fatalf("task %d ran and is told not-run", n)
-					}
-					if before := outcomes[n]; before != "" && before != j.Tasks[n].Outcome && kind != cwmodel.KindGang {
-						t.Fatalf("the outcome of task %d changed from %s to %s", n, before, j.Tasks[n].Outcome)
-					}
-					outcomes[n] = j.Tasks[n].Outcome
-				}
-				if j.IsOver() == j.Ended.IsZero() {
-					t.Fatalf("over: %v, ended: %v", j.IsOver(), j.Ended)
-				}
-				if j.IsOver() && len(running) > 0 {
-					t.Fatalf("over while %d tasks run", len(running))
-				}
-			},
-		})
+		f := &fuzz{
+			job: j, task: rapid.IntRange(0, len(j.Tasks)-1),
+			running: map[int]cwmodel.Attempt{}, begun: map[int]int{}, outcomes: map[int]cwmodel.Outcome{},
+		}
+		t.Repeat(map[string]func(*rapid.T){"order": f.order, "end": f.end, "late": f.late, "lose": f.lose, "cancel": f.cancel, "": f.check})
 	})
 }
+
+func (f *fuzz) order(t *rapid.T) {
+	n := f.task.Draw(t, "task")
+	number := f.job.Tasks[n].Attempt.Number + rapid.SampledFrom([]int{1, 1, 1, 1, 0, 2}).Draw(t, "step")
+	a := cwmodel.Attempt{Task: TaskID(f.job.ID, n), Number: number, Worker: "w-1"}
+	if f.job.Order(start, n, a) != nil {
+		return
+	}
+	if _, runs := f.running[n]; runs || f.job.Cancelled || f.outcomes[n] == cwmodel.OutcomeFailed {
+		t.Fatalf("task %d is ordered though it runs or may not", n)
+	}
+	f.running[n] = a
+	f.begun[n]++
+}
+
+func (f *fuzz) end(t *rapid.T) {
+	ends := []cwmodel.End{cwmodel.EndDone, cwmodel.EndFailed, cwmodel.EndTransient, cwmodel.EndStopped, cwmodel.EndLapsed, cwmodel.EndNeverBegan}
+	n, end := f.task.Draw(t, "task"), rapid.SampledFrom(ends).Draw(t, "end")
+	a, runs := f.running[n]
+	if !runs {
+		a = f.job.Tasks[n].Attempt
+	}
+	if changed := f.job.Record(start, n, cwmodel.Result{Attempt: a, End: end}); changed != runs {
+		t.Fatalf("a result for task %d changed: %v, ran: %v", n, changed, runs)
+	}
+	if runs && end == cwmodel.EndNeverBegan {
+		f.begun[n]--
+	}
+	delete(f.running, n)
+}
+
+// late hands over the result of the attempt before the present one.
+func (f *fuzz) late(t *rapid.T) {
+	n := f.task.Draw(t, "task")
+	old := f.job.Tasks[n].Attempt
+	old.Number--
+	if f.job.Record(start, n, cwmodel.Result{Attempt: old, End: cwmodel.EndDone}) {
+		t.Fatalf("the result of attempt %d of task %d was taken for that of the next", old.Number, n)
+	}
+}
+
+func (f *fuzz) lose(t *rapid.T) {
+	n := f.task.Draw(t, "task")
+	if rapid.IntRange(0, 3).Draw(t, "seldom") == 0 && f.job.Lose(start, n, f.job.Tasks[n].Attempt.Number) {
+		delete(f.running, n)
+	}
+}
+
+func (f *fuzz) cancel(t *rapid.T) {
+	if rapid.IntRange(0, 9).Draw(t, "rarely") == 0 {
+		f.job.Cancel(start)
+	}
+}
+
+func (f *fuzz) check(t *rapid.T) {
+	for n := range f.job.Tasks {
+		f.checkTask(t, n)
+	}
+	if f.job.IsOver() == f.job.Ended.IsZero() {
+		t.Fatalf("over: %v, ended: %v", f.job.IsOver(), f.job.Ended)
+	}
+	if f.job.IsOver() && len(f.running) > 0 {
+		t.Fatalf("over while %d tasks run", len(f.running))
+	}
+}
+
+func (f *fuzz) checkTask(t *rapid.T, n int) {
+	begun, outcome, before := f.begun[n], f.job.Tasks[n].Outcome, f.outcomes[n]
+	switch {
+	case !f.job.Repeatable && begun > 1, f.job.Kind != cwmodel.KindService && begun > f.job.MaxAttempts:
+		t.Fatalf("task %d began %d of %d times, repeatable: %v", n, begun, f.job.MaxAttempts, f.job.Repeatable)
+	case outcome == cwmodel.OutcomeNotRun && begun > 0:
+		t.Fatalf("task %d ran and is told not-run", n)
+	case before != "" && before != outcome && f.job.Kind != cwmodel.KindGang:
+		t.Fatalf("the outcome of task %d changed from %s to %s", n, before, outcome)
+	}
+	f.outcomes[n] = outcome
+}
