Place nothing on a worker that leaves while it changes owner

Cause: a new owner was handed the worker first and its drain second; in between the decider placed waiting tasks there.

Change: AddLeavingWorker takes such a worker closed; the scheduler calls it where the inventory says that the worker leaves.

--- a/internal/app/cwscheduler/scheduler.go
+++ b/internal/app/cwscheduler/scheduler.go
@@ -171,7 +171,7 @@
 	case eventEnded:
 		s.decider.Ended(now, e.result)
 	case eventOwned:
-		s.decider.AddWorker(now, e.inventory.Worker, e.inventory.Epoch, e.inventory.Running)
+		s.owned(now, e.inventory)
 	case eventLost:
 		s.decider.LoseWorker(now, e.worker, e.at)
 	case eventDraining:
@@ -189,6 +189,14 @@
 	}
 }
 
+func (s *Scheduler) owned(now time.Time, i cwport.Inventory) {
+	if i.Leaving {
+		s.decider.AddLeavingWorker(now, i.Worker, i.Epoch, i.Running)
+		return
+	}
+	s.decider.AddWorker(now, i.Worker, i.Epoch, i.Running)
+}
+
 // submit keeps the reply of a task unless the task is known already; its first reply stays then.
 func (s *Scheduler) submit(now time.Time, e event) {
 	if s.decider.Knows(e.task.ID) {
--- a/internal/core/cwdecider/worker.go
+++ b/internal/core/cwdecider/worker.go
@@ -22,6 +22,18 @@
 
 // AddWorker takes an owned worker with its inventory; what runs there is counted before anything is placed.
 func (d *Decider) AddWorker(now time.Time, w cwmodel.Worker, epoch cwmodel.Epoch, running []cwmodel.Running) {
+	d.addWorker(now, w, epoch, running)
+	d.place(now)
+}
+
+// AddLeavingWorker takes an owned worker that gets no new work.
+func (d *Decider) AddLeavingWorker(now time.Time, w cwmodel.Worker, epoch cwmodel.Epoch, running []cwmodel.Running) {
+	d.addWorker(now, w, epoch, running)
+	d.DrainWorker(w.ID)
+	d.place(now)
+}
+
+func (d *Decider) addWorker(now time.Time, w cwmodel.Worker, epoch cwmodel.Epoch, running []cwmodel.Running) {
 	var displaced []*task
 	if old, ok := d.workers[w.ID]; ok {
 		displaced = d.forget(now, old, now)
@@ -38,7 +50,6 @@
 		d.suspect(added)
 	}
 	d.refresh(added)
-	d.place(now)
 }
 
 func (d *Decider) breakerOf(id cwmodel.HostID) *cwquarantine.Breaker {
--- a/internal/proof/cwschedule/host.go
+++ b/internal/proof/cwschedule/host.go
@@ -302,10 +302,11 @@
 		}
 		c.owned, c.epoch, c.renewed, c.acks = true, inventory.Epoch, sent, nil
 		h.decide(func(now time.Time) {
-			h.decider.AddWorker(now, c.worker.about, c.epoch, inventory.Running)
 			if inventory.Leaving {
-				h.decider.DrainWorker(c.worker.about.ID)
+				h.decider.AddLeavingWorker(now, c.worker.about, c.epoch, inventory.Running)
+				return
 			}
+			h.decider.AddWorker(now, c.worker.about, c.epoch, inventory.Running)
 		})
 	})
 }
