--- a/internal/adapter/cwcodec/worker.go
+++ b/internal/adapter/cwcodec/worker.go
@@ -22,9 +22,10 @@
 
 // ClaimRequest asks for ownership, renews it or releases it.
 type ClaimRequest struct {
-	Owner string   `json:"owner,omitempty"`
-	Epoch uint64   `json:"epoch"`
-	TTL   Duration `json:"ttl,omitempty"`
+	Owner    string    `json:"owner,omitempty"`
+	Epoch    uint64    `json:"epoch"`
+	TTL      Duration  `json:"ttl,omitempty"`
+	NotAfter time.Time `json:"not-after,omitzero"` // of a renewal
 }
 
 // Attempt is the document of one attempt.
@@ -45,6 +46,22 @@
 	return Attempt{Task: string(a.Task), Number: a.Number, Worker: string(a.Worker), Epoch: uint64(a.Epoch)}
 }
 
+// AttemptsOf returns the documents of core attempts.
+func AttemptsOf(attempts []cwmodel.Attempt) (documents []Attempt) {
+	for _, a := range attempts {
+		documents = append(documents, AttemptOf(a))
+	}
+	return documents
+}
+
+// CoreAttempts returns the core types of attempts.
+func CoreAttempts(documents []Attempt) (attempts []cwmodel.Attempt) {
+	for _, a := range documents {
+		attempts = append(attempts, a.Core())
+	}
+	return attempts
+}
+
 // Running is the document of one entry of an inventory.
 type Running struct {
 	Attempt    Attempt   `json:"attempt"`
@@ -195,6 +212,7 @@
 type CompletionsRequest struct {
 	Epoch uint64    `json:"epoch"`
 	Acks  []Attempt `json:"acks,omitempty"`
+	Held  []Attempt `json:"held,omitempty"`
 	Wait  Duration  `json:"wait"`
 }
 
--- a/internal/adapter/cwmemory/worker.go
+++ b/internal/adapter/cwmemory/worker.go
@@ -30,7 +30,7 @@
 }
 
 // MaxStartWindow is how far ahead the latest time to begin of a start order may lie.
-const MaxStartWindow = 30 * time.Second
+const MaxStartWindow = time.Minute
 
 // Worker is a worker in memory: it runs tasks under leases and refuses what is stale or does not fit.
 type Worker struct {
@@ -115,15 +115,18 @@
 }
 
 // Renew extends the claim, the leases of durable tasks and those of tasks of this epoch.
-func (w *Worker) Renew(epoch cwmodel.Epoch, ttl time.Duration) (renewal cwport.Renewal, err error) {
+func (w *Worker) Renew(heartbeat cwport.Heartbeat) (renewal cwport.Renewal, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
-	if err = w.checkEpoch(epoch); err != nil {
+	if err = w.checkEpoch(heartbeat.Epoch); err != nil {
 		return renewal, err
 	}
 	now := w.opts.Now()
-	w.claimEnds = now.Add(ttl)
+	if now.After(heartbeat.NotAfter) {
+		return renewal, cwfault.New(cwfault.Refused, "the heartbeat is late")
+	}
+	w.claimEnds = now.Add(heartbeat.TTL)
 	w.renewLeases(now)
 	renewal = cwport.Renewal{Clock: now, Leaving: w.leaving, Running: len(w.running)}
 	for _, e := range w.inOrder() {
@@ -240,22 +243,23 @@
 	return cwmodel.Result{Attempt: attempt, End: cwmodel.EndNeverBegan, Ended: now}, nil
 }
 
-// Completions drops acknowledged results and returns the others with a channel that closes on the next one.
-func (w *Worker) Completions(epoch cwmodel.Epoch, acks []cwmodel.Attempt) (results []cwmodel.Result, changed <-chan struct{}, err error) {
+// Completions drops acknowledged results and returns those not held with a channel that closes on the next one.
+func (w *Worker) Completions(poll cwport.Poll) (results []cwmodel.Result, changed <-chan struct{}, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
-	if err = w.checkEpoch(epoch); err != nil {
+	if err = w.checkEpoch(poll.Epoch); err != nil {
 		return nil, nil, err
 	}
 	w.results = slices.DeleteFunc(w.results, func(r cwmodel.Result) bool {
-		if !slices.Contains(acks, r.Attempt) {
-			return false
-		}
-		w.seen.note(r.Attempt)
-		return true
+		return slices.Contains(poll.Acks, r.Attempt)
 	})
-	return slices.Clone(w.results), w.changed, nil
+	for _, r := range w.results {
+		if !slices.Contains(poll.Held, r.Attempt) {
+			results = append(results, r)
+		}
+	}
+	return results, w.changed, nil
 }
 
 // Advance ends what is due at the present time.
@@ -296,8 +300,8 @@
 }
 
 func (w *Worker) checkEpoch(epoch cwmodel.Epoch) error {
-	if epoch != w.epoch {
-		return cwfault.New(cwfault.StaleEpoch, "epoch %d is not the present one, %d", epoch, w.epoch)
+	if epoch != w.epoch || w.owner == "" {
+		return cwfault.New(cwfault.StaleEpoch, "epoch %d is not that of the present owner %q, %d", epoch, w.owner, w.epoch)
 	}
 	return nil
 }
--- a/internal/adapter/cwworker/worker.go
+++ b/internal/adapter/cwworker/worker.go
@@ -48,9 +48,9 @@
 	return document.Core(), err
 }
 
-func (c *client) renew(ctx context.Context, addr netip.AddrPort, epoch cwmodel.Epoch, ttl time.Duration) (renewal cwport.Renewal, err error) {
+func (c *client) renew(ctx context.Context, addr netip.AddrPort, heartbeat cwport.Heartbeat) (renewal cwport.Renewal, err error) {
 	defer func() { err = eris.Wrap(err, "renew claim") }()
-	in := cwcodec.ClaimRequest{Epoch: uint64(epoch), TTL: cwcodec.Duration(ttl)}
+	in := cwcodec.ClaimRequest{Epoch: uint64(heartbeat.Epoch), TTL: cwcodec.Duration(heartbeat.TTL), NotAfter: heartbeat.NotAfter}
 	var document cwcodec.RenewAnswer
 	err = c.http.Call(ctx, fasthttp.MethodPost, addr, cwcodec.PathRenew, in, &document)
 	return document.Core(), err
@@ -79,14 +79,13 @@
 	return document.Core()
 }
 
-func (c *client) completions(ctx context.Context, addr netip.AddrPort, epoch cwmodel.Epoch, acks []cwmodel.Attempt, wait time.Duration) (results []cwmodel.Result, err error) {
+func (c *client) completions(ctx context.Context, addr netip.AddrPort, poll cwport.Poll) (results []cwmodel.Result, err error) {
 	defer func() { err = eris.Wrap(err, "read completions") }()
 	const margin = time.Second
-	ctx, cancel := context.WithTimeout(ctx, wait+margin)
+	ctx, cancel := context.WithTimeout(ctx, poll.Wait+margin)
 	defer cancel()
-	in := cwcodec.CompletionsRequest{Epoch: uint64(epoch), Wait: cwcodec.Duration(wait)}
-	for _, ack := range acks {
-		in.Acks = append(in.Acks, cwcodec.AttemptOf(ack))
+	in := cwcodec.CompletionsRequest{
+		Epoch: uint64(poll.Epoch), Acks: cwcodec.AttemptsOf(poll.Acks), Held: cwcodec.AttemptsOf(poll.Held), Wait: cwcodec.Duration(poll.Wait),
 	}
 	var document cwcodec.CompletionsAnswer
 	if err = c.http.Call(ctx, fasthttp.MethodPost, addr, cwcodec.PathCompletions, in, &document); err != nil {
--- a/internal/app/cwentry/entry.go
+++ b/internal/app/cwentry/entry.go
@@ -29,6 +29,7 @@
 	"currantward/internal/base/cwduty"
 	"currantward/internal/base/cwhttp"
 	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwclaim"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwpolicy"
 	"currantward/internal/core/cwtally"
@@ -38,6 +39,9 @@
 // drainCheck is how often a shutdown looks whether anything is left.
 const drainCheck = 50 * time.Millisecond
 
+// orderTries is how often a start order can be sent within its window.
+const orderTries = 4
+
 // Bounds of one change of the configuration.
 const (
 	changeTimeout = 5 * time.Second
@@ -147,16 +151,18 @@
 
 	links, stopLinks := cwlink.New(cwlink.Options{
 		Timer: o.Timer, Log: o.Log, Workers: o.Workers, Pool: e.pool,
-		OrderTimeout: o.Settings.OrderTimeout, StartWindow: o.Settings.StartWindow, PollWait: o.Settings.CompletionWait,
-		Ended: e.ended, IsDurable: isDurable, Stale: e.stale,
+		OrderTimeout: min(o.Settings.OrderTimeout, o.Settings.StartWindow/orderTries), StartWindow: o.Settings.StartWindow,
+		PollWait: o.Settings.CompletionWait, Ended: e.ended, Stale: e.stale,
 	})
 	e.links = links
 	e.cleanup.Add(stopLinks)
 
+	claims := cwclaim.DefaultOptions(o.Settings.HostID, o.Settings.ClaimTTL)
+	claims.Seed = uint64(o.Timer.Now().UnixNano())
+	claims.OrderWindow = o.Settings.StartWindow
 	keeper, stopKeeper := cwkeeper.New(cwkeeper.Options{
-		Timer: o.Timer, Log: o.Log, Workers: o.Workers, Pool: e.pool, Self: o.Settings.HostID,
-		ClaimTTL: o.Settings.ClaimTTL, RenewEvery: o.Settings.ClaimTTL / 3, CallLimit: o.Settings.OrderTimeout,
-		Owned: e.owned, Lost: e.lost, Draining: scheduler.Draining,
+		Timer: o.Timer, Log: o.Log, Workers: o.Workers, Pool: e.pool, Claims: claims, CallLimit: o.Settings.OrderTimeout,
+		Owned: e.owned, Extended: links.Extend, Lost: e.lost, Draining: scheduler.Draining, Closing: scheduler.Closing, Open: links.OpenRequests,
 	})
 	e.keeper = keeper
 	e.cleanup.Add(stopKeeper)
@@ -212,20 +218,20 @@
 
 func (e *Entry) stale(worker cwmodel.HostID, epoch cwmodel.Epoch) { e.keeper.Stale(worker, epoch) }
 
-func (e *Entry) owned(ctx context.Context, inventory cwport.Inventory) error {
-	e.links.Open(inventory.Worker, inventory.Epoch)
+func (e *Entry) owned(ctx context.Context, inventory cwport.Inventory, hold cwclaim.Hold) error {
+	e.links.Open(inventory, hold)
 	if err := e.jobs.Owned(ctx, inventory); err != nil {
 		return err
 	}
 	return e.scheduler.Owned(ctx, inventory)
 }
 
-func (e *Entry) lost(ctx context.Context, worker cwmodel.HostID) error {
+func (e *Entry) lost(ctx context.Context, worker cwmodel.HostID, lastRenewal time.Time) error {
 	e.links.Close(worker)
 	if err := e.jobs.Lost(ctx, worker); err != nil {
 		return err
 	}
-	return e.scheduler.Lost(ctx, worker)
+	return e.scheduler.LostSince(ctx, worker, lastRenewal)
 }
 
 // digests returns the latest digests of live peers; there are none before all parts are set.
@@ -303,5 +309,8 @@
 	e.metrics.Gauge("currantward_owned_workers", "Workers that this host owns.", func() float64 { return float64(e.scheduler.Load().Workers) })
 	e.metrics.Gauge("currantward_waiting_tasks", "Tasks that wait at this host.", func() float64 { return float64(e.scheduler.Load().Waiting) })
 	e.metrics.Gauge("currantward_running_tasks", "Tasks that run for this host.", func() float64 { return float64(e.scheduler.Load().Running) })
+	e.metrics.Gauge("currantward_orders_repeated", "Orders sent again because their answer was lost.", func() float64 { return float64(e.links.Counts().Repeated) })
+	e.metrics.Gauge("currantward_orders_dropped", "Orders given up because their worker was not reached in time.", func() float64 { return float64(e.links.Counts().Dropped) })
+	e.metrics.Gauge("currantward_orphan_results", "Results of requests that no entry host waits for any more.", func() float64 { return float64(e.links.Counts().Orphans) })
 	e.metrics.Gauge("currantward_inbox_refusals", "Events that found the scheduler's inbox full.", func() float64 { return float64(e.scheduler.Refused()) })
 }
--- a/internal/app/cwentry/jobs.go
+++ b/internal/app/cwentry/jobs.go
@@ -103,12 +103,12 @@
 // handBack takes what the scheduler no longer holds of a durable task.
 func (e *Entry) handBack(action actionOf) { e.jobs.Action(action) }
 
-// ended hands the result of an attempt to the jobs or to the scheduler.
-func (e *Entry) ended(ctx context.Context, result cwmodel.Result) error {
+// ended hands the result of an attempt to the jobs, which acknowledge it once it is written, or to the scheduler.
+func (e *Entry) ended(ctx context.Context, result cwmodel.Result) (acknowledge bool, err error) {
 	if isDurable(result.Attempt.Task) {
-		return e.jobs.Result(ctx, result)
+		return false, e.jobs.Result(ctx, result)
 	}
-	return e.scheduler.Ended(ctx, result)
+	return true, e.scheduler.Ended(ctx, result)
 }
 
 // roomiest returns the peer of this data centre with the most room among those where a task of this demand would start at once.
--- a/internal/app/cwkeeper/keeper.go
+++ b/internal/app/cwkeeper/keeper.go
@@ -1,8 +1,9 @@
-// Package cwkeeper claims the workers that this entry host should own and renews its claims.
+// Package cwkeeper carries out the decisions on claims: it calls the workers and hands on what is owned and lost.
 package cwkeeper
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
@@ -12,39 +13,45 @@
 	"currantward/internal/base/cwfault"
 	"currantward/internal/base/cwring"
 	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwclaim"
 	"currantward/internal/core/cwmodel"
-	"currantward/internal/core/cwowner"
 	"currantward/internal/port/cwport"
 )
 
 // Options set up a keeper.
 type Options struct {
-	Timer      *cwtimer.Service
-	Log        *logrus.Logger
-	Workers    cwport.Workers
-	Pool       *ants.Pool
-	Self       cwmodel.HostID
-	ClaimTTL   time.Duration
-	RenewEvery time.Duration
-	CallLimit  time.Duration // of one call to a worker
-
-	// Owned takes a claimed worker with its inventory.
-	Owned func(ctx context.Context, inventory cwport.Inventory) error
-	// Lost takes a worker whose claim has ended.
-	Lost func(ctx context.Context, worker cwmodel.HostID) error
-	// Draining takes a worker that says it is leaving.
+	Timer     *cwtimer.Service
+	Log       *logrus.Logger
+	Workers   cwport.Workers
+	Pool      *ants.Pool
+	Claims    cwclaim.Options
+	CallLimit time.Duration // of one call to a worker
+
+	// Owned takes a claimed worker with its inventory and what its holder may count on.
+	Owned func(ctx context.Context, inventory cwport.Inventory, hold cwclaim.Hold) error
+	// Extended takes a longer hold of an owned worker.
+	Extended func(worker cwmodel.HostID, epoch cwmodel.Epoch, hold cwclaim.Hold)
+	// Lost takes a worker whose claim has ended; no lease of its epoch was begun or renewed after lastRenewal.
+	Lost func(ctx context.Context, worker cwmodel.HostID, lastRenewal time.Time) error
+	// Closing takes a worker that another host is to own: nothing more is to be placed on it.
+	Closing func(ctx context.Context, worker cwmodel.HostID) error
+	// Draining takes a worker that leaves: nothing more is to be placed on it, and what can move is to move.
 	Draining func(ctx context.Context, worker cwmodel.HostID) error
+	// Open returns how many requests of this host may run on a worker.
+	Open func(worker cwmodel.HostID) int
 }
 
 // eventKind names what an event tells the keeper.
 type eventKind string
 
 const (
-	eventView    eventKind = "view"
-	eventTick    eventKind = "tick"
-	eventClaimed eventKind = "claimed"
-	eventRenewed eventKind = "renewed"
-	eventStale   eventKind = "stale"
+	eventView     eventKind = "view"
+	eventTick     eventKind = "tick"
+	eventClaimed  eventKind = "claimed"
+	eventRenewed  eventKind = "renewed"
+	eventReleased eventKind = "released"
+	eventStale    eventKind = "stale"
+	eventLeave    eventKind = "leave"
 )
 
 // event is one item of the inbox.
@@ -55,39 +62,33 @@
 	worker    cwmodel.HostID
 	epoch     cwmodel.Epoch
 	inventory cwport.Inventory
-	renewal   cwport.Renewal
-	err       error
-}
-
-// claim is what the keeper knows of one worker.
-type claim struct {
-	host     cwmodel.Host
-	owned    bool
-	busy     bool // a call to the worker is in flight
-	draining bool
-	epoch    cwmodel.Epoch
-	renewed  time.Time
+	answer    cwclaim.Answer
+	left      chan struct{} // closed once all claims are released
 }
 
 // Keeper owns the claims of one entry host.
 type Keeper struct {
-	opts   Options
-	inbox  *cwring.Ring[event]
-	claims map[cwmodel.HostID]*claim
-	hosts  []cwmodel.HostID
+	opts    Options
+	inbox   *cwring.Ring[event]
+	machine *cwclaim.Machine
+	left    chan struct{} // set while leaving
 }
 
-const inboxSize = 4096
+const (
+	inboxSize = 4096
+	// ticksPerRenewal is how often in a renewal period the keeper looks at what is due.
+	ticksPerRenewal = 16
+)
 
-// New starts the duty and returns the function that stops it and releases all claims.
+// New starts the duty and returns the function that releases all claims and stops it.
 func New(opts Options) (k *Keeper, stop func()) {
-	k = &Keeper{opts: opts, inbox: cwring.New[event](inboxSize), claims: map[cwmodel.HostID]*claim{}}
-	cancel := opts.Timer.Every(opts.RenewEvery, func(time.Time) { k.inbox.Offer(event{kind: eventTick}) })
+	k = &Keeper{opts: opts, inbox: cwring.New[event](inboxSize), machine: cwclaim.New(opts.Claims)}
+	cancel := opts.Timer.Every(opts.Claims.RenewEvery/ticksPerRenewal, func(time.Time) { k.inbox.Offer(event{kind: eventTick}) })
 	stopDuty := cwduty.Start("lease-keeper", k.run)
 	return k, func() {
+		k.leave()
 		cancel()
 		stopDuty()
-		k.releaseAll()
 	}
 }
 
@@ -101,145 +102,155 @@
 	k.inbox.Offer(event{kind: eventStale, worker: worker, epoch: epoch})
 }
 
+// leave releases all claims, so that the next owners need not wait for them to lapse, and waits for that.
+func (k *Keeper) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*k.opts.CallLimit)
+	defer cancel()
+	left := make(chan struct{})
+	if k.inbox.Put(ctx, event{kind: eventLeave, left: left}) != nil {
+		return
+	}
+	select {
+	case <-left:
+	case <-ctx.Done():
+		k.opts.Log.Warn("claims-not-released")
+	}
+}
+
 func (k *Keeper) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		e, ok := k.inbox.Take(ctx)
 		if !ok {
 			return
 		}
-		k.handle(ctx, e)
+		k.handle(e)
+		k.carryOut(ctx, e.inventory)
+		if k.left != nil && k.machine.Settled() {
+			close(k.left)
+			k.left = nil
+		}
 	}
 }
 
-func (k *Keeper) handle(ctx context.Context, e event) {
+func (k *Keeper) handle(e event) {
+	now := k.opts.Timer.Now()
 	switch e.kind {
 	case eventView:
-		k.applyView(e)
-		k.sweep(ctx)
+		k.machine.View(now, e.workers, e.hosts)
 	case eventTick:
-		k.sweep(ctx)
+		for _, worker := range k.machine.HandingOver() {
+			k.machine.Open(worker, k.opts.Open(worker))
+		}
+		k.machine.Tick(now)
 	case eventClaimed:
-		k.claimed(ctx, e)
+		k.machine.Claimed(now, e.worker, e.answer)
 	case eventRenewed:
-		k.renewed(ctx, e)
+		k.machine.Renewed(now, e.worker, e.epoch, e.answer)
+	case eventReleased:
+		k.machine.Released(now, e.worker)
 	case eventStale:
-		if c, ok := k.claims[e.worker]; ok && c.owned && c.epoch == e.epoch {
-			k.lose(ctx, c, "stale-epoch")
-		}
+		k.machine.Stale(now, e.worker, e.epoch)
+	case eventLeave:
+		k.left = e.left
+		k.machine.Leave(now)
 	}
 }
 
-func (k *Keeper) applyView(e event) {
-	k.hosts = e.hosts
-	for _, host := range e.workers {
-		c, ok := k.claims[host.ID]
-		if !ok {
-			c = &claim{}
-			k.claims[host.ID] = c
+// carryOut carries out what was decided, until nothing more is.
+func (k *Keeper) carryOut(ctx context.Context, inventory cwport.Inventory) {
+	for {
+		actions := slices.Clone(k.machine.Actions())
+		if len(actions) == 0 {
+			return
+		}
+		for _, a := range actions {
+			k.act(ctx, a, inventory)
 		}
-		c.host = host
 	}
 }
 
-// sweep renews what is owned and claims what should be.
-func (k *Keeper) sweep(ctx context.Context) {
-	now := k.opts.Timer.Now()
-	for _, c := range k.claims {
-		if c.owned && now.Sub(c.renewed) > k.opts.ClaimTTL {
-			k.lose(ctx, c, "claim-lapsed")
+func (k *Keeper) act(ctx context.Context, a cwclaim.Action, inventory cwport.Inventory) {
+	log := k.opts.Log.WithFields(logrus.Fields{"worker": a.Host.ID, "epoch": a.Epoch})
+	switch a.Kind {
+	case cwclaim.ActionClaim:
+		k.call(eventClaimed, a, k.claim)
+	case cwclaim.ActionRenew:
+		k.call(eventRenewed, a, k.renew)
+	case cwclaim.ActionRelease:
+		k.call(eventReleased, a, k.release)
+	case cwclaim.ActionOwned:
+		log.WithFields(logrus.Fields{"running": len(inventory.Running), "clock-error": a.Hold.Clock.Error()}).Info("worker-claimed")
+		inventory.Leaving = inventory.Leaving || a.Host.State == cwmodel.HostLeaving
+		_ = k.opts.Owned(ctx, inventory, a.Hold)
+	case cwclaim.ActionExtended:
+		k.opts.Extended(a.Host.ID, a.Epoch, a.Hold)
+	case cwclaim.ActionDrain:
+		log.WithField("reason", a.Reason).Info("worker-draining")
+		if a.Reason == cwclaim.ReasonLeaving {
+			_ = k.opts.Draining(ctx, a.Host.ID)
+		} else {
+			_ = k.opts.Closing(ctx, a.Host.ID)
 		}
-		switch {
-		case c.busy:
-		case c.owned:
-			k.call(c, k.renew)
-		case c.host.State == cwmodel.HostLive && cwowner.Preferred(c.host.ID, k.hosts) == k.opts.Self:
-			k.call(c, k.claim)
+	case cwclaim.ActionLost:
+		if a.Reason == cwclaim.ReasonHandOver {
+			log.Info("worker-released")
+		} else {
+			log.WithField("reason", a.Reason).Warn("worker-lost")
 		}
+		_ = k.opts.Lost(ctx, a.Host.ID, a.LastRenewal)
 	}
 }
 
-// call runs one call to a worker on the pool; if the pool is full the next sweep tries again.
-func (k *Keeper) call(c *claim, call func(host cwmodel.Host, epoch cwmodel.Epoch) event) {
-	host, epoch := c.host, c.epoch
-	c.busy = true
-	err := k.opts.Pool.Submit(func() { _ = k.inbox.Put(context.Background(), call(host, epoch)) })
+// call runs one call to a worker on the pool; a full pool counts as a call that was never sent.
+func (k *Keeper) call(kind eventKind, a cwclaim.Action, call func(ctx context.Context, a cwclaim.Action, e *event) error) {
+	e := event{kind: kind, worker: a.Host.ID, epoch: a.Epoch}
+	err := k.opts.Pool.Submit(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), k.opts.CallLimit)
+		defer cancel()
+		e.answer.Sent = k.opts.Timer.Now()
+		failure := call(ctx, a, &e)
+		e.answer.Code, e.answer.Received = cwfault.CodeOf(failure), k.opts.Timer.Now()
+		k.logFailure(kind, a, failure)
+		_ = k.inbox.Put(context.Background(), e)
+	})
 	if err != nil {
-		c.busy = false
+		e.answer.Code = cwfault.Unavailable
+		k.handle(e)
 	}
 }
 
-func (k *Keeper) claim(host cwmodel.Host, _ cwmodel.Epoch) event {
-	ctx, cancel := context.WithTimeout(context.Background(), k.opts.CallLimit)
-	defer cancel()
-	e := event{kind: eventClaimed, worker: host.ID}
-	e.inventory, e.err = k.opts.Workers.Inspect(ctx, host.Address)
-	if e.err != nil {
-		return e
-	}
-	claim := cwport.Claim{Owner: k.opts.Self, Epoch: e.inventory.Epoch + 1, TTL: k.opts.ClaimTTL}
-	e.inventory, e.err = k.opts.Workers.Claim(ctx, host.Address, claim)
-	return e
-}
-
-func (k *Keeper) renew(host cwmodel.Host, epoch cwmodel.Epoch) event {
-	ctx, cancel := context.WithTimeout(context.Background(), k.opts.CallLimit)
-	defer cancel()
-	e := event{kind: eventRenewed, worker: host.ID, epoch: epoch}
-	e.renewal, e.err = k.opts.Workers.Renew(ctx, host.Address, epoch, k.opts.ClaimTTL)
-	return e
-}
-
-func (k *Keeper) claimed(ctx context.Context, e event) {
-	c := k.claims[e.worker]
-	c.busy = false
-	if e.err != nil {
-		k.opts.Log.WithFields(logrus.Fields{"worker": e.worker, "error": cwfault.MessageOf(e.err)}).Debug("claim-failed")
+func (k *Keeper) logFailure(kind eventKind, a cwclaim.Action, err error) {
+	if err == nil {
 		return
 	}
-	c.owned, c.epoch, c.renewed, c.draining = true, e.inventory.Epoch, k.opts.Timer.Now(), false
-	k.opts.Log.WithFields(logrus.Fields{"worker": e.worker, "epoch": c.epoch, "running": len(e.inventory.Running)}).Info("worker-claimed")
-	_ = k.opts.Owned(ctx, e.inventory)
-	k.drain(ctx, c, e.inventory.Leaving)
-}
-
-func (k *Keeper) renewed(ctx context.Context, e event) {
-	c := k.claims[e.worker]
-	c.busy = false
-	if !c.owned || c.epoch != e.epoch {
+	log := k.opts.Log.WithFields(logrus.Fields{"worker": a.Host.ID, "call": a.Kind, "error": cwfault.MessageOf(err)})
+	if kind == eventClaimed {
+		log.Debug("claim-failed")
 		return
 	}
-	switch {
-	case cwfault.CodeOf(e.err) == cwfault.StaleEpoch:
-		k.lose(ctx, c, "stale-epoch")
-	case e.err != nil:
-		k.opts.Log.WithFields(logrus.Fields{"worker": e.worker, "error": cwfault.MessageOf(e.err)}).Warn("renewal-failed")
-	default:
-		c.renewed = k.opts.Timer.Now()
-		k.drain(ctx, c, e.renewal.Leaving)
-	}
+	log.Warn("worker-call-failed")
 }
 
-func (k *Keeper) drain(ctx context.Context, c *claim, leaving bool) {
-	if (leaving || c.host.State == cwmodel.HostLeaving) && !c.draining {
-		c.draining = true
-		_ = k.opts.Draining(ctx, c.host.ID)
+// claim reads the worker's epoch, then claims it under a larger one; the claim counts from its own sending.
+func (k *Keeper) claim(ctx context.Context, a cwclaim.Action, e *event) (err error) {
+	seen, err := k.opts.Workers.Inspect(ctx, a.Host.Address)
+	if err != nil {
+		return err
 	}
+	e.answer.Sent = k.opts.Timer.Now()
+	claim := cwport.Claim{Owner: k.opts.Claims.Self, Epoch: cwclaim.NextEpoch(seen.Epoch, seen.Clock), TTL: k.opts.Claims.TTL}
+	e.inventory, err = k.opts.Workers.Claim(ctx, a.Host.Address, claim)
+	e.answer.Epoch, e.answer.Clock, e.answer.Leaving = e.inventory.Epoch, e.inventory.Clock, e.inventory.Leaving
+	return err
 }
 
-func (k *Keeper) lose(ctx context.Context, c *claim, reason string) {
-	c.owned = false
-	k.opts.Log.WithFields(logrus.Fields{"worker": c.host.ID, "epoch": c.epoch, "reason": reason}).Warn("worker-lost")
-	_ = k.opts.Lost(ctx, c.host.ID)
+func (k *Keeper) renew(ctx context.Context, a cwclaim.Action, e *event) error {
+	heartbeat := cwport.Heartbeat{Epoch: a.Epoch, TTL: k.opts.Claims.TTL, NotAfter: a.NotAfter}
+	renewal, err := k.opts.Workers.Renew(ctx, a.Host.Address, heartbeat)
+	e.answer.Clock, e.answer.Leaving = renewal.Clock, renewal.Leaving
+	return err
 }
 
-// releaseAll ends all claims so that the next owner need not wait for them to lapse.
-func (k *Keeper) releaseAll() {
-	for _, c := range k.claims {
-		if !c.owned {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), k.opts.CallLimit)
-		_ = k.opts.Workers.Release(ctx, c.host.Address, c.epoch)
-		cancel()
-	}
+func (k *Keeper) release(ctx context.Context, a cwclaim.Action, _ *event) error {
+	return k.opts.Workers.Release(ctx, a.Host.Address, a.Epoch)
 }
--- a/internal/app/cwlink/orders.go
+++ b/internal/app/cwlink/orders.go
@@ -1,189 +1,249 @@
-// Package cwlink carries orders to workers and their results back.
 package cwlink
 
 import (
 	"context"
-	"net/netip"
-	"sync"
 	"time"
 
-	"github.com/panjf2000/ants/v2"
 	"github.com/sirupsen/logrus"
 
-	"currantward/internal/base/cwduty"
 	"currantward/internal/base/cwfault"
-	"currantward/internal/base/cwring"
-	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwclaim"
 	"currantward/internal/core/cwdecider"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/port/cwport"
 )
 
-// Options set up the links.
-type Options struct {
-	Timer        *cwtimer.Service
-	Log          *logrus.Logger
-	Workers      cwport.Workers
-	Pool         *ants.Pool
-	OrderTimeout time.Duration // of one start or stop order
-	StartWindow  time.Duration // how long after its decision a start may begin
-	PollWait     time.Duration // how long a worker holds a poll for completions
+// Pauses before an order is sent again.
+const (
+	firstPause = 20 * time.Millisecond
+	longPause  = time.Second
+	poolPause  = 5 * time.Millisecond // while the pool is full
+)
 
-	// Ended takes the result of an attempt and blocks while its receiver is full.
-	Ended func(ctx context.Context, result cwmodel.Result) error
-	// IsDurable reports whether the results of a task are acknowledged by Acknowledge only; nil where none is.
-	IsDurable func(task cwmodel.TaskID) bool
-	// Stale is told that a worker has granted a larger epoch than ours.
-	Stale func(worker cwmodel.HostID, epoch cwmodel.Epoch)
+// order is one start or stop order until its effect is certain.
+type order struct {
+	action   cwdecider.Action
+	notAfter time.Time // local time after which a start does not begin
+	giveUp   time.Time // local time from which the attempt is over by its lease
+	received bool      // a start order may have reached the worker
+	stopping bool
+	tries    int
 }
 
-// Links holds one link to each owned worker.
-type Links struct {
-	opts  Options
-	ctx   context.Context
-	mu    sync.Mutex
-	links map[cwmodel.HostID]*link
-}
+// verdict says what follows a call that carried an order.
+type verdict string
 
-// link is the connection to one owned worker.
-type link struct {
-	addr  netip.AddrPort
-	epoch cwmodel.Epoch
-	acks  *cwring.Ring[cwmodel.Attempt]
-	stop  func()
-}
+const (
+	verdictSettled    verdict = "settled"     // nothing more to do
+	verdictNeverBegan verdict = "never-began" // the attempt will never begin
+	verdictRepeat     verdict = "repeat"      // send it again after a pause
+	verdictStop       verdict = "stop"        // ask by a stop order whether the attempt began
+	verdictDrop       verdict = "drop"        // only the lease can settle it
+)
 
-// New returns an empty set of links and the function that ends them all.
-func New(opts Options) (l *Links, stop func()) {
-	if opts.IsDurable == nil {
-		opts.IsDurable = func(cwmodel.TaskID) bool { return false }
+// afterStart returns what follows a start order.
+//
+// Only the answer to the first order tells that an attempt never began: after one whose answer was
+// lost, a refusal may mean that the attempt has begun and is over.
+func afterStart(code cwfault.Code, received, late bool) verdict {
+	switch code {
+	case "":
+		return verdictSettled
+	case cwfault.StaleEpoch:
+		if received {
+			return verdictDrop
+		}
+		return verdictNeverBegan
+	case cwfault.Refused:
+		if received {
+			return verdictStop
+		}
+		return verdictNeverBegan
+	case cwfault.Unavailable:
+		if !received {
+			return verdictNeverBegan
+		}
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	l = &Links{opts: opts, ctx: ctx, links: map[cwmodel.HostID]*link{}}
-	return l, func() {
-		cancel()
-		l.closeAll()
+	if late {
+		return verdictStop
 	}
+	return verdictRepeat
 }
 
-// Open begins to read the completions of an owned worker.
-func (l *Links) Open(worker cwmodel.Worker, epoch cwmodel.Epoch) {
-	l.Close(worker.ID)
-	opened := &link{addr: worker.Address, epoch: epoch, acks: cwring.New[cwmodel.Attempt](acksSize)}
-	poller := &poller{opts: l.opts, worker: worker, epoch: epoch, held: map[cwmodel.Attempt]time.Time{}, written: opened.acks}
-	opened.stop = cwduty.Start("worker-link", poller.run)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.links[worker.ID] = opened
-}
-
-// Close ends the link to a worker.
-func (l *Links) Close(worker cwmodel.HostID) {
-	l.mu.Lock()
-	closed, ok := l.links[worker]
-	delete(l.links, worker)
-	l.mu.Unlock()
-	if ok {
-		closed.stop()
+// afterStop returns what follows a stop order; over says that the lease of the attempt has certainly ended.
+func afterStop(code cwfault.Code, over bool) verdict {
+	switch {
+	case code == "" || code == cwfault.NotFound:
+		return verdictSettled
+	case code == cwfault.StaleEpoch || over:
+		return verdictDrop
 	}
+	return verdictRepeat
 }
 
-// acksSize bounds the acknowledgements that wait for the next poll of a worker.
-const acksSize = 1024
-
-// Acknowledge lets the worker drop a durable result; one that finds no room is offered again with the result.
-func (l *Links) Acknowledge(a cwmodel.Attempt) {
-	l.mu.Lock()
-	found, ok := l.links[a.Worker]
-	l.mu.Unlock()
-	if ok {
-		found.acks.Offer(a)
+// Order sends one start or stop order from the pool; it never blocks.
+func (l *Links) Order(action cwdecider.Action) {
+	now := l.opts.Timer.Now()
+	o := &order{action: action, notAfter: now.Add(l.opts.StartWindow), stopping: action.Kind == cwdecider.ActionStop}
+	if deadline := action.Task.Deadline; !deadline.IsZero() && deadline.Before(o.notAfter) {
+		o.notAfter = deadline
+	}
+	o.giveUp = cwclaim.Certain(now.Add(2*l.opts.StartWindow), action.Task.Lease)
+	if !o.stopping && !action.Task.Durable {
+		l.noteOpen(action.Attempt)
+	}
+	if l.opts.Pool.Submit(func() { l.carryOut(o) }) != nil {
+		l.later(o, poolPause)
 	}
 }
 
-func (l *Links) closeAll() {
-	l.mu.Lock()
-	links := l.links
-	l.links = map[cwmodel.HostID]*link{}
-	l.mu.Unlock()
-	for _, closed := range links {
-		closed.stop()
-	}
+// later puts an order back into the ring of retries after a pause.
+func (l *Links) later(o *order, pause time.Duration) {
+	l.opts.Timer.After(pause, func(time.Time) {
+		if !l.retries.Offer(o) {
+			l.later(o, longPause)
+		}
+	})
 }
 
-func (l *Links) find(worker cwmodel.HostID) (addr netip.AddrPort, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	found, ok := l.links[worker]
-	if !ok {
-		return addr, false
+// retry is the duty that sends orders again.
+func (l *Links) retry(ctx context.Context) {
+	for ctx.Err() == nil {
+		o, ok := l.retries.Take(ctx)
+		switch {
+		case !ok:
+			return
+		case l.opts.Pool.Submit(func() { l.carryOut(o) }) == nil:
+		case !o.stopping && !o.received && l.isLate(o):
+			l.neverBegan(o, "the pool for orders is full")
+		default:
+			l.later(o, poolPause)
+		}
 	}
-	return found.addr, true
 }
 
-// Order sends one start or stop order from the pool; an order that finds the pool full was not sent.
-func (l *Links) Order(action cwdecider.Action) {
-	notAfter := l.opts.Timer.Now().Add(l.opts.StartWindow)
-	err := l.opts.Pool.Submit(func() { l.carryOut(action, notAfter) })
-	if err != nil && action.Kind == cwdecider.ActionStart {
-		go l.neverBegan(action.Attempt, "the pool for orders is full")
+func (l *Links) isLate(o *order) bool { return !l.opts.Timer.Now().Before(o.notAfter) }
+
+// carryOut makes one call for an order and decides what follows.
+func (l *Links) carryOut(o *order) {
+	found, ok := l.find(o.action.Attempt.Worker)
+	switch {
+	case !ok:
+		l.unowned(o)
+	case o.stopping || (o.received && found.epoch != o.action.Attempt.Epoch):
+		l.stop(found, o)
+	default:
+		l.start(found, o)
 	}
 }
 
-func (l *Links) carryOut(action cwdecider.Action, notAfter time.Time) {
-	addr, ok := l.find(action.Attempt.Worker)
+// unowned handles an order for a worker that this host does not own at present.
+func (l *Links) unowned(o *order) {
 	switch {
-	case !ok && action.Kind == cwdecider.ActionStart:
-		l.neverBegan(action.Attempt, "the worker is no longer owned")
-	case !ok:
-		return
-	case action.Kind == cwdecider.ActionStart:
-		l.start(addr, action, notAfter)
-	case action.Kind == cwdecider.ActionStop:
-		l.stop(addr, action)
+	case !o.stopping && !o.received:
+		l.neverBegan(o, "the worker is not owned")
+	case l.opts.Timer.Now().Before(o.giveUp):
+		l.again(o)
+	default:
+		l.drop(o)
 	}
 }
 
-func (l *Links) start(addr netip.AddrPort, action cwdecider.Action, notAfter time.Time) {
+func (l *Links) start(found link, o *order) {
+	now := l.opts.Timer.Now()
+	latest := o.notAfter
+	if found.hold.Until.Before(latest) {
+		latest = found.hold.Until
+	}
+	if !o.received && (!now.Before(latest) || found.epoch != o.action.Attempt.Epoch) {
+		l.neverBegan(o, "the claim or the time to begin has ended")
+		return
+	}
 	ctx, cancel := context.WithTimeout(l.ctx, l.opts.OrderTimeout)
 	defer cancel()
-	err := l.opts.Workers.Start(ctx, addr, cwport.Start{Task: action.Task, Attempt: action.Attempt, NotAfter: notAfter})
-	switch cwfault.CodeOf(err) {
-	case "":
-		return
-	case cwfault.StaleEpoch:
-		l.neverBegan(action.Attempt, "the worker has another owner")
-		l.opts.Stale(action.Attempt.Worker, action.Attempt.Epoch)
-	case cwfault.Refused, cwfault.Unavailable:
-		l.neverBegan(action.Attempt, cwfault.MessageOf(err))
-	default:
-		l.stop(addr, action)
+	err := l.opts.Workers.Start(ctx, found.addr, cwport.Start{
+		Task: o.action.Task, Attempt: o.action.Attempt, NotAfter: found.hold.Clock.Earliest(latest),
+	})
+	code := cwfault.CodeOf(err)
+	followUp := afterStart(code, o.received, l.isLate(o))
+	o.received = o.received || isIndefinite(code)
+	if code == cwfault.StaleEpoch {
+		l.opts.Stale(o.action.Attempt.Worker, found.epoch)
 	}
+	l.follow(o, followUp, err)
 }
 
-// stop ends an attempt for certain; where the worker does not answer, its lease has to end.
-func (l *Links) stop(addr netip.AddrPort, action cwdecider.Action) {
+// isIndefinite reports whether an order that failed with code may have reached the worker.
+func isIndefinite(code cwfault.Code) bool {
+	return code != "" && code != cwfault.Unavailable && code != cwfault.Refused && code != cwfault.StaleEpoch
+}
+
+// stop ends an attempt under the present epoch; the answer says whether it ever began.
+func (l *Links) stop(found link, o *order) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.opts.OrderTimeout)
 	defer cancel()
-	mode := action.Mode
+	mode := o.action.Mode
 	if mode == "" {
 		mode = cwmodel.StopNow
 	}
-	result, err := l.opts.Workers.Stop(ctx, addr, action.Attempt, mode)
-	if cwfault.CodeOf(err) == cwfault.NotFound {
-		l.neverBegan(action.Attempt, "the worker has refused it or its result was acknowledged before")
-		return
+	attempt := o.action.Attempt
+	attempt.Epoch = found.epoch
+	result, err := l.opts.Workers.Stop(ctx, found.addr, attempt, mode)
+	code := cwfault.CodeOf(err)
+	if code == cwfault.StaleEpoch {
+		l.opts.Stale(attempt.Worker, found.epoch)
 	}
-	if err != nil {
-		l.opts.Log.WithFields(logrus.Fields{
-			"task": action.Attempt.Task, "worker": action.Attempt.Worker, "error": cwfault.MessageOf(err),
-		}).Warn("stop-failed")
+	if code == "" && mode != cwmodel.StopThrottle {
+		if result.End == cwmodel.EndNeverBegan && attempt.Epoch != o.action.Attempt.Epoch {
+			result.End, result.Message = cwmodel.EndLapsed, "the worker has no record of it" // it may have run before a restart
+		}
+		result.Attempt = o.action.Attempt
+		l.ended(result)
+	}
+	l.follow(o, afterStop(code, !o.action.Task.Durable && !l.opts.Timer.Now().Before(o.giveUp)), err)
+}
+
+func (l *Links) follow(o *order, followUp verdict, err error) {
+	switch followUp {
+	case verdictNeverBegan:
+		l.neverBegan(o, cwfault.MessageOf(err))
+	case verdictStop:
+		o.stopping = true
+		l.again(o)
+	case verdictRepeat:
+		l.again(o)
+	case verdictDrop:
+		l.drop(o)
+	case verdictSettled:
+	}
+}
+
+// again sends an order once more after a pause that doubles each time.
+func (l *Links) again(o *order) {
+	if l.ctx.Err() != nil {
 		return
 	}
-	_ = l.opts.Ended(l.ctx, result)
+	l.repeated.Add(1)
+	const most = 6
+	pause := min(firstPause<<min(o.tries, most), longPause)
+	o.tries++
+	l.later(o, pause)
+}
+
+func (l *Links) drop(o *order) {
+	l.dropped.Add(1)
+	l.noteEnded(o.action.Attempt)
+	l.opts.Log.WithFields(logrus.Fields{
+		"task": o.action.Attempt.Task, "worker": o.action.Attempt.Worker, "order": o.action.Kind, "tries": o.tries,
+	}).Warn("order-dropped")
+}
+
+func (l *Links) neverBegan(o *order, message string) {
+	l.ended(cwmodel.Result{Attempt: o.action.Attempt, End: cwmodel.EndNeverBegan, Message: message, Ended: l.opts.Timer.Now()})
 }
 
-func (l *Links) neverBegan(attempt cwmodel.Attempt, message string) {
-	result := cwmodel.Result{Attempt: attempt, End: cwmodel.EndNeverBegan, Message: message, Ended: l.opts.Timer.Now()}
-	_ = l.opts.Ended(l.ctx, result)
+// ended hands over a result that came as the answer to an order; the worker's own record is read by the poll.
+func (l *Links) ended(result cwmodel.Result) {
+	l.noteEnded(result.Attempt)
+	_, _ = l.opts.Ended(l.ctx, result)
 }
--- a/internal/app/cwlink/poller.go
+++ b/internal/app/cwlink/poller.go
@@ -2,34 +2,49 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"currantward/internal/base/cwfault"
-	"currantward/internal/base/cwring"
 	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwport"
 )
 
 // retryDelay is the pause after a poll that failed.
 const retryDelay = 200 * time.Millisecond
 
-// heldPause bounds the pause between polls while every result at the worker waits for its acknowledgement.
-const heldPause = 50 * time.Millisecond
-
-// heldLimit is how long a durable result may wait for its acknowledgement before it is handed over again.
-const heldLimit = 30 * time.Second
-
-// poller reads the completions of one worker and acknowledges what was handed over.
-//
-// The result of a durable task stays at the worker until its receiver acknowledges it.
+// poller reads the completions of one worker and acknowledges what was handed over for good.
 type poller struct {
-	opts    Options
+	links   *Links
 	worker  cwmodel.Worker
 	epoch   cwmodel.Epoch
-	acks    []cwmodel.Attempt
-	held    map[cwmodel.Attempt]time.Time // durable results, by when they were handed over
-	written *cwring.Ring[cwmodel.Attempt] // durable results that may be dropped
+	adopted attempts // of jobs that an earlier owner began
+
+	mu   sync.Mutex
+	acks []cwmodel.Attempt
+	held []heldResult // handed over, to be acknowledged later
+}
+
+// heldLimit is how long a result may wait for its acknowledgement before it is handed over again.
+const heldLimit = 30 * time.Second
+
+// heldResult is a result that its receiver has not acknowledged yet.
+type heldResult struct {
+	attempt cwmodel.Attempt
+	since   time.Time
+}
+
+func newPoller(l *Links, inventory cwport.Inventory) *poller {
+	p := &poller{links: l, worker: inventory.Worker, epoch: inventory.Epoch, adopted: attempts{}}
+	for _, r := range inventory.Running {
+		if r.Durable {
+			p.adopted[r.Attempt] = struct{}{}
+		}
+	}
+	return p
 }
 
 func (p *poller) run(ctx context.Context) {
@@ -42,52 +57,70 @@
 
 // poll reads once and returns false if this worker has another owner.
 func (p *poller) poll(ctx context.Context) bool {
-	results, err := p.opts.Workers.Completions(ctx, p.worker.Address, p.epoch, p.acks, p.opts.PollWait)
+	opts := p.links.opts
+	request := p.request()
+	results, err := opts.Workers.Completions(ctx, p.worker.Address, request)
 	switch cwfault.CodeOf(err) {
 	case "":
 	case cwfault.StaleEpoch:
-		p.opts.Stale(p.worker.ID, p.epoch)
+		opts.Stale(p.worker.ID, p.epoch)
 		return false
 	default:
-		p.opts.Log.WithFields(logrus.Fields{"worker": p.worker.ID, "error": cwfault.MessageOf(err)}).Debug("poll-failed")
-		return p.opts.Timer.Sleep(ctx.Done(), retryDelay)
+		opts.Log.WithFields(logrus.Fields{"worker": p.worker.ID, "error": cwfault.MessageOf(err)}).Debug("poll-failed")
+		return opts.Timer.Sleep(ctx.Done(), retryDelay)
 	}
-	p.acks = p.acks[:0]
-	fresh := 0
+	p.forget(request.Acks)
 	for _, result := range results {
-		if p.isHeld(result.Attempt) {
-			continue
-		}
-		if p.opts.Ended(ctx, result) != nil {
+		if p.handOver(ctx, result) != nil {
 			return false
 		}
-		fresh++
-		if p.opts.IsDurable(result.Attempt.Task) {
-			p.held[result.Attempt] = p.opts.Timer.Now()
-		} else {
-			p.acks = append(p.acks, result.Attempt)
-		}
 	}
-	p.takeWritten(ctx, fresh == 0 && len(results) > 0)
 	return true
 }
 
-func (p *poller) isHeld(a cwmodel.Attempt) bool {
-	since, ok := p.held[a]
-	return ok && p.opts.Timer.Now().Sub(since) < heldLimit
+func (p *poller) request() cwport.Poll {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.links.opts.Timer.Now()
+	p.held = slices.DeleteFunc(p.held, func(h heldResult) bool { return now.Sub(h.since) >= heldLimit })
+	poll := cwport.Poll{Epoch: p.epoch, Acks: slices.Clone(p.acks), Wait: p.links.opts.PollWait}
+	for _, h := range p.held {
+		poll.Held = append(poll.Held, h.attempt)
+	}
+	return poll
 }
 
-// takeWritten collects the durable results to acknowledge, and waits for the first one if there is nothing else to do.
-func (p *poller) takeWritten(ctx context.Context, wait bool) {
-	first := len(p.acks)
-	if wait {
-		ctx, cancel := context.WithTimeout(ctx, heldPause)
-		defer cancel()
-		p.acks = p.written.Drain(ctx, p.acks)
-	} else {
-		p.acks = p.written.Ready(p.acks)
+// forget drops acknowledgements that the worker has taken.
+func (p *poller) forget(acks []cwmodel.Attempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.acks = p.acks[len(acks):]
+}
+
+func (p *poller) handOver(ctx context.Context, result cwmodel.Result) error {
+	_, isAdopted := p.adopted[result.Attempt]
+	delete(p.adopted, result.Attempt)
+	if !p.links.noteEnded(result.Attempt) && !isAdopted && result.Attempt.Epoch != p.epoch {
+		p.links.orphans.Add(1)
+	}
+	acknowledge, err := p.links.opts.Ended(ctx, result)
+	if err != nil {
+		return err
 	}
-	for _, a := range p.acks[first:] {
-		delete(p.held, a)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if acknowledge {
+		p.acks = append(p.acks, result.Attempt)
+	} else {
+		p.held = append(p.held, heldResult{result.Attempt, p.links.opts.Timer.Now()})
 	}
+	return nil
+}
+
+// acknowledge lets go of a result that was held.
+func (p *poller) acknowledge(attempt cwmodel.Attempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held = slices.DeleteFunc(p.held, func(h heldResult) bool { return h.attempt == attempt })
+	p.acks = append(p.acks, attempt)
 }
--- a/internal/app/cwscheduler/scheduler.go
+++ b/internal/app/cwscheduler/scheduler.go
@@ -43,6 +43,7 @@
 	eventOwned     eventKind = "worker-owned"
 	eventLost      eventKind = "worker-lost"
 	eventDraining  eventKind = "worker-draining"
+	eventClosing   eventKind = "worker-closing"
 	eventConfigure eventKind = "configure"
 	eventTick      eventKind = "tick"
 	eventGang      eventKind = "gang"
@@ -129,6 +130,11 @@
 	return s.inbox.Put(ctx, event{kind: eventLost, worker: worker, at: renewed})
 }
 
+// Closing stops placements on a worker that another host is to own.
+func (s *Scheduler) Closing(ctx context.Context, worker cwmodel.HostID) error {
+	return s.inbox.Put(ctx, event{kind: eventClosing, worker: worker})
+}
+
 // Draining stops placements on a worker that is leaving.
 func (s *Scheduler) Draining(ctx context.Context, worker cwmodel.HostID) error {
 	return s.inbox.Put(ctx, event{kind: eventDraining, worker: worker})
@@ -176,6 +182,8 @@
 		s.decider.LoseWorker(now, e.worker, e.at)
 	case eventDraining:
 		s.decider.DrainWorker(e.worker)
+	case eventClosing:
+		s.decider.CloseWorker(e.worker)
 	case eventConfigure:
 		s.decider.Configure(now, e.cfg)
 	case eventTick:
--- a/internal/bench/cwlatency/latency.go
+++ b/internal/bench/cwlatency/latency.go
@@ -97,7 +97,7 @@
 		if err := workers.Start(ctx, addr, order); err != nil {
 			return err
 		}
-		_, err := workers.Completions(ctx, addr, 1, acks, time.Second)
+		_, err := workers.Completions(ctx, addr, cwport.Poll{Epoch: 1, Acks: acks, Wait: time.Second})
 		acks = []cwmodel.Attempt{attempt}
 		return err
 	})
--- a/internal/core/cwdecider/quarantine.go
+++ b/internal/core/cwdecider/quarantine.go
@@ -89,7 +89,7 @@
 		return nil
 	}
 	for _, w := range d.suspects {
-		isOnProbation := w.breaker.State(now) == cwquarantine.StateHalfOpen && !w.probing && !w.leaving && !w.kept && !w.cleared
+		isOnProbation := w.breaker.State(now) == cwquarantine.StateHalfOpen && !w.probing && !w.leaving && !w.closed && !w.kept && !w.cleared
 		if isOnProbation && state.attempt.Worker != w.node.Worker().ID && demand.FitsIn(w.node.Free()) {
 			w.probing, state.probe = true, true
 			return w
--- a/internal/core/cwdecider/worker.go
+++ b/internal/core/cwdecider/worker.go
@@ -14,6 +14,7 @@
 	epoch   cwmodel.Epoch
 	tasks   []*task
 	leaving bool
+	closed  bool // another host is to own it; what runs there stays
 	kept    bool // closed until a reservation has room on it
 	cleared bool // closed until the task that others were preempted for has started
 	probing bool // a probe runs on it
@@ -194,9 +195,17 @@
 	}
 }
 
+// CloseWorker stops placing on a worker that another host is to own; what runs there stays.
+func (d *Decider) CloseWorker(id cwmodel.HostID) {
+	if w, ok := d.workers[id]; ok {
+		w.closed = true
+		d.refresh(w)
+	}
+}
+
 // refresh opens or closes a worker for new work.
 func (d *Decider) refresh(w *worker) {
-	if !w.leaving && !w.kept && !w.cleared && !w.suspect {
+	if !w.leaving && !w.closed && !w.kept && !w.cleared && !w.suspect {
 		d.fleet.Open(w.node)
 		return
 	}
--- a/internal/port/cwport/port.go
+++ b/internal/port/cwport/port.go
@@ -71,6 +71,21 @@
 	TTL   time.Duration // the claim ends this long after the last renewal
 }
 
+// Heartbeat renews a claim.
+type Heartbeat struct {
+	Epoch    cwmodel.Epoch
+	TTL      time.Duration // the claim ends this long after the worker has taken the heartbeat
+	NotAfter time.Time     // the worker refuses it later than this, by its own clock
+}
+
+// Poll reads the results that are not acknowledged.
+type Poll struct {
+	Epoch cwmodel.Epoch
+	Acks  []cwmodel.Attempt // the worker drops these
+	Held  []cwmodel.Attempt // the worker keeps these and leaves them out
+	Wait  time.Duration     // for a result if there is none
+}
+
 // Inventory is what a worker tells its new owner.
 type Inventory struct {
 	Worker  cwmodel.Worker
@@ -105,16 +120,16 @@
 	Inspect func(ctx context.Context, addr netip.AddrPort) (Inventory, error)
 	// Claim takes ownership and returns the inventory; cwfault.Conflict if another claim holds.
 	Claim func(ctx context.Context, addr netip.AddrPort, claim Claim) (Inventory, error)
-	// Renew extends the claim and the leases of all tasks of this worker.
-	Renew func(ctx context.Context, addr netip.AddrPort, epoch cwmodel.Epoch, ttl time.Duration) (Renewal, error)
-	// Release ends the claim; tasks go on under their leases.
+	// Renew extends the claim, the leases of durable tasks and those of tasks of its epoch; cwfault.Refused if it is late.
+	Renew func(ctx context.Context, addr netip.AddrPort, heartbeat Heartbeat) (Renewal, error)
+	// Release ends the claim; tasks go on under their leases, and further orders of this epoch are stale.
 	Release func(ctx context.Context, addr netip.AddrPort, epoch cwmodel.Epoch) error
 	// Start begins one attempt; cwfault.Refused means that this attempt will never begin.
 	Start func(ctx context.Context, addr netip.AddrPort, order Start) error
 	// Stop ends one attempt and returns its result; an attempt that the worker never saw is refused for good from then on.
 	Stop func(ctx context.Context, addr netip.AddrPort, attempt cwmodel.Attempt, mode cwmodel.StopMode) (cwmodel.Result, error)
-	// Completions acknowledges results and waits up to wait for further ones.
-	Completions func(ctx context.Context, addr netip.AddrPort, epoch cwmodel.Epoch, acks []cwmodel.Attempt, wait time.Duration) ([]cwmodel.Result, error)
+	// Completions acknowledges results and waits for further ones.
+	Completions func(ctx context.Context, addr netip.AddrPort, poll Poll) ([]cwmodel.Result, error)
 }
 
 // Digest is what entry hosts tell each other about their load.
