--- a/internal/proof/cwschedule/oracle.go
+++ b/internal/proof/cwschedule/oracle.go
@@ -133,6 +133,21 @@
 	}
 }
 
+// isQuiet reports whether every request is answered or its host is gone, and nothing runs.
+func (o *oracle) isQuiet() bool {
+	for _, r := range o.order {
+		if !r.answered && r.host.life == r.life {
+			return false
+		}
+	}
+	for _, w := range o.world.workers {
+		if !w.down && len(w.Inspect().Running) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // unanswered checks at the end that every request to a host that lived on was answered.
 func (o *oracle) unanswered() {
 	for _, r := range o.order {
