--- a/internal/core/cwdecider/decider.go
+++ b/internal/core/cwdecider/decider.go
@@ -51,11 +51,10 @@
 	Violated func(message string)
 
 	// Switches for measurements of the policy without one of its parts.
-	WithoutRetryBudget bool
-	WithoutJitter      bool
-	WithoutBreaker     bool
-	WithoutEstimates   bool
-	WithoutFloors      bool
+	WithoutJitter    bool
+	WithoutBreaker   bool
+	WithoutEstimates bool
+	WithoutFloors    bool
 }
 
 func (o *Options) setDefaults() {
@@ -96,9 +95,11 @@
 	spread   map[cwmodel.JobID]rackCount // where gangs and services run
 	alarms   cwheap.Heap[task]
 	reserved *reservation
+	rooms    []*task // have a worker that is being cleared for them
 	revoked  tombstones
 	waiting  int
 	running  int
+	failing  int // workers whose latest result is a failure
 	pass     uint64
 	misfits  []cwmodel.Resources // demands that found no worker in the present pass
 	free     []*task             // records for reuse
@@ -227,6 +228,7 @@
 func (d *Decider) Tick(now time.Time) {
 	d.ringAlarms(now)
 	d.expireHolds(now)
+	d.expireRooms(now)
 	d.review(now)
 	for _, p := range d.profiles {
 		p.noteWork(now)
