Finish requests that were forwarded when their host shuts down

Cause: fasthttp ends the context of a request when its listener begins to shut down, and that context went down to the call of the peer: a request that ran at a peer was answered unknown ('context canceled').

Change: cwfront hands a context on that a shutdown does not end; the listener waits for its handlers as before. The drain case now asks that every request in flight at the shutdown is done.

--- a/internal/adapter/cwfront/front.go
+++ b/internal/adapter/cwfront/front.go
@@ -83,7 +83,8 @@
 		cwhttp.WriteError(ctx, err)
 		return
 	}
-	answer := f.opts.Run(ctx, request)
+	// The context of fasthttp ends when the listener begins to shut down; what is in flight goes on.
+	answer := f.opts.Run(context.WithoutCancel(ctx), request)
 	cwhttp.WriteJSON(ctx, statusOf(answer), cwcodec.AnswerOf(answer))
 }
 
--- a/internal/adapter/cwfront/job.go
+++ b/internal/adapter/cwfront/job.go
@@ -1,6 +1,7 @@
 package cwfront
 
 import (
+	"context"
 	"errors"
 	"strings"
 	"time"
@@ -34,7 +35,7 @@
 		job, err := f.opts.GetJob(ctx, id)
 		writeJob(ctx, fasthttp.StatusOK, job, err)
 	case id != "" && method == fasthttp.MethodDelete:
-		job, err := f.opts.CancelJob(ctx, id)
+		job, err := f.opts.CancelJob(context.WithoutCancel(ctx), id)
 		writeJob(ctx, fasthttp.StatusOK, job, err)
 	default:
 		cwhttp.WriteError(ctx, cwfault.New(cwfault.NotSupported, "%s does not take %s", path, method))
@@ -51,7 +52,7 @@
 		cwhttp.WriteError(ctx, cwfault.New(cwfault.Unavailable, "not run: this host takes no jobs at present"))
 		return
 	}
-	job, err := f.opts.SubmitJob(ctx, request, tasks)
+	job, err := f.opts.SubmitJob(context.WithoutCancel(ctx), request, tasks)
 	writeJob(ctx, fasthttp.StatusCreated, job, err)
 }
 
--- a/internal/proof/cwprocess/load.go
+++ b/internal/proof/cwprocess/load.go
@@ -103,6 +103,13 @@
 	}
 }
 
+// Send sends one further request and keeps what came back with the others.
+func (l *Load) Send(host *EntryHost, profile, payload string) {
+	l.ended.Go(func() {
+		l.add(l.post(host, cwcodec.Submission{Profile: profile, Team: "intake", Payload: json.RawMessage(payload)}))
+	})
+}
+
 func (l *Load) post(host *EntryHost, submission cwcodec.Submission) (e Exchange) {
 	body, err := json.Marshal(submission)
 	e = Exchange{Host: host.ID, Profile: submission.Profile, Sent: l.timer.Now()}
--- a/internal/proof/cwschedule/oracle.go
+++ b/internal/proof/cwschedule/oracle.go
@@ -71,13 +71,7 @@
 	if to.leaving.IsZero() {
 		return
 	}
-	since := to.leaving
-	for _, at := range []time.Time{by.pausedTo, to.cutTo} {
-		if at.After(since) {
-			since = at
-		}
-	}
-	if late := o.world.now.Sub(since); late > drainBound {
+	if late := o.world.now.Sub(latest(to.leaving, by.pausedTo, to.cutTo)); late > drainBound {
 		o.violate("%s was sent new work %v after it began to leave", to.about.ID, late)
 	}
 }
--- a/internal/proof/cwschedule/schedule.go
+++ b/internal/proof/cwschedule/schedule.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"currantward/internal/core/cwmodel"
@@ -167,9 +168,12 @@
 
 // pauseHost stops an entry host, often past its claims.
 func (w *world) pauseHost() {
-	w.anyHost().pausedTo = w.now.Add(w.between(100*time.Millisecond, 8*time.Second))
+	h := w.anyHost()
+	h.pausedTo = latest(h.pausedTo, w.now.Add(w.between(100*time.Millisecond, 8*time.Second)))
 }
 
+func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
+
 // failWorker ends a worker for good, but never the last one.
 func (w *world) failWorker() {
 	up := 0
@@ -184,7 +188,8 @@
 }
 
 func (w *world) cutWorker() {
-	w.anyWorker().cutTo = w.now.Add(w.between(100*time.Millisecond, 6*time.Second))
+	chosen := w.anyWorker()
+	chosen.cutTo = latest(chosen.cutTo, w.now.Add(w.between(100*time.Millisecond, 6*time.Second)))
 }
 
 func (w *world) drainWorker() {
--- a/test/cwprocess/process_test.go
+++ b/test/cwprocess/process_test.go
@@ -14,6 +14,7 @@
 	"currantward/internal/base/cwtimer"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/proof/cwprocess"
+	"currantward/internal/standin/cwrunner"
 	"currantward/internal/standin/cwstore"
 )
 
@@ -136,8 +137,31 @@
 	return b.load.AwaitDone(ctx, batch)
 }
 
+// drainHost shuts a host down while long requests of its own callers run.
 func (b *bench) drainHost(ctx context.Context) error {
 	host := b.busiest(ctx)
+	const long = 4
+	digests := map[string]bool{}
+	for n := range long {
+		payload := fmt.Sprintf(`{"case":"long-%d","simulate":{"run":"1500ms"}}`, n)
+		digests[cwrunner.AnswerTo("", []byte(payload)).Digest] = true
+		b.load.Send(host, "filing", payload)
+	}
+	begun := func(context.Context) string {
+		running := 0
+		for _, s := range b.Spans() {
+			if digests[s.Digest] {
+				running++
+			}
+		}
+		if running < long {
+			return "the long requests have not begun"
+		}
+		return ""
+	}
+	if err := b.Await(ctx, begun); err != nil {
+		return err
+	}
 	b.shutdowns[host.ID] = b.timer.Now()
 	if err := b.Drain(ctx, host); err != nil {
 		return err
@@ -183,6 +207,18 @@
 			report := cwprocess.Check(b.Cluster, exchanges, b.shutdowns)
 			t.Logf("seed %d: %d requests, %v, %d without an answer, %d attempts", seed, report.Exchanges, report.Outcomes, report.NoAnswer, report.Attempts)
 			is.NoErr(report.Err())
+			is.NoErr(b.cutOff(exchanges))
 		})
 	}
 }
+
+// cutOff returns an error for a request that was in flight when its host began to shut down and did not end well.
+func (b *bench) cutOff(exchanges []cwprocess.Exchange) error {
+	for _, e := range exchanges {
+		shutdown, ok := b.shutdowns[e.Host]
+		if ok && e.Sent.Before(shutdown) && e.Answered.After(shutdown) && e.Answer.Outcome != string(cwmodel.OutcomeDone) {
+			return fmt.Errorf("a %s request in flight at the shutdown of %s was answered %+v after %v", e.Profile, e.Host, e.Answer, e.Answered.Sub(e.Sent))
+		}
+	}
+	return nil
+}
