--- a/internal/adapter/cwcodec/caller.go
+++ b/internal/adapter/cwcodec/caller.go
@@ -2,10 +2,8 @@
 
 import (
 	"encoding/json"
-	"time"
 
 	"currantward/internal/core/cwmodel"
-	"currantward/internal/core/cwtally"
 )
 
 // Submission is what a caller sends to have one request run.
@@ -33,10 +31,6 @@
 
 // AnswerOf returns the document of an answer; a payload that is not JSON is written as a JSON string.
 func AnswerOf(a cwmodel.Answer) Answer {
-	payload := json.RawMessage(a.Payload)
-	if len(payload) > 0 && !json.Valid(payload) {
-		payload, _ = json.Marshal(string(a.Payload))
-	}
 	return Answer{
 		RequestID: string(a.Task),
 		Outcome:   string(a.Outcome),
@@ -46,55 +40,6 @@
 		Worker:    string(a.Worker),
 		Waited:    Duration(a.Waited),
 		Ran:       Duration(a.Ran),
-		Answer:    payload,
-	}
-}
-
-// TotalsLine is one line of the day's totals.
-type TotalsLine struct {
-	Day       string   `json:"day"`
-	Profile   string   `json:"profile"`
-	Team      string   `json:"team"`
-	Asked     int64    `json:"asked"`
-	Done      int64    `json:"done"`
-	Failed    int64    `json:"failed"`
-	NotRun    int64    `json:"not-run"`
-	Cancelled int64    `json:"cancelled"`
-	Unknown   int64    `json:"unknown"`
-	Waited    Duration `json:"waited"`
-	Ran       Duration `json:"ran"`
-}
-
-// Totals is a list of lines.
-type Totals struct {
-	Lines []TotalsLine `json:"lines"`
-}
-
-// TotalsOf returns the document of lines.
-func TotalsOf(lines []cwtally.Line) Totals {
-	document := Totals{Lines: []TotalsLine{}}
-	for _, line := range lines {
-		o := line.Sums.Outcomes
-		document.Lines = append(document.Lines, TotalsLine{
-			Day: line.Key.Day, Profile: string(line.Key.Profile), Team: string(line.Key.Team), Asked: line.Sums.Asked,
-			Done: o.Done, Failed: o.Failed, NotRun: o.NotRun, Cancelled: o.Cancelled, Unknown: o.Unknown,
-			Waited: Duration(line.Sums.Waited), Ran: Duration(line.Sums.Ran),
-		})
-	}
-	return document
-}
-
-// Core returns the lines.
-func (t Totals) Core() (lines []cwtally.Line) {
-	for _, l := range t.Lines {
-		lines = append(lines, cwtally.Line{
-			Key: cwtally.Key{Day: l.Day, Profile: cwmodel.ProfileName(l.Profile), Team: cwmodel.TeamName(l.Team)},
-			Sums: cwtally.Sums{
-				Asked:    l.Asked,
-				Outcomes: cwtally.Outcomes{Done: l.Done, Failed: l.Failed, NotRun: l.NotRun, Cancelled: l.Cancelled, Unknown: l.Unknown},
-				Waited:   time.Duration(l.Waited), Ran: time.Duration(l.Ran),
-			},
-		})
+		Answer:    rawOf(a.Payload),
 	}
-	return lines
 }
--- a/internal/app/cwentry/entry.go
+++ b/internal/app/cwentry/entry.go
@@ -15,7 +15,10 @@
 	"currantward/internal/adapter/cwmetric"
 	"currantward/internal/adapter/cwpeer"
 	"currantward/internal/app/cwintake"
+	"currantward/internal/app/cwintent"
+	"currantward/internal/app/cwjobs"
 	"currantward/internal/app/cwkeeper"
+	"currantward/internal/app/cwledger"
 	"currantward/internal/app/cwlink"
 	"currantward/internal/app/cwmember"
 	"currantward/internal/app/cwoperator"
@@ -24,6 +27,7 @@
 	"currantward/internal/app/cwtotals"
 	"currantward/internal/app/cwwatch"
 	"currantward/internal/base/cwduty"
+	"currantward/internal/base/cwhttp"
 	"currantward/internal/base/cwtimer"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwpolicy"
@@ -31,31 +35,34 @@
 	"currantward/internal/port/cwport"
 )
 
-// Sizes and periods of the duties.
+// drainCheck is how often a shutdown looks whether anything is left.
+const drainCheck = 50 * time.Millisecond
+
+// Bounds of one change of the configuration.
 const (
-	poolSize      = 1024
-	inboxSize     = 16384
-	tickEvery     = 25 * time.Millisecond
-	startWindow   = 2 * time.Second
-	orderTimeout  = 2 * time.Second
-	pollWait      = 5 * time.Second
-	listEvery     = time.Second
-	exchangeEvery = 500 * time.Millisecond
-	silenceLimit  = 3 * time.Second
-	configEvery   = time.Second
-	flushEvery    = 2 * time.Second
-	peerTimeout   = time.Second
-	drainCheck    = 50 * time.Millisecond
+	changeTimeout = 5 * time.Second
+	settlePause   = 100 * time.Millisecond
 )
 
+// lateFlushes is how many periods a writer of totals may miss before its host is taken for dead.
+const lateFlushes = 3
+
 // Options set up an entry host.
 type Options struct {
 	Settings cwsettings.Settings
 	Timer    *cwtimer.Service
 	Log      *logrus.Logger
 	Table    cwport.Table
+	Objects  cwport.Objects
 	HostList cwport.HostList
 	Workers  cwport.Workers
+	Traffic  Traffic
+}
+
+// Traffic counts the bytes of each link; a nil field is not published.
+type Traffic struct {
+	Workers  *cwhttp.Traffic
+	Platform *cwhttp.Traffic
 }
 
 // Entry is a running entry host.
@@ -77,7 +84,11 @@
 	totals    *cwtotals.Totals
 	operator  *cwoperator.Operator
 	intake    *cwintake.Intake
+	ledger    *cwledger.Ledger
+	jobs      *cwjobs.Jobs
+	intents   *cwintent.Intents
 	peers     cwport.Peers
+	traffic   *cwhttp.Traffic // of all connections with peers
 	drain     sync.Once
 	started   chan struct{} // closed once all parts are set
 }
@@ -85,18 +96,19 @@
 // New starts an entry host and returns the function that shuts it down gracefully.
 func New(opts Options) (e *Entry, stop func(), err error) {
 	defer func() { err = eris.Wrap(err, "start entry host") }()
-	e = &Entry{opts: opts, Drained: make(chan struct{}), started: make(chan struct{}), metrics: cwmetric.New()}
+	e = &Entry{opts: opts, Drained: make(chan struct{}), started: make(chan struct{}), metrics: cwmetric.New(opts.Settings.MaxMetricLabels), traffic: &cwhttp.Traffic{}}
 	defer func() {
 		if err != nil {
 			e.cleanup.Run()
 		}
 	}()
-	if e.pool, err = ants.NewPool(poolSize, ants.WithNonblocking(true)); err != nil {
+	if e.pool, err = ants.NewPool(opts.Settings.PoolSize, ants.WithNonblocking(true)); err != nil {
 		return nil, nil, err
 	}
 	e.cleanup.Add(e.pool.Release)
 	e.startState()
 	e.startPlacement()
+	e.startJobs()
 	if err = e.startPeers(); err != nil {
 		return nil, nil, err
 	}
@@ -115,8 +127,8 @@
 func (e *Entry) startState() {
 	o := e.opts
 	totals, stop := cwtotals.New(cwtotals.Options{
-		Timer: o.Timer, Log: o.Log, Table: o.Table, Zone: o.Settings.Zone, FlushEvery: flushEvery, InboxSize: inboxSize,
-		Writer: fmt.Sprintf("%s-%d", o.Settings.HostID, o.Timer.Now().UnixNano()),
+		Timer: o.Timer, Log: o.Log, Table: o.Table, Zone: o.Settings.Zone, FlushEvery: o.Settings.TotalsEvery, InboxSize: o.Settings.InboxSize,
+		Host: o.Settings.HostID, Writer: fmt.Sprintf("%s-%d", o.Settings.HostID, o.Timer.Now().UnixNano()),
 	})
 	e.totals = totals
 	e.cleanup.Add(stop)
@@ -126,49 +138,53 @@
 func (e *Entry) startPlacement() {
 	o := e.opts
 	scheduler, stopScheduler := cwscheduler.New(cwscheduler.Options{
-		Timer: o.Timer, Log: o.Log, InboxSize: inboxSize, TickEvery: tickEvery, Order: e.order,
+		Timer: o.Timer, Log: o.Log, InboxSize: o.Settings.InboxSize, TickEvery: o.Settings.TickEvery, Order: e.order,
+		Durable: e.handBack,
 	})
 	e.scheduler = scheduler
 	e.cleanup.Add(stopScheduler)
 
 	links, stopLinks := cwlink.New(cwlink.Options{
 		Timer: o.Timer, Log: o.Log, Workers: o.Workers, Pool: e.pool,
-		OrderTimeout: orderTimeout, StartWindow: startWindow, PollWait: pollWait,
-		Ended: scheduler.Ended, Stale: e.stale,
+		OrderTimeout: o.Settings.OrderTimeout, StartWindow: o.Settings.StartWindow, PollWait: o.Settings.CompletionWait,
+		Ended: e.ended, IsDurable: isDurable, Stale: e.stale,
 	})
 	e.links = links
 	e.cleanup.Add(stopLinks)
 
 	keeper, stopKeeper := cwkeeper.New(cwkeeper.Options{
 		Timer: o.Timer, Log: o.Log, Workers: o.Workers, Pool: e.pool, Self: o.Settings.HostID,
-		ClaimTTL: o.Settings.ClaimTTL, RenewEvery: o.Settings.ClaimTTL / 3, CallLimit: orderTimeout,
+		ClaimTTL: o.Settings.ClaimTTL, RenewEvery: o.Settings.ClaimTTL / 3, CallLimit: o.Settings.OrderTimeout,
 		Owned: e.owned, Lost: e.lost, Draining: scheduler.Draining,
 	})
 	e.keeper = keeper
 	e.cleanup.Add(stopKeeper)
 
 	watcher, stopWatcher := cwwatch.New(cwwatch.Options{
-		Timer: o.Timer, Log: o.Log, Table: o.Table, PollEvery: configEvery, Apply: scheduler.Configure,
+		Timer: o.Timer, Log: o.Log, Table: o.Table, DataCentre: o.Settings.DataCentre, PollEvery: o.Settings.ConfigEvery, ReadTimeout: o.Settings.PeerTimeout,
+		Apply: scheduler.Configure, Digests: e.digests, ReadPeer: e.peerConfiguration,
 	})
 	e.watcher = watcher
-	e.operator = cwoperator.New(o.Table, watcher.Poll)
+	e.operator = cwoperator.New(cwoperator.Options{
+		Timer: o.Timer, Log: o.Log, Table: o.Table, Timeout: changeTimeout, SettlePause: settlePause, Accepted: watcher.Committed,
+	})
 	e.cleanup.Add(stopWatcher)
 }
 
 // startPeers starts the listener for peers and membership.
 func (e *Entry) startPeers() error {
 	o := e.opts
-	peers, stopClient := cwpeer.New(cwpeer.ClientOptions{Timer: o.Timer, Timeout: peerTimeout, MaxConnsPerPeer: 256})
+	peers, stopClient := cwpeer.New(cwpeer.ClientOptions{Timer: o.Timer, Timeout: o.Settings.PeerTimeout, MaxConnsPerPeer: 256, Traffic: e.traffic})
 	e.peers = peers
 	e.cleanup.Add(stopClient)
 	e.intake = cwintake.New(cwintake.Options{
 		Timer: o.Timer, Log: o.Log, Peers: peers, Self: o.Settings.HostID,
 		Configuration: e.watcher.Present, Submit: e.scheduler.Submit, Cancel: e.scheduler.Cancel,
 		HasRoom: func(demand cwmodel.Resources) bool { return demand.FitsIn(e.scheduler.Load().LargestFree) },
-		Digests: e.digests, Told: e.told,
+		Digests: e.digests, Once: e.intents.Run, Told: e.told,
 	})
 	bound, stopServer, err := cwpeer.Serve(cwpeer.ServerOptions{
-		Listen: o.Settings.ListenPeers, Timer: o.Timer, Log: o.Log, ShutdownTimeout: o.Settings.DrainTimeout,
+		Listen: o.Settings.ListenPeers, Timer: o.Timer, Log: o.Log, ShutdownTimeout: o.Settings.DrainTimeout, Traffic: e.traffic,
 		Exchange: e.exchange, Forward: e.intake.Accept, Configuration: func() cwpolicy.Configuration { return *e.watcher.Present() },
 	})
 	if err != nil {
@@ -178,28 +194,52 @@
 	e.cleanup.Add(stopServer)
 	member, stopMember := cwmember.New(cwmember.Options{
 		Timer: o.Timer, Log: o.Log, Pool: e.pool, HostList: o.HostList, Peers: peers, Self: o.Settings.HostID, DataCentre: o.Settings.DataCentre,
-		ListEvery: listEvery, ExchangeEvery: exchangeEvery, SilenceLimit: silenceLimit, Digest: e.digest, View: e.keeper.View,
+		ListEvery: o.Settings.HostListEvery, ExchangeEvery: o.Settings.ExchangeEvery, SilenceLimit: o.Settings.SilenceLimit, Digest: e.digest, View: e.view,
 	})
 	e.member = member
 	e.cleanup.Add(stopMember)
 	return nil
 }
 
-func (e *Entry) order(action actionOf) { e.links.Order(action) }
+func (e *Entry) order(action actionOf) {
+	if action.Task.Durable {
+		e.jobs.Action(action)
+		return
+	}
+	e.links.Order(action)
+}
 
 func (e *Entry) stale(worker cwmodel.HostID, epoch cwmodel.Epoch) { e.keeper.Stale(worker, epoch) }
 
 func (e *Entry) owned(ctx context.Context, inventory cwport.Inventory) error {
 	e.links.Open(inventory.Worker, inventory.Epoch)
+	if err := e.jobs.Owned(ctx, inventory); err != nil {
+		return err
+	}
 	return e.scheduler.Owned(ctx, inventory)
 }
 
 func (e *Entry) lost(ctx context.Context, worker cwmodel.HostID) error {
 	e.links.Close(worker)
+	if err := e.jobs.Lost(ctx, worker); err != nil {
+		return err
+	}
 	return e.scheduler.Lost(ctx, worker)
 }
 
-func (e *Entry) digests() []cwport.Digest { return e.member.Digests() }
+// digests returns the latest digests of live peers; there are none before all parts are set.
+func (e *Entry) digests() []cwport.Digest {
+	select {
+	case <-e.started:
+		return e.member.Digests()
+	default:
+		return nil
+	}
+}
+
+func (e *Entry) peerConfiguration(ctx context.Context, peer cwport.Digest) (cwpolicy.Configuration, error) {
+	return e.peers.Configuration(ctx, peer.Address)
+}
 
 func (e *Entry) digest(context.Context) cwport.Digest {
 	load := e.scheduler.Load()
@@ -214,36 +254,51 @@
 func (e *Entry) exchange(theirs cwport.Digest) cwport.Digest {
 	<-e.started
 	e.member.Heard(theirs)
-	if theirs.Configuration > e.watcher.Present().Version {
-		e.watcher.Poll()
-	}
+	e.watcher.Hint(theirs.Configuration)
 	return e.digest(context.Background())
 }
 
+// told counts one answer before its caller is given it.
 func (e *Entry) told(request cwmodel.Request, answer cwmodel.Answer, took time.Duration) {
-	profile, team := request.Profile, request.Team
-	if _, ok := e.watcher.Present().Profile(profile); !ok {
-		profile = "unknown"
+	counted := cwtally.Event{At: e.opts.Timer.Now(), Profile: request.Profile, Team: request.Team, Answer: answer, Took: took}
+	cfg := e.watcher.Present()
+	profile, ok := cfg.Profile(request.Profile)
+	counted.Demand = profile.Demand
+	if !ok {
+		counted.Profile = "unknown"
+	}
+	if request.Demand != nil {
+		counted.Demand = *request.Demand
 	}
-	if _, ok := e.watcher.Present().Team(team); !ok {
-		team = "unknown"
+	if _, ok = cfg.Team(request.Team); !ok {
+		counted.Team = "unknown"
 	}
-	e.metrics.Observe(profile, team, answer, took)
-	e.totals.Count(context.Background(), profile, team, answer)
+	e.metrics.Observe(counted, profile.Class)
+	e.totals.Count(context.Background(), counted)
 }
 
 // totalsOf returns the sums of one day, this host's latest included.
-func (e *Entry) totalsOf(ctx context.Context, day string) ([]cwtally.Line, error) {
+func (e *Entry) totalsOf(ctx context.Context, day string) (d cwtally.Day, err error) {
+	now := e.opts.Timer.Now()
 	if day == "" {
-		day = cwtally.DayOf(e.opts.Timer.Now(), e.opts.Settings.Zone)
+		day = cwtally.DayOf(now, e.opts.Settings.Zone)
 	}
-	if err := e.totals.Flush(ctx); err != nil {
-		return nil, err
+	if err = e.totals.Flush(ctx); err != nil {
+		return d, err
 	}
-	return cwtotals.Read(ctx, e.opts.Table, day)
+	reader := cwtotals.Reader{Table: e.opts.Table, Zone: e.opts.Settings.Zone, LateAfter: lateFlushes*e.opts.Settings.TotalsEvery + e.opts.Settings.OrderTimeout}
+	return reader.Day(ctx, day, e.opts.Timer.Now())
 }
 
 func (e *Entry) publishGauges() {
+	e.publishState()
+	e.metrics.Traffic("peers", e.traffic)
+	if e.opts.Traffic.Workers != nil {
+		e.metrics.Traffic("workers", e.opts.Traffic.Workers)
+	}
+	if e.opts.Traffic.Platform != nil {
+		e.metrics.Traffic("platform", e.opts.Traffic.Platform)
+	}
 	e.metrics.Gauge("currantward_owned_workers", "Workers that this host owns.", func() float64 { return float64(e.scheduler.Load().Workers) })
 	e.metrics.Gauge("currantward_waiting_tasks", "Tasks that wait at this host.", func() float64 { return float64(e.scheduler.Load().Waiting) })
 	e.metrics.Gauge("currantward_running_tasks", "Tasks that run for this host.", func() float64 { return float64(e.scheduler.Load().Running) })
--- a/internal/base/cwhttp/server.go
+++ b/internal/base/cwhttp/server.go
@@ -24,6 +24,10 @@
 	IdleTimeout     time.Duration
 	ShutdownTimeout time.Duration
 	Log             *logrus.Logger
+	Traffic         *Traffic // nil: not counted
+
+	// Answered is called with the status of each answer; it may be nil.
+	Answered func(status int)
 }
 
 // DefaultServerOptions returns limits that suit a listener for callers.
@@ -49,8 +53,8 @@
 	}
 	bound = BoundAddress(listener)
 	server := &fasthttp.Server{
-		Handler:               limitBody(handle, opts.MaxBodyBytes),
-		ErrorHandler:          rejectRequest,
+		Handler:               opts.observed(limitBody(handle, opts.MaxBodyBytes)),
+		ErrorHandler:          opts.reject,
 		Name:                  opts.Name,
 		MaxRequestBodySize:    opts.MaxBodyBytes * readableExcess,
 		ReadBufferSize:        opts.MaxHeaderBytes,
@@ -64,7 +68,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		if err := server.Serve(listener); err != nil {
+		if err := server.Serve(opts.Traffic.Listener(listener)); err != nil {
 			opts.Log.WithFields(logrus.Fields{"listener": opts.Name, "error": err.Error()}).Error("listener-failed")
 		}
 	}()
@@ -76,6 +80,24 @@
 	return bound, stop, nil
 }
 
+// observed reports the status of each answer.
+func (o ServerOptions) observed(handle fasthttp.RequestHandler) fasthttp.RequestHandler {
+	if o.Answered == nil {
+		return handle
+	}
+	return func(ctx *fasthttp.RequestCtx) {
+		handle(ctx)
+		o.Answered(ctx.Response.StatusCode())
+	}
+}
+
+func (o ServerOptions) reject(ctx *fasthttp.RequestCtx, err error) {
+	rejectRequest(ctx, err)
+	if o.Answered != nil {
+		o.Answered(ctx.Response.StatusCode())
+	}
+}
+
 // readableExcess is how many times the limit of a body is still read, so that its sender sees the refusal.
 const readableExcess = 8
 
--- a/internal/core/cwdecider/worker.go
+++ b/internal/core/cwdecider/worker.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"currantward/internal/core/cwcapacity"
 	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwplacement"
 	"currantward/internal/core/cwquarantine"
 )
 
 // worker is an owned worker with what runs on it.
 type worker struct {
-	node    *cwcapacity.Node
+	node    *cwplacement.Node
 	epoch   cwmodel.Epoch
 	tasks   []*task
 	leaving bool
@@ -28,7 +28,7 @@
 	if old, ok := d.workers[w.ID]; ok {
 		displaced = d.forget(now, old, now)
 	}
-	added := &worker{node: cwcapacity.NewNode(w), epoch: epoch, breaker: d.breakerOf(w.ID)}
+	added := &worker{node: cwplacement.NewNode(w), epoch: epoch, breaker: d.breakerOf(w.ID)}
 	d.workers[w.ID] = added
 	d.fleet.Add(added.node)
 	d.updateShares()
--- a/internal/core/cwcapacity/fleet.go
+++ b/internal/core/cwplacement/fleet.go
@@ -1,5 +1,5 @@
-// Package cwcapacity keeps what each worker has free and finds the tightest worker that holds a demand.
-package cwcapacity
+// Package cwplacement keeps what each worker has free and finds the tightest worker that holds a demand.
+package cwplacement
 
 import (
 	"cmp"
--- a/internal/core/cwquarantine/breaker.go
+++ b/internal/core/cwquarantine/breaker.go
@@ -16,7 +16,7 @@
 // Limits of a breaker.
 const (
 	threshold    = 3.0 // unexpected failures in a row that open it
-	firstPause   = 5 * time.Second
+	firstPause   = time.Second
 	longestPause = 5 * time.Minute
 	probes       = 3                // successes in a row that close it again
 	probation    = 30 * time.Second // after which it closes without probes, one failure short of opening again
