--- a/internal/core/cwplacement/fleet.go
+++ b/internal/core/cwplacement/fleet.go
@@ -182,13 +182,21 @@
 		return find(f.accelerated, demand, accept)
 	}
 	return find(f.accelerated, demand, func(n *Node) bool {
-		return f.leavesAccelerators(n, demand) && (accept == nil || accept(n))
+		return f.leavesAccelerators(n, n.free, demand) && (accept == nil || accept(n))
 	})
 }
 
-func (f *Fleet) leavesAccelerators(n *Node, demand cwmodel.Resources) bool {
-	part := f.KeepAccelerators * float64(n.free.Accelerators) / float64(n.worker.Capacity.Accelerators)
-	left := n.free.Minus(demand)
+// WouldHold reports whether a worker would take a demand if it had that much free.
+func (f *Fleet) WouldHold(n *Node, free, demand cwmodel.Resources) bool {
+	if !demand.FitsIn(free) {
+		return false
+	}
+	return demand.Accelerators > 0 || n.worker.Capacity.Accelerators == 0 || f.leavesAccelerators(n, free, demand)
+}
+
+func (f *Fleet) leavesAccelerators(n *Node, free, demand cwmodel.Resources) bool {
+	part := f.KeepAccelerators * float64(free.Accelerators) / float64(n.worker.Capacity.Accelerators)
+	left := free.Minus(demand)
 	return float64(left.MilliProcessors) >= part*float64(n.worker.Capacity.MilliProcessors) &&
 		float64(left.MemoryBytes) >= part*float64(n.worker.Capacity.MemoryBytes)
 }
