--- /dev/null
+++ b/internal/core/cwplacement/fleet_test.go
@@ -0,0 +1,99 @@
+package cwplacement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"currantward/internal/core/cwmodel"
+)
+
+// draw returns resources of up to limit in each dimension.
+func draw(t *rapid.T, limit int64, label string) cwmodel.Resources {
+	part := func() int64 { return rapid.Int64Range(0, limit).Draw(t, label) }
+	return cwmodel.Resources{MilliProcessors: part(), MemoryBytes: part(), Accelerators: part() / 4, Slots: part()}
+}
+
+// TestFleetFindsWhatAScanFinds compares the index with a scan of all workers after random changes.
+func TestFleetFindsWhatAScanFinds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &Fleet{Violated: func(message string) { t.Fatal(message) }}
+		var nodes []*Node
+		for n := range rapid.IntRange(1, 60).Draw(t, "workers") {
+			capacity := cwmodel.Resources{MilliProcessors: 16, MemoryBytes: 16, Accelerators: int64(n % 3), Slots: 16}
+			node := NewNode(cwmodel.Worker{ID: cwmodel.HostID(fmt.Sprint("w", n)), Capacity: capacity})
+			f.Add(node)
+			f.Open(node)
+			nodes = append(nodes, node)
+		}
+		taken := map[*Node][]cwmodel.Resources{}
+		for range rapid.IntRange(1, 200).Draw(t, "changes") {
+			n := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "worker")]
+			switch rapid.IntRange(0, 4).Draw(t, "change") {
+			case 0:
+				f.Close(n)
+			case 1:
+				f.Open(n)
+			case 2:
+				if list := taken[n]; len(list) > 0 {
+					f.Give(n, list[0])
+					taken[n] = list[1:]
+				}
+			default:
+				demand := draw(t, 8, "demand")
+				if found := f.Find(demand, nil); found != nil {
+					f.Take(found, demand)
+					taken[found] = append(taken[found], demand)
+				}
+			}
+			checkFind(t, f, nodes, draw(t, 16, "probe"))
+		}
+	})
+}
+
+func checkFind(t *rapid.T, f *Fleet, nodes []*Node, demand cwmodel.Resources) {
+	exists := false
+	var free cwmodel.Resources
+	for _, n := range nodes {
+		if n.IsOpen() {
+			exists = exists || demand.FitsIn(n.Free())
+			free = free.Plus(n.Free())
+		}
+	}
+	found := f.Find(demand, nil)
+	if (found != nil) != exists {
+		t.Fatalf("a worker for %+v exists: %v, found: %v", demand, exists, found != nil)
+	}
+	if found != nil && (!found.IsOpen() || !demand.FitsIn(found.Free())) {
+		t.Fatalf("worker %s is closed or has no room", found.Worker().ID)
+	}
+	if f.Free() != free {
+		t.Fatalf("free capacity is %+v, not %+v", f.Free(), free)
+	}
+}
+
+func TestAcceleratorsAreKept(t *testing.T) {
+	capacity := cwmodel.Resources{MilliProcessors: 8, MemoryBytes: 8, Accelerators: 2, Slots: 8}
+	cases := []struct {
+		name   string
+		keep   float64
+		demand cwmodel.Resources
+		found  bool
+	}{
+		{"nothing is kept", 0, cwmodel.Resources{MilliProcessors: 8}, true},
+		{"half is kept", 0.5, cwmodel.Resources{MilliProcessors: 5}, false},
+		{"within the other half", 0.5, cwmodel.Resources{MilliProcessors: 4}, true},
+		{"work that needs accelerators may use all", 0.5, cwmodel.Resources{MilliProcessors: 8, Accelerators: 1}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := &Fleet{KeepAccelerators: c.keep, Violated: func(message string) { t.Fatal(message) }}
+			n := NewNode(cwmodel.Worker{ID: "w", Capacity: capacity})
+			f.Add(n)
+			f.Open(n)
+			is.New(t).Equal(f.Find(c.demand, nil) != nil, c.found)
+		})
+	}
+}
--- a/internal/core/cwquarantine/breaker.go
+++ b/internal/core/cwquarantine/breaker.go
@@ -48,8 +48,9 @@
 
 // Succeeded counts one task that ended well.
 func (b *Breaker) Succeeded(now time.Time) {
+	state := b.State(now)
 	b.failures = 0
-	if b.State(now) != StateHalfOpen {
+	if state != StateHalfOpen {
 		return
 	}
 	if b.successes++; b.successes >= probes {
@@ -59,8 +60,9 @@
 
 // Failed counts one failure; expected is the rate at which the same work fails everywhere, from 0 to 1.
 func (b *Breaker) Failed(now time.Time, expected float64) {
+	state := b.State(now)
 	b.failures += 1 - expected
-	switch b.State(now) {
+	switch state {
 	case StateHalfOpen:
 		b.open(now)
 	case StateClosed:
