--- a/internal/core/cwdecider/policy_test.go
+++ b/internal/core/cwdecider/policy_test.go
@@ -114,22 +114,22 @@
 	s.collect()
 }
 
-func TestPolicy(t *testing.T) {
-	cases := []struct {
-		name    string
-		workers int
-		change  func(cfg *cwpolicy.Configuration)
-		run     func(s *stage)
-	}{
-		{name: "the earliest deadline of a queue goes first", workers: 1, run: func(s *stage) {
-			s.fill("urgent", 8)
-			late, early := s.task("urgent", 1), s.task("urgent", 1)
-			early.Deadline = early.Deadline.Add(-time.Second)
-			s.submit(late)
-			s.submit(early)
-			s.end(s.starts[0].Attempt, cwmodel.EndDone)
-			s.Equal(s.starts[8].Task.ID, early.ID)
-		}},
+// policyCase is one rule with the number of workers that it is shown on.
+type policyCase struct {
+	name    string
+	workers int
+	change  func(cfg *cwpolicy.Configuration)
+	run     func(s *stage)
+}
+
+func runCases(t *testing.T, cases []policyCase) {
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { c.run(newStage(t, c.workers, c.change)) })
+	}
+}
+
+func TestOrder(t *testing.T) {
+	runCases(t, []policyCase{
 		{name: "a flood of the most urgent leaves the others their floors", workers: 1, run: func(s *stage) {
 			s.fill("urgent", 40)
 			bundle := s.submit(s.task("bundles", 1))
@@ -144,6 +144,23 @@
 			s.end(s.starts[0].Attempt, cwmodel.EndDone)
 			s.Equal(s.started(other.ID), 1)
 		}},
+		{name: "a team does not exceed its quota", workers: 2, run: func(s *stage) {
+			for range 12 {
+				t := s.task("urgent", 1)
+				t.Team = "b"
+				s.submit(t)
+			}
+			s.Equal(len(s.starts), 9)
+		}},
+		{name: "a profile does not exceed its ceiling", workers: 1, run: func(s *stage) {
+			s.fill("best", 8)
+			s.Equal(len(s.starts), 7)
+		}},
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	runCases(t, []policyCase{
 		{name: "a full queue refuses the team that fills it", workers: 1, run: func(s *stage) {
 			s.fill("urgent", 108)
 			same, other := s.task("urgent", 1), s.task("urgent", 1)
@@ -165,18 +182,6 @@
 			s.submit(big)
 			s.Equal(s.answers[big.ID].Reason, cwmodel.ReasonOverQuota)
 		}},
-		{name: "a team does not exceed its quota", workers: 2, run: func(s *stage) {
-			for range 12 {
-				t := s.task("urgent", 1)
-				t.Team = "b"
-				s.submit(t)
-			}
-			s.Equal(len(s.starts), 9)
-		}},
-		{name: "a profile does not exceed its ceiling", workers: 1, run: func(s *stage) {
-			s.fill("best", 8)
-			s.Equal(len(s.starts), 7)
-		}},
 		{name: "what cannot end in time is refused at once by learned run times", workers: 1, run: func(s *stage) {
 			for n := range 40 {
 				s.submit(s.task("urgent", 1))
@@ -190,6 +195,11 @@
 			s.Equal(s.answers[short.ID].Reason, cwmodel.ReasonNoTimeLeft)
 			s.Equal(s.answers[short.ID].Outcome, cwmodel.OutcomeNotRun)
 		}},
+	})
+}
+
+func TestPreemptionAndCancellation(t *testing.T) {
+	runCases(t, []policyCase{
 		{name: "checkpointable work makes way", workers: 1, run: func(s *stage) {
 			s.fill("best", 7)
 			big := s.submit(s.task("urgent", 3))
@@ -229,6 +239,20 @@
 			s.Equal(s.answers[t.ID].Outcome, cwmodel.OutcomeCancelled)
 			s.Equal(len(s.starts), 0)
 		}},
+	})
+}
+
+func TestDeadlinesAndLostWorkers(t *testing.T) {
+	runCases(t, []policyCase{
+		{name: "the earliest deadline of a queue goes first", workers: 1, run: func(s *stage) {
+			s.fill("urgent", 8)
+			late, early := s.task("urgent", 1), s.task("urgent", 1)
+			early.Deadline = early.Deadline.Add(-time.Second)
+			s.submit(late)
+			s.submit(early)
+			s.end(s.starts[0].Attempt, cwmodel.EndDone)
+			s.Equal(s.starts[8].Task.ID, early.ID)
+		}},
 		{name: "a running request is stopped at its deadline and unknown without confirmation", workers: 1, run: func(s *stage) {
 			id := s.submit(s.task("urgent", 1))
 			s.tick(2 * time.Second)
@@ -289,6 +313,11 @@
 			s.end(attempt, cwmodel.EndStopped)
 			s.Equal(s.answers["job-1"].Outcome, cwmodel.OutcomeCancelled)
 		}},
+	})
+}
+
+func TestGangs(t *testing.T) {
+	runCases(t, []policyCase{
 		{name: "a large task is not starved by small ones", workers: 1, run: func(s *stage) {
 			s.fill("urgent", 8)
 			gang := s.task("gangs", 8)
@@ -316,6 +345,24 @@
 			}
 			s.Equal(len(used), 4)
 		}},
+		{name: "a held gang starts at its commit and not after its expiry", workers: 1, run: func(s *stage) {
+			s.Equal(s.d.Hold(s.now, "job", []cwmodel.Task{s.task("gangs", 4), s.task("gangs", 4), s.task("gangs", 4)}, s.now.Add(time.Second)), 2)
+			s.True(s.d.CommitHold(s.now, "job"))
+			s.collect()
+			s.Equal(len(s.starts), 2)
+			for n := range 2 {
+				s.end(s.starts[n].Attempt, cwmodel.EndDone)
+			}
+			s.Equal(s.d.Hold(s.now, "next", []cwmodel.Task{s.task("gangs", 4)}, s.now.Add(time.Second)), 1)
+			s.tick(time.Second)
+			s.True(!s.d.CommitHold(s.now, "next"))
+			s.Equal(s.d.Load().Free, capacity)
+		}},
+	})
+}
+
+func TestFaults(t *testing.T) {
+	runCases(t, []policyCase{
 		{name: "a worker that fails everything gets no more work", workers: 5, run: func(s *stage) {
 			for range 30 {
 				s.submit(s.task("urgent", 1))
@@ -345,21 +392,5 @@
 			s.Equal(len(s.stops), 1)
 			s.Equal(s.stops[0].Attempt, s.starts[1].Attempt)
 		}},
-		{name: "a held gang starts at its commit and not after its expiry", workers: 1, run: func(s *stage) {
-			s.Equal(s.d.Hold(s.now, "job", []cwmodel.Task{s.task("gangs", 4), s.task("gangs", 4), s.task("gangs", 4)}, s.now.Add(time.Second)), 2)
-			s.True(s.d.CommitHold(s.now, "job"))
-			s.collect()
-			s.Equal(len(s.starts), 2)
-			for n := range 2 {
-				s.end(s.starts[n].Attempt, cwmodel.EndDone)
-			}
-			s.Equal(s.d.Hold(s.now, "next", []cwmodel.Task{s.task("gangs", 4)}, s.now.Add(time.Second)), 1)
-			s.tick(time.Second)
-			s.True(!s.d.CommitHold(s.now, "next"))
-			s.Equal(s.d.Load().Free, capacity)
-		}},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) { c.run(newStage(t, c.workers, c.change)) })
-	}
+	})
 }
