--- a/internal/bench/cwexperiment/driver.go
+++ b/internal/bench/cwexperiment/driver.go
@@ -53,11 +53,15 @@
 
 // running is an attempt in the driver's fleet.
 type running struct {
-	demand cwmodel.Resources
+	demand cwmodel.Resources // reserved
+	inUse  cwmodel.Resources
 	began  time.Time
 	ends   time.Time
 }
 
+// load is what the tasks on one worker really use.
+type load struct{ capacity, inUse cwmodel.Resources }
+
 // driver runs one engine on one deployment with a manual clock.
 type driver struct {
 	engine  Engine
@@ -73,6 +77,8 @@
 	counted time.Time
 	report  *Report
 	random  *rand.Rand // of faults
+	workers map[cwmodel.HostID]*load
+	streams map[cwmodel.ProfileName]Stream
 	fault   func(on cwmodel.HostID, profile cwmodel.ProfileName, at time.Duration, draw float64) (part float64, fails bool)
 }
 
@@ -85,14 +91,17 @@
 		engine: engine, timer: timer, now: start, runs: map[cwmodel.TaskID]time.Duration{}, tasks: map[cwmodel.TaskID]cwmodel.Task{},
 		live: map[cwmodel.Attempt]running{}, counted: start.Add(d.WarmUp), report: newReport(engine.Name),
 	}
+	r.workers, r.streams = map[cwmodel.HostID]*load{}, map[cwmodel.ProfileName]Stream{}
 	r.random, r.fault = rand.New(rand.NewPCG(seed, faultStream)), d.Fault
 	r.report.streams, r.report.window = streams, d.Length-d.WarmUp
 	engine.Configure(r.now, d.configuration())
 	for _, w := range d.Workers {
 		r.total = r.total.Plus(w.Capacity)
 		engine.AddWorker(r.now, w)
+		r.workers[w.ID] = &load{capacity: w.Capacity}
 	}
 	for n, stream := range d.Streams {
+		r.streams[stream.Profile.Name] = stream
 		s := &source{Stream: stream, number: n, teams: d.Teams, random: rand.New(rand.NewPCG(seed, uint64(n)))}
 		r.add(moment{at: start.Add(stream.From + s.gap()), source: s})
 	}
@@ -183,10 +192,12 @@
 	}
 	delete(r.live, m.attempt)
 	r.used = r.used.Minus(state.demand)
+	on := r.workers[m.attempt.Worker]
+	on.inUse = on.inUse.Minus(state.inUse)
 	if m.end == cwmodel.EndCheckpoint {
 		r.runs[m.attempt.Task] = max(state.ends.Sub(r.now), time.Millisecond)
 	}
-	result := cwmodel.Result{Attempt: m.attempt, End: m.end, Began: state.began, Ended: r.now, Used: state.demand}
+	result := cwmodel.Result{Attempt: m.attempt, End: m.end, Began: state.began, Ended: r.now, Used: state.inUse}
 	r.decide(func() { r.engine.Ended(r.now, result) }, true)
 }
 
@@ -222,7 +233,13 @@
 func (r *driver) start(a cwdecider.Action) {
 	t := r.tasks[a.Attempt.Task]
 	ends := r.now.Add(r.runs[t.ID])
-	r.live[a.Attempt] = running{demand: a.Task.Demand, began: r.now, ends: ends}
+	inUse := r.streams[t.Profile].inUse(t.Demand)
+	on := r.workers[a.Attempt.Worker]
+	on.inUse = on.inUse.Plus(inUse)
+	if !on.inUse.FitsIn(on.capacity) && r.now.After(r.counted) {
+		r.report.Overfull++
+	}
+	r.live[a.Attempt] = running{demand: a.Task.Demand, inUse: inUse, began: r.now, ends: ends}
 	r.used = r.used.Plus(a.Task.Demand)
 	if !r.used.FitsIn(r.total) {
 		panic("the fleet is given more than it has")
--- a/internal/bench/cwexperiment/faults.go
+++ b/internal/bench/cwexperiment/faults.go
@@ -27,6 +27,8 @@
 		{"nilecraft, every attempt fails at once for 300 ms, each 3 s", short, 0, "decorrelated jitter", cwdecider.Options{WithoutBreaker: true}, cwdecider.Options{WithoutBreaker: true, WithoutJitter: true}},
 		{"the same with the breaker", short, 0, "breaker", cwdecider.Options{}, cwdecider.Options{WithoutBreaker: true}},
 		{"nilecraft, 3 times the fleet in diagnostics", Nilecraft().Flood("diagnostics", 3), len(Nilecraft().Streams), "learned estimates", cwdecider.Options{}, cwdecider.Options{WithoutEstimates: true}},
+		{"mixed, tasks use half of what they declare", Mixed().Missized(0.5), 0, "learned sizes", cwdecider.Options{}, cwdecider.Options{WithoutEstimates: true}},
+		{"mixed, tasks use 1.5 times what they declare", Mixed().Missized(1.5), 0, "learned sizes", cwdecider.Options{}, cwdecider.Options{WithoutEstimates: true}},
 		{"kameelboom, 10 times the fleet in draft-checks", Kameelboom().Flood("draft-checks", 10), len(Kameelboom().Streams), "floors", cwdecider.Options{}, cwdecider.Options{WithoutFloors: true}},
 	}
 	for _, v := range variants {
@@ -44,7 +46,7 @@
 		asked += l.Asked
 		onTime += l.OnTime
 	}
-	fmt.Fprintf(e.w, "%-8s %-20s on-time %7d of %7d (%.2f%%) starts %7d\n", r.Engine, part, onTime, asked, percent(onTime, asked), r.Starts)
+	fmt.Fprintf(e.w, "%-8s %-20s on-time %7d of %7d (%.2f%%) starts %7d on overfull workers %d\n", r.Engine, part, onTime, asked, percent(onTime, asked), r.Starts, r.Overfull)
 }
 
 // blackHoles fails every attempt on three workers soon after its start.
--- a/internal/bench/cwexperiment/workload.go
+++ b/internal/bench/cwexperiment/workload.go
@@ -18,6 +18,7 @@
 	Spread   float64       // sigma of the logarithm of the run time
 	From, To time.Duration // when tasks arrive; zero To means until the end
 	Gang     int           // tasks that start together; zero for single tasks
+	Actual   float64       // processors and memory in use over the declared ones; zero means 1
 }
 
 // Deployment is a fleet with its profiles, teams and usual load.
@@ -180,6 +181,24 @@
 	return d
 }
 
+// Missized returns the deployment with tasks that use a multiple of what they declare.
+func (d Deployment) Missized(actual float64) Deployment {
+	d.Streams = append([]Stream{}, d.Streams...)
+	for n := range d.Streams {
+		d.Streams[n].Actual = actual
+	}
+	return d
+}
+
+// inUse returns what a task of this stream uses of its declared size.
+func (s Stream) inUse(declared cwmodel.Resources) cwmodel.Resources {
+	if s.Actual > 0 {
+		declared.MilliProcessors = int64(float64(declared.MilliProcessors) * s.Actual)
+		declared.MemoryBytes = int64(float64(declared.MemoryBytes) * s.Actual)
+	}
+	return declared
+}
+
 // configuration returns the profiles and teams of a deployment.
 func (d Deployment) configuration() cwpolicy.Configuration {
 	cfg := cwpolicy.Configuration{Version: 1}
