--- a/internal/core/cwdecider/decider.go
+++ b/internal/core/cwdecider/decider.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"currantward/internal/base/cwheap"
-	"currantward/internal/core/cwcapacity"
 	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwplacement"
 	"currantward/internal/core/cwpolicy"
 	"currantward/internal/core/cwquarantine"
 )
@@ -81,7 +81,7 @@
 	opts     Options
 	random   *rand.Rand
 	cfg      cwpolicy.Configuration
-	fleet    cwcapacity.Fleet
+	fleet    cwplacement.Fleet
 	workers  map[cwmodel.HostID]*worker
 	breakers map[cwmodel.HostID]*cwquarantine.Breaker
 	suspects []*worker // workers whose breaker is not closed
