Settle attempts of a former home, and drain without waiting for jobs

Cause: TestJobsUnderRandomFaults with 8000 schedules found a job that never ended: a home that was wrongly taken for gone lost its start order after another host had adopted the job; the worker's owner, no longer the home, never asked the worker. A graceful shutdown waited for running batch tasks and services, so it always took the whole drain timeout. Ruled out: an owner that asks its workers about all foreign attempts (an inspection for each start). Shutdown waits for requests in flight only (cwintake.InFlight); jobs go on under another home.

--- a/internal/app/cwentry/front.go
+++ b/internal/app/cwentry/front.go
@@ -71,11 +71,11 @@
 	})
 }
 
-// shutDown refuses new requests, waits for those in flight and ends all duties.
+// shutDown refuses new requests, waits for those in flight and ends all duties; jobs go on under another home.
 func (e *Entry) shutDown() {
 	e.Drain()
 	began := e.opts.Timer.Now()
-	for e.scheduler.Load().Running+e.scheduler.Load().Waiting > 0 && e.opts.Timer.Now().Sub(began) < e.opts.Settings.DrainTimeout {
+	for e.intake.InFlight() > 0 && e.opts.Timer.Now().Sub(began) < e.opts.Settings.DrainTimeout {
 		e.opts.Timer.Sleep(nil, drainCheck)
 	}
 	left := e.scheduler.Load()
--- a/internal/app/cwintake/intake.go
+++ b/internal/app/cwintake/intake.go
@@ -47,8 +47,9 @@
 
 // Intake takes requests in at one entry host.
 type Intake struct {
-	opts    Options
-	leaving atomic.Bool
+	opts     Options
+	leaving  atomic.Bool
+	inFlight atomic.Int64
 }
 
 // New returns an intake.
@@ -60,8 +61,13 @@
 // Leaving reports whether the intake refuses requests.
 func (i *Intake) Leaving() bool { return i.leaving.Load() }
 
+// InFlight returns how many requests of callers and peers have no answer yet.
+func (i *Intake) InFlight() int64 { return i.inFlight.Load() }
+
 // Run takes one request of a caller from its arrival to its answer.
 func (i *Intake) Run(ctx context.Context, request cwmodel.Request) cwmodel.Answer {
+	i.inFlight.Add(1)
+	defer i.inFlight.Add(-1)
 	arrived := i.opts.Timer.Now()
 	answer := i.run(ctx, request, arrived)
 	took := i.opts.Timer.Now().Sub(arrived)
@@ -100,6 +106,8 @@
 
 // Accept runs a request that a peer handed over.
 func (i *Intake) Accept(ctx context.Context, task cwmodel.Task, hops int) (answer cwmodel.Answer, err error) {
+	i.inFlight.Add(1)
+	defer i.inFlight.Add(-1)
 	if hops > maxHops {
 		return answer, cwfault.New(cwfault.Unavailable, "forwarded %d times", hops)
 	}
--- a/internal/app/cwjobs/drive.go
+++ b/internal/app/cwjobs/drive.go
@@ -238,13 +238,24 @@
 		w, isOwned := j.owned[t.Attempt.Worker]
 		if isOwned {
 			j.attendOwned(ctx, now, e, n, w)
-		} else if e.job.IsStopping() && j.isHome(e) && !now.Before(h.stopAt) {
-			h.stopAt = now.Add(j.opts.RetryAfter)
-			j.hintOwner(ctx, e.id, t.Attempt.Worker)
+		} else if j.isHome(e) {
+			j.attendForeign(ctx, now, e, n)
 		}
 	}
 }
 
+// attendForeign asks the owner of another host's worker to stop an attempt, or to look after one that is outstanding for long.
+func (j *Jobs) attendForeign(ctx context.Context, now time.Time, e *entry, n int) {
+	h := e.task(n)
+	age := now.Sub(h.since)
+	isStopDue := e.job.IsStopping() && !now.Before(h.stopAt)
+	isLookDue := age > j.opts.VerifyAfter && !now.Before(h.settleAt)
+	if isStopDue || isLookDue {
+		h.stopAt, h.settleAt = now.Add(j.opts.RetryAfter), now.Add(age)
+		j.hintOwner(ctx, e.id, e.job.Tasks[n].Attempt.Worker)
+	}
+}
+
 func (j *Jobs) attendOwned(ctx context.Context, now time.Time, e *entry, n int, w *ownedWorker) {
 	attempt, h := e.job.Tasks[n].Attempt, e.task(n)
 	if e.job.IsStopping() && !now.Before(h.stopAt) {
@@ -255,9 +266,10 @@
 	}
 	runs := w.running[attempt.Task] == attempt.Number
 	isOlder := attempt.Epoch != w.epoch && !runs
-	isLong := attempt.Epoch == w.epoch && j.isHome(e) && now.Sub(h.since) > j.opts.VerifyAfter
+	isLong := attempt.Epoch == w.epoch && now.Sub(h.since) > j.opts.VerifyAfter
+	isAsked := attempt.Epoch == w.epoch && e.hinted && !j.isHome(e)
 	isDue := !h.isVerified && !now.Before(h.settleAt)
-	if isDue && (isOlder || isLong) {
+	if isDue && (isOlder || isLong || isAsked) {
 		h.settleAt = now.Add(j.opts.VerifyAfter)
 		j.settle(ctx, e.id, n, attempt, w)
 	}
--- a/internal/app/cwjobs/entry.go
+++ b/internal/app/cwjobs/entry.go
@@ -49,6 +49,7 @@
 	next     *cwjob.Job
 	busy     bool // a call is out
 	stale    bool // the row may have changed
+	hinted   bool // its home asks this host to look after it
 	retryAt  time.Time
 	tasks    map[int]*handling
 	payload  []byte
--- a/internal/app/cwjobs/scan.go
+++ b/internal/app/cwjobs/scan.go
@@ -168,7 +168,7 @@
 	for _, row := range back.rows {
 		id := cwmodel.JobID(strings.TrimPrefix(row.Key, prefixHint+string(j.opts.Self.Host)+"/"))
 		e := j.entryOf(id)
-		e.stale = true
+		e.stale, e.hinted = true, !j.isHome(e)
 		j.advance(ctx, e)
 		j.opts.Write(cwledger.Entry{
 			Checks: []cwport.Check{{Key: row.Key, Version: row.Version}}, Deletes: []string{row.Key},
--- a/test/cwprocess/jobs_test.go
+++ b/test/cwprocess/jobs_test.go
@@ -107,6 +107,7 @@
 			b.Kill(b.Hosts[0].Process)
 			return nil
 		}},
+		{"home drained", func(ctx context.Context, b *jobBench) error { return b.Drain(ctx, b.Hosts[0]) }},
 		{"home paused and woken", func(_ context.Context, b *jobBench) error {
 			err := b.Hosts[0].Pause()
 			b.timer.After(6*time.Second, func(time.Time) { _ = b.Hosts[0].Resume() })
@@ -134,6 +135,8 @@
 				_, err = b.submit(ctx, fmt.Sprintf(`{"profile":%q,"team":"intake","tasks":2,"payload":{"simulate":{"run":"%dms"}}}`, profile, 500+700*n))
 				is.NoErr(err)
 			}
+			_, err = b.submit(ctx, `{"profile":"batch-check","team":"intake","tasks":12,"demand":{"processors":3},"payload":{"simulate":{"run":"500ms"}}}`)
+			is.NoErr(err) // most of its tasks wait for room until the others are over
 			_, err = b.await(ctx, service.ID, isOrdered)
 			is.NoErr(err)
 			is.NoErr(c.fault(ctx, b))
