--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -9,13 +9,15 @@
 
 	"currantward/internal/app/cwcommand"
 	"currantward/internal/bench/cwcapacity"
+	"currantward/internal/bench/cwexperiment"
 	"currantward/internal/bench/cwlatency"
 )
 
 type arguments struct {
-	Latency   *cwlatency.Arguments  `arg:"subcommand:latency" help:"added latency of a request as a ratio to calling the worker directly"`
-	Capacity  *cwcapacity.Arguments `arg:"subcommand:capacity" help:"cost of an entry host for each worker, peer, running task and start"`
-	EntryHost *entryHostArgs        `arg:"subcommand:entry-host" help:"run one entry host; capacity uses it"`
+	Decisions *cwexperiment.Arguments `arg:"subcommand:decisions" help:"waiting, packing, cost and floods of the decider against baselines"`
+	Latency   *cwlatency.Arguments    `arg:"subcommand:latency" help:"added latency of a request as a ratio to calling the worker directly"`
+	Capacity  *cwcapacity.Arguments   `arg:"subcommand:capacity" help:"cost of an entry host for each worker, peer, running task and start"`
+	EntryHost *entryHostArgs          `arg:"subcommand:entry-host" help:"run one entry host; capacity uses it"`
 }
 
 type entryHostArgs struct {
@@ -27,6 +29,8 @@
 	parser := arg.MustParse(&a)
 	var err error
 	switch {
+	case a.Decisions != nil:
+		err = cwexperiment.Run(*a.Decisions, os.Stdout)
 	case a.Latency != nil:
 		err = cwlatency.Run(*a.Latency, os.Stdout)
 	case a.Capacity != nil:
--- a/internal/core/cwdecider/worker.go
+++ b/internal/core/cwdecider/worker.go
@@ -14,14 +14,28 @@
 	epoch   cwmodel.Epoch
 	tasks   []*task
 	leaving bool
-	kept    bool // reserved for a blocked task
+	kept    bool // closed until a reservation has room on it
+	cleared bool // closed until the task that others were preempted for has started
 	probing bool // a probe runs on it
 	breaker *cwquarantine.Breaker
 	suspect bool // listed as a suspect
+	failing bool // its latest result is a failure
 }
 
 // AddWorker takes an owned worker with its inventory; what runs there is counted before anything is placed.
 func (d *Decider) AddWorker(now time.Time, w cwmodel.Worker, epoch cwmodel.Epoch, running []cwmodel.Running) {
+	d.addWorker(now, w, epoch, running)
+	d.place(now)
+}
+
+// AddLeavingWorker takes an owned worker that gets no new work.
+func (d *Decider) AddLeavingWorker(now time.Time, w cwmodel.Worker, epoch cwmodel.Epoch, running []cwmodel.Running) {
+	d.addWorker(now, w, epoch, running)
+	d.DrainWorker(w.ID)
+	d.place(now)
+}
+
+func (d *Decider) addWorker(now time.Time, w cwmodel.Worker, epoch cwmodel.Epoch, running []cwmodel.Running) {
 	var displaced []*task
 	if old, ok := d.workers[w.ID]; ok {
 		displaced = d.forget(now, old, now)
@@ -29,6 +43,7 @@
 	added := &worker{node: cwcapacity.NewNode(w), epoch: epoch, breaker: d.breakerOf(w.ID)}
 	d.workers[w.ID] = added
 	d.fleet.Add(added.node)
+	d.updateShares()
 	d.addRack(w.Rack)
 	for _, r := range running {
 		d.adoptRunning(now, added, r)
@@ -38,7 +53,6 @@
 		d.suspect(added)
 	}
 	d.refresh(added)
-	d.place(now)
 }
 
 func (d *Decider) breakerOf(id cwmodel.HostID) *cwquarantine.Breaker {
@@ -104,13 +118,16 @@
 func (d *Decider) forget(now time.Time, lost *worker, renewed time.Time) (durable []*task) {
 	id := lost.node.Worker().ID
 	d.releaseKept(lost)
+	d.releaseRoomsOn(lost)
 	d.dropHoldsOn(lost)
 	delete(d.workers, id)
 	d.fleet.Remove(lost.node)
+	d.updateShares()
 	if lost.breaker.State(now) == cwquarantine.StateClosed {
 		delete(d.breakers, id)
 	}
 	d.forgetSuspect(lost)
+	d.noteFailing(lost, false)
 	for len(lost.tasks) > 0 {
 		state := lost.tasks[len(lost.tasks)-1]
 		if state.Durable && !state.answered {
@@ -179,7 +196,7 @@
 
 // refresh opens or closes a worker for new work.
 func (d *Decider) refresh(w *worker) {
-	if !w.leaving && !w.kept && !w.suspect {
+	if !w.leaving && !w.kept && !w.cleared && !w.suspect {
 		d.fleet.Open(w.node)
 		return
 	}
