--- a/internal/app/cwjobs/fuzz_test.go
+++ b/internal/app/cwjobs/fuzz_test.go
@@ -71,6 +71,25 @@
 			former.send(0, "order")
 			former.send(0, "order") // nor does the stop order arrive
 		}},
+		{"a home that dies before the result is written", func(f *fuzz) {
+			former := f.hosts[0]
+			former.claim(f.workers[0])
+			former.pump()
+			former.write("")
+			former.pump()
+			former.place(0)
+			former.pump()
+			former.write("")
+			former.pump()
+			former.send(0, "")
+			for range 25 {
+				f.advance(time.Second)
+			}
+			former.poll() // hands the result over
+			former.pump()
+			former.poll() // drops what is acknowledged
+			former.die()
+		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
