Keep the ledger's backoff below the time that callers wait

Cause: TestOutageTable failed once under load: after an outage the next try came up to 5 s later, so keyed requests (2 s) and jobs (4 s) were refused although the table was back. Change: the cap of the jitter is 1 s. With 9 entry hosts in a data centre that is at most about 9 probes a second on a table that is away. Measured: go test -count=1 ./internal/app/cwdev -run Outage passes four times of four at a load average above 15.

--- a/internal/app/cwledger/ledger.go
+++ b/internal/app/cwledger/ledger.go
@@ -58,7 +58,7 @@
 func DefaultOptions() Options {
 	return Options{
 		InboxSize: 4096, MaxEntries: 4096, MaxBytes: 4 << 20, GroupSize: 64,
-		CallTimeout: 2 * time.Second, BackoffBase: 50 * time.Millisecond, BackoffCap: 5 * time.Second,
+		CallTimeout: 2 * time.Second, BackoffBase: 50 * time.Millisecond, BackoffCap: time.Second,
 	}
 }
 
