Bring a change into force on every host within seconds in outages too, and say so only where it is known

Cause: a host that had read no list of hosts called a change in force everywhere, since it knew of no other host; peers learned of a change at the next period only; a poll that failed before membership had taken the digest waited for the next one.

Change: the host that applies a configuration tells its peers at once; a hint names the peer that can be asked while the table is away; the status carries the age of the list of hosts, and nothing is called in force everywhere without one.

--- a/internal/adapter/cwadmin/admin_test.go
+++ b/internal/adapter/cwadmin/admin_test.go
@@ -228,6 +228,9 @@
 	}
 	is := is.New(t)
 	status.Peers = status.Peers[:1]
+	is.True(!status.InForce(7).Everywhere) // no list of hosts was read yet
+	age := cwcodec.Duration(time.Second)
+	status.HostListAge = &age
 	is.True(status.InForce(7).Everywhere)
 	_, err := cwadmin.ParseRole("root")
 	is.Equal(cwfault.CodeOf(err), cwfault.Invalid)
--- a/internal/adapter/cwadmin/status.go
+++ b/internal/adapter/cwadmin/status.go
@@ -14,6 +14,9 @@
 	Running       int               `json:"running"`
 	Free          cwcodec.Resources `json:"free"`
 	Peers         []PeerStatus      `json:"peers"`
+
+	// HostListAge is the age of the platform's list of hosts; nil if none was read, and then peers may be missing here.
+	HostListAge *cwcodec.Duration `json:"host-list-age,omitempty"`
 }
 
 // PeerStatus is what is known of one other entry host.
@@ -45,7 +48,7 @@
 			f.add(p.Host, p.Reachable, p.Configuration)
 		}
 	}
-	f.Everywhere = len(f.Behind)+len(f.Unreachable) == 0
+	f.Everywhere = s.HostListAge != nil && len(f.Behind)+len(f.Unreachable) == 0
 	return f
 }
 
--- a/internal/app/cwentry/entry.go
+++ b/internal/app/cwentry/entry.go
@@ -153,7 +153,7 @@
 
 	watcher, stopWatcher := cwwatch.New(cwwatch.Options{
 		Timer: o.Timer, Log: o.Log, Table: o.Table, DataCentre: o.Settings.DataCentre, PollEvery: o.Settings.ConfigEvery, ReadTimeout: o.Settings.PeerTimeout,
-		Apply: scheduler.Configure, Digests: e.digests, ReadPeer: e.peerConfiguration,
+		Apply: e.configure, Digests: e.digests, ReadPeer: e.peerConfiguration,
 	})
 	e.watcher = watcher
 	e.operator = cwoperator.New(cwoperator.Options{
@@ -216,6 +216,19 @@
 	}
 }
 
+// configure puts a configuration in force and tells the peers at once.
+func (e *Entry) configure(ctx context.Context, cfg cwpolicy.Configuration) error {
+	if err := e.scheduler.Configure(ctx, cfg); err != nil {
+		return err
+	}
+	select {
+	case <-e.started:
+		e.member.ExchangeNow()
+	default:
+	}
+	return nil
+}
+
 func (e *Entry) peerConfiguration(ctx context.Context, peer cwport.Digest) (cwpolicy.Configuration, error) {
 	return e.peers.Configuration(ctx, peer.Address)
 }
@@ -233,7 +246,7 @@
 func (e *Entry) exchange(theirs cwport.Digest) cwport.Digest {
 	<-e.started
 	e.member.Heard(theirs)
-	e.watcher.Hint(theirs.Configuration)
+	e.watcher.Hint(theirs)
 	return e.digest(context.Background())
 }
 
--- a/internal/app/cwentry/front.go
+++ b/internal/app/cwentry/front.go
@@ -93,6 +93,10 @@
 		Workers: load.Workers, Waiting: load.Waiting, Running: load.Running, Free: cwcodec.ResourcesOf(load.Free),
 		Peers: []cwadmin.PeerStatus{},
 	}
+	if at := e.member.ListedAt(); !at.IsZero() {
+		age := cwcodec.Duration(e.opts.Timer.Now().Sub(at))
+		status.HostListAge = &age
+	}
 	for _, k := range e.member.Known() {
 		peer := cwadmin.PeerStatus{
 			Host: string(k.Host), DataCentre: string(k.DataCentre), Reachable: k.Reachable, Configuration: uint64(k.Digest.Configuration),
--- a/internal/app/cwmember/known.go
+++ b/internal/app/cwmember/known.go
@@ -28,8 +28,21 @@
 	return nil
 }
 
+// ExchangeNow tells all peers our digest without waiting for the period.
+func (m *Member) ExchangeNow() { m.inbox.Offer(event{kind: eventExchange}) }
+
+// ListedAt returns when the latest list came; zero if there was none, and then hosts may exist that Known lacks.
+func (m *Member) ListedAt() time.Time {
+	if at := m.listedAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // noteListed remembers which entry hosts the latest list has.
 func (m *Member) noteListed(hosts []cwmodel.Host) {
+	now := m.opts.Timer.Now()
+	m.listedAt.Store(&now)
 	m.listedHosts = map[cwmodel.HostID]bool{}
 	for _, host := range hosts {
 		if host.Role == cwmodel.RoleEntryHost {
--- a/internal/app/cwmember/member.go
+++ b/internal/app/cwmember/member.go
@@ -72,6 +72,7 @@
 	digests atomic.Pointer[[]cwport.Digest]
 	known   atomic.Pointer[[]Known]
 
+	listedAt    atomic.Pointer[time.Time]
 	listedHosts map[cwmodel.HostID]bool // entry hosts of the latest list
 }
 
--- a/internal/app/cwwatch/random_test.go
+++ b/internal/app/cwwatch/random_test.go
@@ -219,8 +219,9 @@
 
 // gossip lets one host hear another; what it hears stays until the next time, however stale.
 func (c *cell) gossip(to, from int) {
-	h, peer := c.hosts[to], c.hosts[from].watcher.Present().Version
-	h.digests = append(h.digests, cwport.Digest{Host: cwmodel.HostID(fmt.Sprint(from)), Configuration: peer, Workers: from})
+	h, version := c.hosts[to], c.hosts[from].watcher.Present().Version
+	peer := cwport.Digest{Host: cwmodel.HostID(fmt.Sprint(from)), Configuration: version, Workers: from}
+	h.digests = append(h.digests, peer)
 	h.watcher.Hint(peer)
 }
 
--- a/internal/app/cwwatch/watch.go
+++ b/internal/app/cwwatch/watch.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -52,6 +53,7 @@
 	opts       Options
 	inbox      *cwring.Ring[event]
 	polling    atomic.Bool // a poll waits in the inbox
+	hint       atomic.Pointer[cwport.Digest]
 	present    atomic.Pointer[cwpolicy.Configuration]
 	unapplied  bool // the scheduler has not taken the present configuration yet
 	failing    bool // the last look at the table failed
@@ -87,9 +89,10 @@
 // Committed takes a configuration that is known to be committed; if there is no room the next poll finds it.
 func (w *Watcher) Committed(cfg cwpolicy.Configuration) { w.inbox.Offer(event{committed: &cfg}) }
 
-// Hint takes the version that a peer has in force.
-func (w *Watcher) Hint(v cwpolicy.Version) {
-	if v > w.Present().Version {
+// Hint takes the digest of a peer that may have a newer version in force.
+func (w *Watcher) Hint(peer cwport.Digest) {
+	if peer.Configuration > w.Present().Version {
+		w.hint.Store(&peer)
 		w.Poll()
 	}
 }
@@ -196,7 +199,11 @@
 // newestPeer returns the peer with the newest version above ours; on a tie, one of our own data centre.
 func (w *Watcher) newestPeer() (best cwport.Digest, ok bool) {
 	version := w.Present().Version
-	for _, d := range w.opts.Digests() {
+	peers := w.opts.Digests()
+	if hint := w.hint.Swap(nil); hint != nil {
+		peers = append(slices.Clip(peers), *hint)
+	}
+	for _, d := range peers {
 		nearer := ok && d.Configuration == version && d.DataCentre == w.opts.DataCentre && best.DataCentre != w.opts.DataCentre
 		if d.Configuration > version || nearer {
 			best, ok, version = d, true, d.Configuration
--- a/internal/app/cwwatch/watch_test.go
+++ b/internal/app/cwwatch/watch_test.go
@@ -93,6 +93,11 @@
 			b.digests = []cwport.Digest{digest("a", "cairo-1", 4), digest("b", "cairo-2", 5)}
 			b.poll()
 		}, []cwpolicy.Version{5}},
+		{"a hint names the peer to ask in an outage", func(b *bench) {
+			b.down, b.peer = true, cwpolicy.Configuration{Version: 5}
+			b.watcher.Hint(digest("a", "cairo-2", 5))
+			b.watcher.Step(context.Background())
+		}, []cwpolicy.Version{5}},
 		{"a peer is not asked while the table answers", func(b *bench) {
 			b.commit(1)
 			b.peer = cwpolicy.Configuration{Version: 9}
