--- a/internal/app/cwcommand/command.go
+++ b/internal/app/cwcommand/command.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -19,6 +20,7 @@
 	"currantward/internal/app/cwdev"
 	"currantward/internal/app/cwsettings"
 	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwhttp"
 	"currantward/internal/base/cwlog"
 	"currantward/internal/base/cwtimer"
 )
@@ -41,6 +43,7 @@
 	Serve    *serveArgs         `arg:"subcommand:serve" help:"run one entry host"`
 	Dev      *devArgs           `arg:"subcommand:dev" help:"run a whole deployment in this process and serve a file of requests"`
 	Submit   *submitArgs        `arg:"subcommand:submit" help:"submit one request or a file of requests"`
+	Job      *jobArgs           `arg:"subcommand:job" help:"submit, get, list or cancel jobs"`
 	Profile  *profileArgs       `arg:"subcommand:profile" help:"list, get, put or delete profiles"`
 	Team     *teamArgs          `arg:"subcommand:team" help:"list, get, put or delete teams and their quotas"`
 	Config   *configurationArgs `arg:"subcommand:configuration" help:"export, import, history, diff or wait"`
@@ -119,6 +122,8 @@
 		return r.dev(a.Dev)
 	case a.Submit != nil:
 		return r.submit(a.Submit)
+	case a.Job != nil:
+		return r.job(a.Job)
 	case a.Profile != nil:
 		return r.profile(a.Profile)
 	case a.Team != nil:
@@ -200,14 +205,20 @@
 	return nil
 }
 
+// call carries out one operation on the listener for operators.
 func (r *runtime) call(a operatorArgs, method, path string, in, out any) error {
-	const limit = 10 * time.Second
 	client, stop, err := r.client(a)
 	if err != nil {
 		return err
 	}
 	defer stop()
+	return callWithin(client, a.Operators, method, path, in, out)
+}
+
+// callWithin carries out one call within the time that the command line grants.
+func callWithin(client *cwhttp.Client, addr netip.AddrPort, method, path string, in, out any) error {
+	const limit = 10 * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	return client.Call(ctx, method, a.Operators, path, in, out)
+	return client.Call(ctx, method, addr, path, in, out)
 }
--- a/internal/app/cwdev/dev.go
+++ b/internal/app/cwdev/dev.go
@@ -36,7 +36,8 @@
 
 // Deployment is a running deployment.
 type Deployment struct {
-	Entry *cwentry.Entry
+	Entry    *cwentry.Entry
+	Platform netip.AddrPort
 }
 
 // anyPort lets the system choose a loopback port.
@@ -70,7 +71,7 @@
 	if err = Prepare(entry.Operators, client, opts); err != nil {
 		return nil, nil, err
 	}
-	return &Deployment{Entry: entry}, cleanup.Run, nil
+	return &Deployment{Entry: entry, Platform: platform}, cleanup.Run, nil
 }
 
 // StartEntry starts one entry host on the adapters that its settings name.
@@ -82,7 +83,7 @@
 	platform, stopPlatform := cwplatform.New(settings.Platform, platformOpts)
 	workers, stopWorkers := cwworker.New(workerOpts)
 	entry, stopEntry, err := cwentry.New(cwentry.Options{
-		Settings: settings, Timer: timer, Log: log, Table: platform.Table(), HostList: platform.HostList(), Workers: workers, Traffic: traffic,
+		Settings: settings, Timer: timer, Log: log, Table: platform.Table(), Objects: platform.Objects(), HostList: platform.HostList(), Workers: workers, Traffic: traffic,
 	})
 	if err != nil {
 		stopWorkers()
--- a/internal/app/cwentry/entry.go
+++ b/internal/app/cwentry/entry.go
@@ -15,7 +15,10 @@
 	"currantward/internal/adapter/cwmetric"
 	"currantward/internal/adapter/cwpeer"
 	"currantward/internal/app/cwintake"
+	"currantward/internal/app/cwintent"
+	"currantward/internal/app/cwjobs"
 	"currantward/internal/app/cwkeeper"
+	"currantward/internal/app/cwledger"
 	"currantward/internal/app/cwlink"
 	"currantward/internal/app/cwmember"
 	"currantward/internal/app/cwoperator"
@@ -50,6 +53,7 @@
 	Timer    *cwtimer.Service
 	Log      *logrus.Logger
 	Table    cwport.Table
+	Objects  cwport.Objects
 	HostList cwport.HostList
 	Workers  cwport.Workers
 	Traffic  Traffic
@@ -80,6 +84,9 @@
 	totals    *cwtotals.Totals
 	operator  *cwoperator.Operator
 	intake    *cwintake.Intake
+	ledger    *cwledger.Ledger
+	jobs      *cwjobs.Jobs
+	intents   *cwintent.Intents
 	peers     cwport.Peers
 	traffic   *cwhttp.Traffic // of all connections with peers
 	drain     sync.Once
@@ -101,6 +108,7 @@
 	e.cleanup.Add(e.pool.Release)
 	e.startState()
 	e.startPlacement()
+	e.startJobs()
 	if err = e.startPeers(); err != nil {
 		return nil, nil, err
 	}
@@ -108,6 +116,7 @@
 		return nil, nil, err
 	}
 	e.publishGauges()
+	e.publishLedger()
 	close(e.started)
 	opts.Log.WithFields(logrus.Fields{
 		"host-id": opts.Settings.HostID, "data-centre": opts.Settings.DataCentre, "callers": e.Callers, "operators": e.Operators, "peers": e.Peers,
@@ -131,6 +140,7 @@
 	o := e.opts
 	scheduler, stopScheduler := cwscheduler.New(cwscheduler.Options{
 		Timer: o.Timer, Log: o.Log, InboxSize: o.Settings.InboxSize, TickEvery: o.Settings.TickEvery, Order: e.order,
+		Durable: e.handBack,
 	})
 	e.scheduler = scheduler
 	e.cleanup.Add(stopScheduler)
@@ -138,7 +148,7 @@
 	links, stopLinks := cwlink.New(cwlink.Options{
 		Timer: o.Timer, Log: o.Log, Workers: o.Workers, Pool: e.pool,
 		OrderTimeout: o.Settings.OrderTimeout, StartWindow: o.Settings.StartWindow, PollWait: o.Settings.CompletionWait,
-		Ended: scheduler.Ended, Stale: e.stale,
+		Ended: e.ended, IsDurable: isDurable, Stale: e.stale,
 	})
 	e.links = links
 	e.cleanup.Add(stopLinks)
@@ -172,7 +182,7 @@
 		Timer: o.Timer, Log: o.Log, Peers: peers, Self: o.Settings.HostID,
 		Configuration: e.watcher.Present, Submit: e.scheduler.Submit, Cancel: e.scheduler.Cancel,
 		HasRoom: func(demand cwmodel.Resources) bool { return demand.FitsIn(e.scheduler.Load().LargestFree) },
-		Digests: e.digests, Told: e.told,
+		Digests: e.digests, Once: e.intents.Run, Told: e.told,
 	})
 	bound, stopServer, err := cwpeer.Serve(cwpeer.ServerOptions{
 		Listen: o.Settings.ListenPeers, Timer: o.Timer, Log: o.Log, ShutdownTimeout: o.Settings.DrainTimeout, Traffic: e.traffic,
@@ -185,24 +195,36 @@
 	e.cleanup.Add(stopServer)
 	member, stopMember := cwmember.New(cwmember.Options{
 		Timer: o.Timer, Log: o.Log, Pool: e.pool, HostList: o.HostList, Peers: peers, Self: o.Settings.HostID, DataCentre: o.Settings.DataCentre,
-		ListEvery: o.Settings.HostListEvery, ExchangeEvery: o.Settings.ExchangeEvery, SilenceLimit: o.Settings.SilenceLimit, Digest: e.digest, View: e.keeper.View,
+		ListEvery: o.Settings.HostListEvery, ExchangeEvery: o.Settings.ExchangeEvery, SilenceLimit: o.Settings.SilenceLimit, Digest: e.digest, View: e.view,
 	})
 	e.member = member
 	e.cleanup.Add(stopMember)
 	return nil
 }
 
-func (e *Entry) order(action actionOf) { e.links.Order(action) }
+func (e *Entry) order(action actionOf) {
+	if action.Task.Durable {
+		e.jobs.Action(action)
+		return
+	}
+	e.links.Order(action)
+}
 
 func (e *Entry) stale(worker cwmodel.HostID, epoch cwmodel.Epoch) { e.keeper.Stale(worker, epoch) }
 
 func (e *Entry) owned(ctx context.Context, inventory cwport.Inventory) error {
 	e.links.Open(inventory.Worker, inventory.Epoch)
+	if err := e.jobs.Owned(ctx, inventory); err != nil {
+		return err
+	}
 	return e.scheduler.Owned(ctx, inventory)
 }
 
 func (e *Entry) lost(ctx context.Context, worker cwmodel.HostID) error {
 	e.links.Close(worker)
+	if err := e.jobs.Lost(ctx, worker); err != nil {
+		return err
+	}
 	return e.scheduler.Lost(ctx, worker)
 }
 
--- /dev/null
+++ b/internal/app/cwentry/jobs.go
@@ -0,0 +1,136 @@
+package cwentry
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"currantward/internal/app/cwintent"
+	"currantward/internal/app/cwjobs"
+	"currantward/internal/app/cwledger"
+	"currantward/internal/app/cwsweep"
+	"currantward/internal/core/cwjob"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwport"
+)
+
+// startJobs starts the ledger and the duty that drives the jobs of this home.
+func (e *Entry) startJobs() {
+	o := e.opts
+	home := cwjob.Home{Host: o.Settings.HostID, Incarnation: uint64(o.Timer.Now().UnixNano())}
+	ledger := cwledger.DefaultOptions()
+	ledger.Timer, ledger.Log, ledger.Table, ledger.Pool = o.Timer, o.Log, o.Table, e.pool
+	ledger.Writer, ledger.Seed = fmt.Sprintf("%s-%d", home.Host, home.Incarnation), home.Incarnation
+	var stop func()
+	e.ledger, stop = cwledger.New(ledger)
+	e.cleanup.Add(stop)
+
+	jobs := cwjobs.DefaultOptions()
+	jobs.Timer, jobs.Log, jobs.Go = o.Timer, o.Log, e.pool.Submit
+	jobs.Table, jobs.Objects, jobs.Workers = o.Table, o.Objects, o.Workers
+	jobs.Self, jobs.DataCentre = home, o.Settings.DataCentre
+	jobs.LeaseGrace = 2 * o.Settings.ClaimTTL
+	jobs.Configuration, jobs.Write = e.watcher.Present, e.ledger.Write
+	jobs.Submit, jobs.Cancel, jobs.Ended = e.scheduler.Submit, e.scheduler.Cancel, e.scheduler.Ended
+	jobs.Order, jobs.Acknowledge = e.links.Order, e.links.Acknowledge
+	jobs.Roomiest, jobs.SubmitGang = e.roomiest, e.scheduler.SubmitGang
+	e.jobs, stop = cwjobs.New(jobs)
+	e.cleanup.Add(stop)
+
+	intents := cwintent.DefaultOptions()
+	intents.Timer, intents.Log, intents.Table, intents.Objects, intents.Self = o.Timer, o.Log, o.Table, o.Objects, home
+	intents.Write, intents.Go, intents.IsLive = e.ledger.Write, e.pool.Submit, e.isLivePeer
+	e.intents = cwintent.New(intents)
+	e.startSweep()
+}
+
+// How long rows are kept, and how fast the sweep goes round.
+const (
+	keepIntents = 24 * time.Hour
+	keepJobs    = 48 * time.Hour
+	sweepEvery  = 30 * time.Second
+	sweepPage   = 100
+	sweepCall   = 5 * time.Second
+)
+
+// startSweep starts the duty that removes expired intents and ended jobs.
+func (e *Entry) startSweep() {
+	o := e.opts
+	e.cleanup.Add(cwsweep.New(cwsweep.Options{
+		Timer: o.Timer, Log: o.Log, Table: o.Table, Objects: o.Objects, Write: e.ledger.Write,
+		Every: sweepEvery, PageSize: sweepPage, CallLimit: sweepCall,
+		Rules: []cwsweep.Rule{
+			{Prefix: cwintent.Prefix, Expired: func(now time.Time, value []byte) ([]string, bool) {
+				return cwintent.Expired(now, value, keepIntents)
+			}},
+			{Prefix: cwjobs.PrefixEnded, Expired: func(now time.Time, value []byte) ([]string, bool) {
+				return cwjobs.Expired(now, value, keepJobs)
+			}},
+		},
+	}))
+}
+
+// LedgerStats returns what this host has written through its ledger.
+func (e *Entry) LedgerStats() cwledger.Stats { return e.ledger.Stats() }
+
+// publishLedger publishes the counts of the ledger.
+func (e *Entry) publishLedger() {
+	e.metrics.Counter("currantward_ledger_transactions_total", "Calls that the ledger made to the table.", func() uint64 { return e.ledger.Stats().Transactions })
+	e.metrics.Counter("currantward_ledger_rows_total", "Rows that the ledger has written.", func() uint64 { return e.ledger.Stats().Rows })
+	e.metrics.Ring("ledger", e.ledger.Waiting, e.ledger.Refused)
+	e.metrics.Ring("jobs", e.jobs.Waiting, e.jobs.Refused)
+	e.metrics.Gauge("currantward_table_away", "One while the table cannot be reached.", func() float64 { return boolGauge(e.ledger.IsAway()) })
+}
+
+func boolGauge(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
+func (e *Entry) isLivePeer(host cwmodel.HostID) bool {
+	return slices.ContainsFunc(e.digests(), func(d cwport.Digest) bool { return d.Host == host })
+}
+
+// isDurable reports whether a task belongs to a job.
+func isDurable(id cwmodel.TaskID) bool {
+	_, _, ok := cwjob.ParseTaskID(id)
+	return ok
+}
+
+// handBack takes what the scheduler no longer holds of a durable task.
+func (e *Entry) handBack(action actionOf) { e.jobs.Action(action) }
+
+// ended hands the result of an attempt to the jobs or to the scheduler.
+func (e *Entry) ended(ctx context.Context, result cwmodel.Result) error {
+	if isDurable(result.Attempt.Task) {
+		return e.jobs.Result(ctx, result)
+	}
+	return e.scheduler.Ended(ctx, result)
+}
+
+// roomiest returns the peer of this data centre with the most room among those where a task of this demand would start at once.
+func (e *Entry) roomiest(demand cwmodel.Resources) (host cwmodel.HostID, ok bool) {
+	var best cwport.Digest
+	for _, d := range e.digests() {
+		if d.Leaving || d.DataCentre != e.opts.Settings.DataCentre || !demand.FitsIn(d.LargestFree) {
+			continue
+		}
+		if !ok || d.Free.MilliProcessors > best.Free.MilliProcessors {
+			best, ok = d, true
+		}
+	}
+	return best.Host, ok
+}
+
+// view hands the hosts of this data centre to the lease keeper and to the jobs.
+func (e *Entry) view(workers []cwmodel.Host, hosts []cwmodel.HostID) {
+	e.keeper.View(workers, hosts)
+	e.jobs.View(workers, hosts)
+}
+
+func (e *Entry) submitJob(ctx context.Context, request cwmodel.Request, tasks int) (*cwjob.Job, error) {
+	return e.jobs.Submit(ctx, cwjobs.Submission{Request: request, Tasks: tasks})
+}
--- a/internal/core/cwdecider/preempt.go
+++ b/internal/core/cwdecider/preempt.go
@@ -1,6 +1,7 @@
 package cwdecider
 
 import (
+	"slices"
 	"time"
 
 	"currantward/internal/core/cwmodel"
@@ -9,6 +10,7 @@
 // Bounds of one round of preemption.
 const (
 	maxPreemptions = 16              // tasks that one round makes room for
+	maxRooms       = 64              // workers that are being cleared at once
 	maxCandidates  = 64              // victims that are looked at for one of them
 	reliefLimit    = 2 * time.Second // how long a preemption may take before it is tried again
 )
@@ -57,36 +59,84 @@
 
 // mayPreempt reports whether p may take capacity from v: never from what v is entitled to.
 func (d *Decider) mayPreempt(p, v *profile) bool {
-	total := d.fleet.Total()
-	if p == v || v.account.IsBelowFloor(total) {
+	if p == v || v.account.IsBelowFloor() {
 		return false
 	}
-	return p.rank < v.rank || p.account.IsBelowFloor(total)
+	return p.rank < v.rank || p.account.IsBelowFloor()
 }
 
 // makeWay preempts tasks on one worker so that a blocked task fits there.
 func (d *Decider) makeWay(now time.Time, state *task) bool {
-	if state.relief.After(now) || state.gang != nil || d.isReserved(state) {
+	if state.relief.After(now) || state.gang != nil || d.isReserved(state) || len(d.rooms) >= maxRooms {
 		return false
 	}
 	demand := d.reservation(state)
 	if !state.profile.account.Allows(demand, d.fleet.Total()) || !state.team.account.InQuota(demand) || d.CanStart(demand) {
 		return false
 	}
+	w := d.preemptFor(now, state, demand)
+	if w == nil {
+		return false
+	}
+	state.room, w.cleared = w, true
+	d.rooms = append(d.rooms, state)
+	d.refresh(w)
+	return true
+}
+
+// readyRoom returns the worker that was cleared for a task once it holds the demand.
+func (t *task) readyRoom(demand cwmodel.Resources) *worker {
+	if t.room == nil || t.room.suspect || t.room.leaving || !demand.FitsIn(t.room.node.Free()) {
+		return nil
+	}
+	return t.room
+}
+
+// releaseRoom opens the worker that was cleared for a task.
+func (d *Decider) releaseRoom(state *task) {
+	if state.room == nil {
+		return
+	}
+	state.room.cleared = false
+	d.refresh(state.room)
+	state.room = nil
+	d.rooms = slices.DeleteFunc(d.rooms, func(t *task) bool { return t == state })
+}
+
+// expireRooms gives up preemptions that took too long.
+func (d *Decider) expireRooms(now time.Time) {
+	for n := len(d.rooms) - 1; n >= 0; n-- {
+		if !d.rooms[n].relief.After(now) {
+			d.releaseRoom(d.rooms[n])
+		}
+	}
+}
+
+// releaseRoomsOn gives up the preemptions on a worker that is no longer owned.
+func (d *Decider) releaseRoomsOn(w *worker) {
+	for n := len(d.rooms) - 1; n >= 0; n-- {
+		if d.rooms[n].room == w {
+			d.releaseRoom(d.rooms[n])
+		}
+	}
+}
+
+// preemptFor preempts tasks of the least urgent profile that allows it and returns their worker, or nil.
+func (d *Decider) preemptFor(now time.Time, state *task, demand cwmodel.Resources) *worker {
 	for n := len(d.profiles) - 1; n >= 0; n-- {
 		v := d.profiles[n]
 		if len(v.victims) == 0 || !d.mayPreempt(state.profile, v) {
 			continue
 		}
-		if d.makeWayFrom(now, state, demand, v) {
-			return true
+		if w := d.makeWayFrom(now, state, demand, v); w != nil {
+			return w
 		}
 	}
-	return false
+	return nil
 }
 
 // makeWayFrom looks at the latest started victims of one profile, which lose the least work.
-func (d *Decider) makeWayFrom(now time.Time, state *task, demand cwmodel.Resources, v *profile) bool {
+func (d *Decider) makeWayFrom(now time.Time, state *task, demand cwmodel.Resources, v *profile) *worker {
 	for n := len(v.victims) - 1; n >= max(len(v.victims)-maxCandidates, 0); n-- {
 		candidate := v.victims[n]
 		w := candidate.worker
@@ -101,10 +151,10 @@
 		}
 		if len(victims) > 0 {
 			state.relief = now.Add(reliefLimit)
-			return true
+			return w
 		}
 	}
-	return false
+	return nil
 }
 
 func stopModeOf(victim *task) cwmodel.StopMode {
--- a/internal/core/cwdecider/profile.go
+++ b/internal/core/cwdecider/profile.go
@@ -10,7 +10,6 @@
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwpolicy"
 	"currantward/internal/core/cwquarantine"
-	"currantward/internal/core/cwretry"
 )
 
 // profile is a profile with its queues, its use and what was learned of it.
@@ -26,7 +25,6 @@
 	victims  []*task
 	estimate cwestimate.Estimate
 	failures cwquarantine.Rate
-	budget   cwretry.Budget
 	rate     rate
 	busyAt   time.Time // when it last had work
 	isActive bool      // it had work within guaranteeMemory
@@ -76,6 +74,17 @@
 	})
 }
 
+// updateShares recomputes all shares after a change of the fleet or the configuration.
+func (d *Decider) updateShares() {
+	total := d.fleet.Total()
+	for _, p := range d.profiles {
+		p.account.Update(total)
+	}
+	for _, t := range d.teams {
+		t.account.Update(total)
+	}
+}
+
 func (d *Decider) teamOf(name cwmodel.TeamName) *team {
 	if t, ok := d.teams[name]; ok {
 		return t
@@ -118,6 +127,7 @@
 		t.account.Weight, t.quota = settings.Weight, settings.Quota
 		t.account.Quota = partOf(settings.Quota, d.opts.QuotaShare)
 	}
+	d.updateShares()
 }
 
 func partOf(quota cwmodel.Resources, share float64) cwmodel.Resources {
