--- a/internal/adapter/cwadmin/admin_test.go
+++ b/internal/adapter/cwadmin/admin_test.go
@@ -102,7 +102,7 @@
 	transport := &http.Transport{DisableKeepAlives: true}
 	response, err := transport.RoundTrip(request)
 	is.NoErr(err)
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
 	is.NoErr(err)
 	return response.StatusCode, string(data)
@@ -168,7 +168,7 @@
 	addr, _, _ := listen(t, operators())
 	slow, err := net.Dial("tcp", addr.String())
 	is.NoErr(err)
-	defer slow.Close()
+	defer func() { _ = slow.Close() }()
 	_, err = slow.Write([]byte("GET /v1/status HTTP/1.1\r\nHost: x\r\n"))
 	is.NoErr(err)
 	answer, err := io.ReadAll(slow) // ends when the listener gives up
@@ -177,13 +177,13 @@
 	for range 3 {
 		held, err := net.Dial("tcp", addr.String())
 		is.NoErr(err)
-		defer held.Close()
+		defer func() { _ = held.Close() }()
 		_, err = held.Write([]byte("GET /v1/status HTTP/1.1\r\nHost: x\r\n"))
 		is.NoErr(err)
 	}
 	surplus, err := net.Dial("tcp", addr.String())
 	is.NoErr(err)
-	defer surplus.Close()
+	defer func() { _ = surplus.Close() }()
 	answer, err = io.ReadAll(surplus)
 	is.NoErr(err)
 	is.True(strings.Contains(string(answer), "503")) // Service Unavailable
--- a/internal/adapter/cwmetric/metric_test.go
+++ b/internal/adapter/cwmetric/metric_test.go
@@ -1,6 +1,7 @@
 package cwmetric_test
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -19,7 +20,7 @@
 		m.Observe(cwtally.Event{Profile: profile, Team: "t", Answer: cwmodel.Answer{Outcome: cwmodel.OutcomeDone}}, cwmodel.ClassUrgent)
 	}
 	recorder := httptest.NewRecorder()
-	m.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	m.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	body := recorder.Body.String()
 	for _, want := range []string{`profile="a",reason="",team="t"} 2`, `profile="b",reason="",team="t"} 1`, `profile="other",reason="",team="other"} 2`} {
 		is.True(strings.Contains(body, want)) // the overflow is counted, and nothing is lost
--- a/internal/app/cwtotals/totals_test.go
+++ b/internal/app/cwtotals/totals_test.go
@@ -191,7 +191,7 @@
 				w.stop()
 				w.closed = true
 			},
-			"late-request": func(t *rapid.T) {
+			"late-request": func(*rapid.T) {
 				f.set(func() {
 					if len(f.delayed) > 0 {
 						_ = f.table.Commit(f.delayed[0])
@@ -200,25 +200,30 @@
 				})
 			},
 		})
-		f.set(func() { f.down, f.loss = false, lossNone })
-		f.clock.Advance(lateAfter + time.Second)
-		for _, w := range f.writers {
-			if !w.dead && !w.closed {
-				f.is.NoErr(f.flush(w))
-			}
+		f.check()
+	})
+}
+
+// check compares the report with what each writer was told to count.
+func (f *fleet) check() {
+	f.set(func() { f.down, f.loss = false, lossNone })
+	f.clock.Advance(lateAfter + time.Second)
+	for _, w := range f.writers {
+		if !w.dead && !w.closed {
+			f.is.NoErr(f.flush(w))
 		}
-		sums, incomplete := f.day("2026-12-04")
-		var dead []cwmodel.HostID
-		for n, w := range f.writers {
-			if !w.dead {
-				f.is.Equal(sums[w.team], w.counted) // a writer that lives or was closed is whole
-				continue
-			}
-			dead = append(dead, cwmodel.HostID(fmt.Sprintf("entry-%d", n)))
-			f.is.True(sums[w.team] >= w.flushed && sums[w.team] <= w.counted) // a dead one misses only what it had not flushed
+	}
+	sums, incomplete := f.day("2026-12-04")
+	var dead []cwmodel.HostID
+	for n, w := range f.writers {
+		if !w.dead {
+			f.is.Equal(sums[w.team], w.counted) // a writer that lives or was closed is whole
+			continue
 		}
-		f.is.Equal(incomplete, dead)
-	})
+		dead = append(dead, cwmodel.HostID(fmt.Sprintf("entry-%d", n)))
+		f.is.True(sums[w.team] >= w.flushed && sums[w.team] <= w.counted) // a dead one misses only what it had not flushed
+	}
+	f.is.Equal(incomplete, dead)
 }
 
 func TestTotalsOverDays(t *testing.T) {
