Count the tasks of jobs in the totals

Ruled out: counting each end of a task as it comes in (another home may have committed another end). Change: the duty of the jobs tells the end of a job once, after the transaction that moved its row to the ended ones is known to be committed; the entry host counts one answer for each task, with the times of its last attempt. Seen red: with `j.opts.Over` called before the commit (in rowsOf) the fuzz of the jobs fails; restored after it.

--- a/internal/app/cwentry/jobs.go
+++ b/internal/app/cwentry/jobs.go
@@ -35,6 +35,7 @@
 	jobs.Submit, jobs.Cancel, jobs.Ended = e.scheduler.Submit, e.scheduler.Cancel, e.scheduler.Ended
 	jobs.Order, jobs.Acknowledge = e.links.Order, e.links.Acknowledge
 	jobs.Roomiest, jobs.SubmitGang = e.roomiest, e.scheduler.SubmitGang
+	jobs.Over = e.jobOver
 	e.jobs, stop = cwjobs.New(jobs)
 	e.cleanup.Add(stop)
 
--- /dev/null
+++ b/internal/app/cwentry/totals.go
@@ -0,0 +1,34 @@
+package cwentry
+
+import (
+	"context"
+	"time"
+
+	"currantward/internal/core/cwjob"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwtally"
+)
+
+// jobOver counts the outcome of each task of a job whose end is committed.
+func (e *Entry) jobOver(job *cwjob.Job) {
+	profile, _ := e.watcher.Present().Profile(job.Profile)
+	for _, t := range job.Tasks {
+		counted := cwtally.Event{
+			At: e.opts.Timer.Now(), Profile: job.Profile, Team: job.Team, Demand: job.Demand, Answer: answerOf(job, t), Took: t.Ended.Sub(job.Arrived),
+		}
+		e.metrics.Observe(counted, profile.Class)
+		e.totals.Count(context.Background(), counted)
+	}
+}
+
+// answerOf returns what the caller of a job is told of one task; times are those of its last attempt.
+func answerOf(job *cwjob.Job, t cwjob.Task) cwmodel.Answer {
+	answer := cwmodel.Answer{Outcome: t.Outcome, Reason: t.Reason, Attempts: t.Ran}
+	if t.Began.IsZero() {
+		answer.Attempts = 0
+		return answer
+	}
+	answer.Waited = max(t.Began.Sub(job.Arrived), time.Duration(0))
+	answer.Ran = max(t.Ended.Sub(t.Began), time.Duration(0))
+	return answer
+}
--- a/internal/app/cwjobs/entry.go
+++ b/internal/app/cwjobs/entry.go
@@ -265,6 +265,9 @@
 	}
 	if e.job.IsOver() {
 		j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "profile": e.job.Profile, "team": e.job.Team, "tasks": len(e.job.Tasks)}).Info("job-ended")
+		if j.opts.Over != nil {
+			j.opts.Over(e.job)
+		}
 		j.forget(ctx, e)
 	}
 }
--- a/internal/app/cwjobs/fuzz_test.go
+++ b/internal/app/cwjobs/fuzz_test.go
@@ -186,6 +186,11 @@
 	for _, row := range f.table.Scan(prefixEnded, "", 1000) {
 		f.checkEnded(t, row.Key, string(row.Value))
 	}
+	for _, id := range sortedKeys(f.over) {
+		if told := f.over[id]; told > 1 || f.table.Read(keyEnded(id)).Version == 0 {
+			t.Fatalf("the end of job %s was told %d times, its ended row has version %d", id, told, f.table.Read(keyEnded(id)).Version)
+		}
+	}
 	for _, id := range sortedKeys(f.accepted) {
 		live, ended := f.table.Read(keyLive(id)).Version, f.table.Read(keyEnded(id)).Version
 		if (live > 0) == (ended > 0) {
--- a/internal/app/cwjobs/sim_test.go
+++ b/internal/app/cwjobs/sim_test.go
@@ -40,6 +40,7 @@
 	hosts   []*simHost
 	ghosts  []cwdecider.Action // start orders that a dead host sends late
 	started map[cwmodel.TaskID]int
+	over    map[cwmodel.JobID]int // how often the end of a job was told
 }
 
 // simWorker is a worker that may be gone for good.
@@ -76,7 +77,7 @@
 func newSim(seed uint64, hosts, workers int) *sim {
 	s := &sim{
 		clock: cwtimer.NewManual(time.Unix(100000, 0)), table: cwmemory.NewTable(), random: rand.New(rand.NewPCG(seed, seed)),
-		started: map[cwmodel.TaskID]int{},
+		started: map[cwmodel.TaskID]int{}, over: map[cwmodel.JobID]int{},
 	}
 	for n := range workers {
 		id := cwmodel.HostID(fmt.Sprintf("worker-%d", n))
@@ -122,6 +123,7 @@
 	opts.Roomiest = h.roomiest
 	opts.Order = func(a cwdecider.Action) { h.orders = append(h.orders, a) }
 	opts.Acknowledge = func(a cwmodel.Attempt) { h.acks = append(h.acks, a) }
+	opts.Over = func(job *cwjob.Job) { h.sim.over[job.ID]++ }
 	h.jobs = newJobs(opts)
 }
 
