Let entry hosts meet before the capacity command shares the workers out

Cause: the hosts joined one after the other, so that the measured window held the hand-over of most workers. Ruled out: a longer settling time, which grows with the square of the hosts. Change: the hosts start first and have 3 s to hear of each other.

--- a/internal/bench/cwcapacity/fleet.go
+++ b/internal/bench/cwcapacity/fleet.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"syscall"
+	"time"
 
 	"currantward/internal/app/cwsettings"
 	"currantward/internal/base/cwduty"
@@ -24,6 +25,9 @@
 // anyPort lets the system choose a loopback port.
 var anyPort = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
 
+// meetTime lets the entry hosts hear of each other before there are workers to share out.
+const meetTime = 3 * time.Second
+
 // host is one entry host in a process of its own.
 type host struct {
 	callers, operators, peers netip.AddrPort
@@ -57,15 +61,8 @@
 		return nil, nil, err
 	}
 	cleanup.Add(func() { _ = os.RemoveAll(f.folder) })
-	var workers []func()
+	var workers, hosts []func()
 	cleanup.Add(func() { cwduty.Together(workers)() })
-	for n := range point.Workers {
-		if stop, err = f.startWorker(n, point); err != nil {
-			return nil, nil, err
-		}
-		workers = append(workers, stop)
-	}
-	var hosts []func()
 	cleanup.Add(func() { cwduty.Together(hosts)() })
 	for n := range point.Hosts {
 		if stop, err = f.startHost(n, point); err != nil {
@@ -73,6 +70,13 @@
 		}
 		hosts = append(hosts, stop)
 	}
+	f.timer.Sleep(nil, meetTime)
+	for n := range point.Workers {
+		if stop, err = f.startWorker(n, point); err != nil {
+			return nil, nil, err
+		}
+		workers = append(workers, stop)
+	}
 	return f, cleanup.Run, nil
 }
 
