Bound the exchange of digests and believe leaving hosts at once

Cause: each host called each other one twice a second, both ways, and published its view to the keeper on each digest. A list without any worker wiped the view. A host that the list showed as leaving still got forwards. Peers that were replaced were remembered for ever. A forward to a dead peer's port was called unknown though nothing was sent.

Change: one of each pair calls (the lower name; the other after two silent periods); peers of other data centres are called once per silence limit (3 s) and may miss three. The view goes out on ticks, lists and changes of who is live or leaves; an empty list of workers is not believed; leaving by list or digest counts; hosts gone for a minute are forgotten. A failure to connect to a peer is certain (cwfault.Unavailable).

--- a/internal/adapter/cwpeer/client.go
+++ b/internal/adapter/cwpeer/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -102,8 +103,12 @@
 	return cwcodec.DecodeConfiguration(reply.GetDocument())
 }
 
-// typed maps an error of the transport: only a refusal by the peer itself is certain to have done nothing.
+// typed maps an error of the transport: only a refusal by the peer itself or a failure to connect is certain to have done nothing.
 func typed(err error) error {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return cwfault.New(cwfault.Unavailable, "%v", err)
+	}
 	var remote twirp.Error
 	if eris.As(err, &remote) && remote.Code() == twirp.FailedPrecondition {
 		return cwfault.New(cwfault.Unavailable, "%s", remote.Msg())
--- /dev/null
+++ b/internal/adapter/cwpeer/peer_test.go
@@ -0,0 +1,80 @@
+package cwpeer_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"currantward/internal/adapter/cwpeer"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwpolicy"
+	"currantward/internal/port/cwport"
+)
+
+func serve(t testing.TB, forward func(task cwmodel.Task) (cwmodel.Answer, error)) (addr netip.AddrPort, peers cwport.Peers, traffic *cwhttp.Traffic) {
+	is := is.New(t)
+	timer, stopTimer := cwtimer.New()
+	t.Cleanup(stopTimer)
+	addr, stop, err := cwpeer.Serve(cwpeer.ServerOptions{
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Timer: timer, Log: cwlog.Discard(), ShutdownTimeout: time.Second,
+		Exchange:      func(theirs cwport.Digest) cwport.Digest { return theirs },
+		Forward:       func(_ context.Context, task cwmodel.Task, _ int) (cwmodel.Answer, error) { return forward(task) },
+		Configuration: func() cwpolicy.Configuration { return cwpolicy.Configuration{} },
+	})
+	is.NoErr(err)
+	t.Cleanup(stop)
+	traffic = &cwhttp.Traffic{}
+	peers, stopClient := cwpeer.New(cwpeer.ClientOptions{Timer: timer, Timeout: time.Second, MaxConnsPerPeer: 4, Traffic: traffic})
+	t.Cleanup(stopClient)
+	return addr, peers, traffic
+}
+
+func TestForwardTellsWhatIsCertain(t *testing.T) {
+	nobody := netip.MustParseAddrPort("127.0.0.1:1")
+	cases := []struct {
+		name string
+		to   *netip.AddrPort
+		err  error
+		code cwfault.Code
+	}{
+		{"answered", nil, nil, ""},
+		{"refused by the peer", nil, cwfault.New(cwfault.Unavailable, "no room"), cwfault.Unavailable},
+		{"failed at the peer", nil, cwfault.New(cwfault.Indefinite, "taken before"), cwfault.Indefinite},
+		{"no connection", &nobody, nil, cwfault.Unavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			addr, peers, _ := serve(t, func(task cwmodel.Task) (cwmodel.Answer, error) {
+				return cwmodel.Answer{Task: task.ID, Outcome: cwmodel.OutcomeDone}, c.err
+			})
+			if c.to != nil {
+				addr = *c.to
+			}
+			_, err := peers.Forward(context.Background(), addr, cwmodel.Task{ID: "task", Deadline: time.Now().Add(time.Second)}, 1)
+			is.Equal(cwfault.CodeOf(err), c.code)
+		})
+	}
+}
+
+// BenchmarkExchange reports the bytes of one exchange of digests, both ways.
+func BenchmarkExchange(b *testing.B) {
+	addr, peers, traffic := serve(b, nil)
+	room := cwmodel.Resources{MilliProcessors: 640000, MemoryBytes: 256 << 30, Accelerators: 8, Slots: 64, Connections: 480}
+	digest := cwport.Digest{
+		Host: "entry-host-cairo-1-007", DataCentre: "cairo-1", Address: addr, Configuration: 123456, Workers: 20, Free: room, LargestFree: room, Waiting: 1000,
+	}
+	for b.Loop() {
+		if _, err := peers.Exchange(context.Background(), addr, digest); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(traffic.Sent()+traffic.Received())/float64(b.N), "bytes/exchange")
+}
--- a/internal/app/cwmember/known.go
+++ b/internal/app/cwmember/known.go
@@ -44,7 +44,7 @@
 	for id, p := range m.peers {
 		k := Known{
 			Host: id, DataCentre: p.host.DataCentre, Listed: m.listedHosts[id], State: p.host.State, Digest: p.digest, Heard: p.heard,
-			Reachable: !p.heard.IsZero() && now.Sub(p.heard) <= m.opts.SilenceLimit,
+			Reachable: m.isLive(now, p),
 		}
 		if k.DataCentre == "" {
 			k.DataCentre = p.digest.DataCentre
--- a/internal/app/cwmember/member.go
+++ b/internal/app/cwmember/member.go
@@ -61,6 +61,7 @@
 	host   cwmodel.Host
 	digest cwport.Digest
 	heard  time.Time
+	called time.Time
 }
 
 // Member owns the view of one entry host.
@@ -75,7 +76,15 @@
 	listedHosts map[cwmodel.HostID]bool // entry hosts of the latest list
 }
 
-const inboxSize = 1024
+const (
+	inboxSize = 1024
+	// silentPeriodsAbroad is how many exchanges a peer of another data centre may miss.
+	silentPeriodsAbroad = 3
+	// goneAfter is how long an entry host that is not listed is remembered after its last digest.
+	goneAfter = time.Minute
+	// ticksPerExchange is how often in a period the duty looks which exchanges are due.
+	ticksPerExchange = 2
+)
 
 // New starts the duty and returns the function that stops it.
 func New(opts Options) (m *Member, stop func()) {
@@ -83,7 +92,7 @@
 	m.digests.Store(&[]cwport.Digest{})
 	m.inbox.Offer(event{kind: eventList})
 	cancelList := opts.Timer.Every(opts.ListEvery, func(time.Time) { m.inbox.Offer(event{kind: eventList}) })
-	cancelExchange := opts.Timer.Every(opts.ExchangeEvery, func(time.Time) { m.inbox.Offer(event{kind: eventExchange}) })
+	cancelExchange := opts.Timer.Every(opts.ExchangeEvery/ticksPerExchange, func(time.Time) { m.inbox.Offer(event{kind: eventExchange}) })
 	stopDuty := cwduty.Start("membership", m.run)
 	return m, func() {
 		cancelList()
@@ -117,12 +126,17 @@
 		})
 	case eventListed:
 		m.listed(e)
+		m.publish()
 	case eventExchange:
 		m.exchange(ctx)
+		m.publish()
 	case eventDigest:
-		m.heard(e.digest)
+		if m.heard(e.digest) {
+			m.publish()
+		} else {
+			m.publishDigests()
+		}
 	}
-	m.publish()
 }
 
 func (m *Member) call(call func() event) {
@@ -136,15 +150,31 @@
 		return
 	}
 	m.noteListed(e.hosts)
-	m.workers = m.workers[:0:0]
+	var workers []cwmodel.Host
 	for _, host := range e.hosts {
 		switch {
 		case host.Role == cwmodel.RoleWorker && host.DataCentre == m.opts.DataCentre:
-			m.workers = append(m.workers, host)
+			workers = append(workers, host)
 		case host.Role == cwmodel.RoleEntryHost && host.ID != m.opts.Self:
 			m.peerOf(host.ID).host = host
 		}
 	}
+	m.forgetGone()
+	if len(workers) == 0 && len(m.workers) > 0 {
+		m.opts.Log.WithFields(logrus.Fields{"workers": len(m.workers)}).Warn("host-list-without-workers")
+		return // a list that has lost every worker at once is not believed
+	}
+	m.workers = workers
+}
+
+// forgetGone drops entry hosts that are neither listed nor heard of any more.
+func (m *Member) forgetGone() {
+	now := m.opts.Timer.Now()
+	for id, p := range m.peers {
+		if !m.listedHosts[id] && now.Sub(p.heard) > goneAfter {
+			delete(m.peers, id)
+		}
+	}
 }
 
 func (m *Member) peerOf(id cwmodel.HostID) *peer {
@@ -156,12 +186,15 @@
 	return p
 }
 
+// exchange sends our digest to the peers whose turn it is.
 func (m *Member) exchange(ctx context.Context) {
+	now := m.opts.Timer.Now()
 	ours := m.opts.Digest(ctx)
-	for _, p := range m.peers {
-		if p.host.State != cwmodel.HostLive {
+	for id, p := range m.peers {
+		if p.host.State != cwmodel.HostLive || !m.isDue(now, id, p) {
 			continue
 		}
+		p.called = now
 		addr := p.host.Address
 		_ = m.opts.Pool.Submit(func() {
 			if theirs, err := m.opts.Peers.Exchange(ctx, addr, ours); err == nil {
@@ -171,31 +204,78 @@
 	}
 }
 
-func (m *Member) heard(digest cwport.Digest) {
+// isDue reports whether a peer is to be called: an exchange tells both sides, so one of a pair calls and the
+// other only if it has heard nothing for twice as long. Peers of other data centres are called less often.
+func (m *Member) isDue(now time.Time, id cwmodel.HostID, p *peer) bool {
+	period := m.opts.ExchangeEvery
+	if m.isAbroad(p) {
+		period = max(period, m.opts.SilenceLimit)
+	}
+	if m.opts.Self > id {
+		period *= 2
+	}
+	last := p.called
+	if p.heard.After(last) {
+		last = p.heard
+	}
+	slack := m.opts.ExchangeEvery / (2 * ticksPerExchange)
+	return now.Sub(last) >= period-slack
+}
+
+func (m *Member) isAbroad(p *peer) bool {
+	dataCentre := p.host.DataCentre
+	if dataCentre == "" {
+		dataCentre = p.digest.DataCentre
+	}
+	return dataCentre != m.opts.DataCentre
+}
+
+// isLive reports whether a peer was heard of lately; one of another data centre is called less often.
+func (m *Member) isLive(now time.Time, p *peer) bool {
+	limit := m.opts.SilenceLimit
+	if m.isAbroad(p) {
+		limit *= silentPeriodsAbroad
+	}
+	return !p.heard.IsZero() && now.Sub(p.heard) <= limit
+}
+
+// heard takes a digest and reports whether it changes who is live or leaves.
+func (m *Member) heard(digest cwport.Digest) bool {
 	if digest.Host == m.opts.Self {
-		return
+		return false
 	}
 	p := m.peerOf(digest.Host)
-	p.digest, p.heard = digest, m.opts.Timer.Now()
+	now := m.opts.Timer.Now()
+	changed := !m.isLive(now, p) || p.digest.Leaving != digest.Leaving
+	p.digest, p.heard = digest, now
+	return changed
 }
 
 // publish hands the view on.
 func (m *Member) publish() {
+	hosts := m.publishDigests()
+	m.publishKnown(m.opts.Timer.Now())
+	m.opts.View(slices.Clone(m.workers), hosts)
+}
+
+// publishDigests replaces what Digests returns, and returns the live entry hosts of this data centre.
+func (m *Member) publishDigests() []cwmodel.HostID {
 	now := m.opts.Timer.Now()
 	live := []cwport.Digest{}
 	hosts := []cwmodel.HostID{m.opts.Self}
 	for id, p := range m.peers {
-		if p.heard.IsZero() || now.Sub(p.heard) > m.opts.SilenceLimit {
+		if !m.isLive(now, p) {
 			continue
 		}
-		live = append(live, p.digest)
-		if p.digest.DataCentre == m.opts.DataCentre && !p.digest.Leaving {
+		digest := p.digest
+		digest.Leaving = digest.Leaving || p.host.State == cwmodel.HostLeaving
+		live = append(live, digest)
+		if digest.DataCentre == m.opts.DataCentre && !digest.Leaving {
 			hosts = append(hosts, id)
 		}
 	}
 	slices.SortFunc(live, func(a, b cwport.Digest) int { return strings.Compare(string(a.Host), string(b.Host)) })
 	slices.Sort(hosts)
 	m.digests.Store(&live)
-	m.publishKnown(now)
-	m.opts.View(slices.Clone(m.workers), hosts)
+	return hosts
 }
