--- a/internal/app/cwjobs/entry.go
+++ b/internal/app/cwjobs/entry.go
@@ -49,6 +49,7 @@
 	next     *cwjob.Job
 	busy     bool // a call is out
 	stale    bool // the row may have changed
+	hinted   bool // its home asks this host to look after it
 	retryAt  time.Time
 	tasks    map[int]*handling
 	payload  []byte
@@ -265,6 +266,9 @@
 	}
 	if e.job.IsOver() {
 		j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "profile": e.job.Profile, "team": e.job.Team, "tasks": len(e.job.Tasks)}).Info("job-ended")
+		if j.opts.Over != nil {
+			j.opts.Over(e.job)
+		}
 		j.forget(ctx, e)
 	}
 }
