Call the peers of other data centres each second

Cause: with one call in 3 s the operators' promise (a change known to be in force everywhere within 3 s, also when the table goes down after the commit) failed: TestChangeIsInForceWithinTheTarget took 3.4 to 6.2 s. ExchangeNow reached only the peers whose turn it was.

Change: three calls per silence limit (1 s), the same silence limit for all; ExchangeNow calls all peers.

--- a/internal/app/cwmember/known.go
+++ b/internal/app/cwmember/known.go
@@ -29,7 +29,7 @@
 }
 
 // ExchangeNow tells all peers our digest without waiting for the period.
-func (m *Member) ExchangeNow() { m.inbox.Offer(event{kind: eventExchange}) }
+func (m *Member) ExchangeNow() { m.inbox.Offer(event{kind: eventExchangeNow}) }
 
 // ListedAt returns when the latest list came; zero if there was none, and then hosts may exist that Known lacks.
 func (m *Member) ListedAt() time.Time {
--- a/internal/app/cwmember/member.go
+++ b/internal/app/cwmember/member.go
@@ -45,7 +45,9 @@
 	eventList     eventKind = "list"
 	eventListed   eventKind = "listed"
 	eventExchange eventKind = "exchange"
-	eventDigest   eventKind = "digest"
+	// eventExchangeNow calls all peers, whether it is their turn or not.
+	eventExchangeNow eventKind = "exchange-now"
+	eventDigest      eventKind = "digest"
 )
 
 // event is one item of the inbox.
@@ -79,8 +81,8 @@
 
 const (
 	inboxSize = 1024
-	// silentPeriodsAbroad is how many exchanges a peer of another data centre may miss.
-	silentPeriodsAbroad = 3
+	// abroadPerSilence is how often in the silence limit a peer of another data centre is called.
+	abroadPerSilence = 3
 	// goneAfter is how long an entry host that is not listed is remembered after its last digest.
 	goneAfter = time.Minute
 	// ticksPerExchange is how often in a period the duty looks which exchanges are due.
@@ -128,8 +130,8 @@
 	case eventListed:
 		m.listed(e)
 		m.publish()
-	case eventExchange:
-		m.exchange(ctx)
+	case eventExchange, eventExchangeNow:
+		m.exchange(ctx, e.kind == eventExchangeNow)
 		m.publish()
 	case eventDigest:
 		if m.heard(e.digest) {
@@ -187,12 +189,12 @@
 	return p
 }
 
-// exchange sends our digest to the peers whose turn it is.
-func (m *Member) exchange(ctx context.Context) {
+// exchange sends our digest to the peers whose turn it is, or to all.
+func (m *Member) exchange(ctx context.Context, all bool) {
 	now := m.opts.Timer.Now()
 	ours := m.opts.Digest(ctx)
 	for id, p := range m.peers {
-		if p.host.State != cwmodel.HostLive || !m.isDue(now, id, p) {
+		if p.host.State != cwmodel.HostLive || !all && !m.isDue(now, id, p) {
 			continue
 		}
 		p.called = now
@@ -210,7 +212,7 @@
 func (m *Member) isDue(now time.Time, id cwmodel.HostID, p *peer) bool {
 	period := m.opts.ExchangeEvery
 	if m.isAbroad(p) {
-		period = max(period, m.opts.SilenceLimit)
+		period = max(period, m.opts.SilenceLimit/abroadPerSilence)
 	}
 	if m.opts.Self > id {
 		period *= 2
@@ -231,13 +233,9 @@
 	return dataCentre != m.opts.DataCentre
 }
 
-// isLive reports whether a peer was heard of lately; one of another data centre is called less often.
+// isLive reports whether a peer was heard of lately.
 func (m *Member) isLive(now time.Time, p *peer) bool {
-	limit := m.opts.SilenceLimit
-	if m.isAbroad(p) {
-		limit *= silentPeriodsAbroad
-	}
-	return !p.heard.IsZero() && now.Sub(p.heard) <= limit
+	return !p.heard.IsZero() && now.Sub(p.heard) <= m.opts.SilenceLimit
 }
 
 // heard takes a digest and reports whether it changes who is live or leaves.
