--- a/internal/app/cwentry/entry.go
+++ b/internal/app/cwentry/entry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
@@ -29,15 +30,26 @@
 	"currantward/internal/base/cwduty"
 	"currantward/internal/base/cwhttp"
 	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwclaim"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwpolicy"
+	"currantward/internal/core/cwroute"
 	"currantward/internal/core/cwtally"
 	"currantward/internal/port/cwport"
 )
 
+// spillTime is how much time a request must have left to be sent to another data centre.
+const spillTime = 50 * time.Millisecond
+
+// lameDuck is how long callers are still served after the health says that this host leaves.
+const lameDuck = 2 * time.Second
+
 // drainCheck is how often a shutdown looks whether anything is left.
 const drainCheck = 50 * time.Millisecond
 
+// orderTries is how often a start order can be sent within its window.
+const orderTries = 4
+
 // Bounds of one change of the configuration.
 const (
 	changeTimeout = 5 * time.Second
@@ -90,6 +102,7 @@
 	peers     cwport.Peers
 	traffic   *cwhttp.Traffic // of all connections with peers
 	drain     sync.Once
+	checks    atomic.Int64  // of the health by a balancer
 	started   chan struct{} // closed once all parts are set
 }
 
@@ -147,16 +160,18 @@
 
 	links, stopLinks := cwlink.New(cwlink.Options{
 		Timer: o.Timer, Log: o.Log, Workers: o.Workers, Pool: e.pool,
-		OrderTimeout: o.Settings.OrderTimeout, StartWindow: o.Settings.StartWindow, PollWait: o.Settings.CompletionWait,
-		Ended: e.ended, IsDurable: isDurable, Stale: e.stale,
+		OrderTimeout: min(o.Settings.OrderTimeout, o.Settings.StartWindow/orderTries), StartWindow: o.Settings.StartWindow,
+		PollWait: o.Settings.CompletionWait, Ended: e.ended, Stale: e.stale,
 	})
 	e.links = links
 	e.cleanup.Add(stopLinks)
 
+	claims := cwclaim.DefaultOptions(o.Settings.HostID, o.Settings.ClaimTTL)
+	claims.Seed = uint64(o.Timer.Now().UnixNano())
+	claims.OrderWindow = o.Settings.StartWindow
 	keeper, stopKeeper := cwkeeper.New(cwkeeper.Options{
-		Timer: o.Timer, Log: o.Log, Workers: o.Workers, Pool: e.pool, Self: o.Settings.HostID,
-		ClaimTTL: o.Settings.ClaimTTL, RenewEvery: o.Settings.ClaimTTL / 3, CallLimit: o.Settings.OrderTimeout,
-		Owned: e.owned, Lost: e.lost, Draining: scheduler.Draining,
+		Timer: o.Timer, Log: o.Log, Workers: o.Workers, Pool: e.pool, Claims: claims, CallLimit: o.Settings.OrderTimeout,
+		Owned: e.owned, Extended: links.Extend, Lost: e.lost, Draining: scheduler.Draining, Closing: scheduler.Closing, Open: links.OpenRequests,
 	})
 	e.keeper = keeper
 	e.cleanup.Add(stopKeeper)
@@ -178,12 +193,14 @@
 	peers, stopClient := cwpeer.New(cwpeer.ClientOptions{Timer: o.Timer, Timeout: o.Settings.PeerTimeout, MaxConnsPerPeer: 256, Traffic: e.traffic})
 	e.peers = peers
 	e.cleanup.Add(stopClient)
-	e.intake = cwintake.New(cwintake.Options{
-		Timer: o.Timer, Log: o.Log, Peers: peers, Self: o.Settings.HostID,
+	intake, stopIntake := cwintake.New(cwintake.Options{
+		Timer: o.Timer, Log: o.Log, Peers: peers, Route: e.routing(),
 		Configuration: e.watcher.Present, Submit: e.scheduler.Submit, Cancel: e.scheduler.Cancel,
 		HasRoom: func(demand cwmodel.Resources) bool { return demand.FitsIn(e.scheduler.Load().LargestFree) },
 		Digests: e.digests, Once: e.intents.Run, Told: e.told,
 	})
+	e.intake = intake
+	e.cleanup.Add(stopIntake)
 	bound, stopServer, err := cwpeer.Serve(cwpeer.ServerOptions{
 		Listen: o.Settings.ListenPeers, Timer: o.Timer, Log: o.Log, ShutdownTimeout: o.Settings.DrainTimeout, Traffic: e.traffic,
 		Exchange: e.exchange, Forward: e.intake.Accept, Configuration: func() cwpolicy.Configuration { return *e.watcher.Present() },
@@ -202,6 +219,14 @@
 	return nil
 }
 
+// routing returns how requests are handed to peers.
+func (e *Entry) routing() cwroute.Options {
+	s := e.opts.Settings
+	return cwroute.Options{
+		Seed: uint64(e.opts.Timer.Now().UnixNano()), DataCentre: s.DataCentre, SpillTime: spillTime, BeliefTime: 2 * s.ExchangeEvery,
+	}
+}
+
 func (e *Entry) order(action actionOf) {
 	if action.Task.Durable {
 		e.jobs.Action(action)
@@ -212,20 +237,20 @@
 
 func (e *Entry) stale(worker cwmodel.HostID, epoch cwmodel.Epoch) { e.keeper.Stale(worker, epoch) }
 
-func (e *Entry) owned(ctx context.Context, inventory cwport.Inventory) error {
-	e.links.Open(inventory.Worker, inventory.Epoch)
+func (e *Entry) owned(ctx context.Context, inventory cwport.Inventory, hold cwclaim.Hold) error {
+	e.links.Open(inventory, hold)
 	if err := e.jobs.Owned(ctx, inventory); err != nil {
 		return err
 	}
 	return e.scheduler.Owned(ctx, inventory)
 }
 
-func (e *Entry) lost(ctx context.Context, worker cwmodel.HostID) error {
+func (e *Entry) lost(ctx context.Context, worker cwmodel.HostID, lastRenewal time.Time) error {
 	e.links.Close(worker)
 	if err := e.jobs.Lost(ctx, worker); err != nil {
 		return err
 	}
-	return e.scheduler.Lost(ctx, worker)
+	return e.scheduler.LostSince(ctx, worker, lastRenewal)
 }
 
 // digests returns the latest digests of live peers; there are none before all parts are set.
@@ -316,5 +341,8 @@
 	e.metrics.Gauge("currantward_owned_workers", "Workers that this host owns.", func() float64 { return float64(e.scheduler.Load().Workers) })
 	e.metrics.Gauge("currantward_waiting_tasks", "Tasks that wait at this host.", func() float64 { return float64(e.scheduler.Load().Waiting) })
 	e.metrics.Gauge("currantward_running_tasks", "Tasks that run for this host.", func() float64 { return float64(e.scheduler.Load().Running) })
+	e.metrics.Gauge("currantward_orders_repeated", "Orders sent again because their answer was lost.", func() float64 { return float64(e.links.Counts().Repeated) })
+	e.metrics.Gauge("currantward_orders_dropped", "Orders given up because their worker was not reached in time.", func() float64 { return float64(e.links.Counts().Dropped) })
+	e.metrics.Gauge("currantward_orphan_results", "Results of requests that no entry host waits for any more.", func() float64 { return float64(e.links.Counts().Orphans) })
 	e.metrics.Gauge("currantward_inbox_refusals", "Events that found the scheduler's inbox full.", func() float64 { return float64(e.scheduler.Refused()) })
 }
--- a/internal/core/cwdecider/worker.go
+++ b/internal/core/cwdecider/worker.go
@@ -3,17 +3,18 @@
 import (
 	"time"
 
-	"currantward/internal/core/cwcapacity"
 	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwplacement"
 	"currantward/internal/core/cwquarantine"
 )
 
 // worker is an owned worker with what runs on it.
 type worker struct {
-	node    *cwcapacity.Node
+	node    *cwplacement.Node
 	epoch   cwmodel.Epoch
 	tasks   []*task
 	leaving bool
+	closed  bool // another host is to own it; what runs there stays
 	kept    bool // closed until a reservation has room on it
 	cleared bool // closed until the task that others were preempted for has started
 	probing bool // a probe runs on it
@@ -40,7 +41,7 @@
 	if old, ok := d.workers[w.ID]; ok {
 		displaced = d.forget(now, old, now)
 	}
-	added := &worker{node: cwcapacity.NewNode(w), epoch: epoch, breaker: d.breakerOf(w.ID)}
+	added := &worker{node: cwplacement.NewNode(w), epoch: epoch, breaker: d.breakerOf(w.ID)}
 	d.workers[w.ID] = added
 	d.fleet.Add(added.node)
 	d.updateShares()
@@ -194,9 +195,17 @@
 	}
 }
 
+// CloseWorker stops placing on a worker that another host is to own; what runs there stays.
+func (d *Decider) CloseWorker(id cwmodel.HostID) {
+	if w, ok := d.workers[id]; ok {
+		w.closed = true
+		d.refresh(w)
+	}
+}
+
 // refresh opens or closes a worker for new work.
 func (d *Decider) refresh(w *worker) {
-	if !w.leaving && !w.kept && !w.cleared && !w.suspect {
+	if !w.leaving && !w.closed && !w.kept && !w.cleared && !w.suspect {
 		d.fleet.Open(w.node)
 		return
 	}
--- a/internal/proof/cwschedule/oracle.go
+++ b/internal/proof/cwschedule/oracle.go
@@ -71,13 +71,7 @@
 	if to.leaving.IsZero() {
 		return
 	}
-	since := to.leaving
-	for _, at := range []time.Time{by.pausedTo, to.cutTo} {
-		if at.After(since) {
-			since = at
-		}
-	}
-	if late := o.world.now.Sub(since); late > drainBound {
+	if late := o.world.now.Sub(latest(to.leaving, by.pausedTo, to.cutTo)); late > drainBound {
 		o.violate("%s was sent new work %v after it began to leave", to.about.ID, late)
 	}
 }
@@ -133,6 +127,21 @@
 	}
 }
 
+// isQuiet reports whether every request is answered or its host is gone, and nothing runs.
+func (o *oracle) isQuiet() bool {
+	for _, r := range o.order {
+		if !r.answered && r.host.life == r.life {
+			return false
+		}
+	}
+	for _, w := range o.world.workers {
+		if !w.down && len(w.Inspect().Running) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // unanswered checks at the end that every request to a host that lived on was answered.
 func (o *oracle) unanswered() {
 	for _, r := range o.order {
