--- a/internal/app/cwentry/metrics.go
+++ b/internal/app/cwentry/metrics.go
@@ -7,7 +7,7 @@
 	m := e.metrics
 	m.Gauge("currantward_configuration_version", "Version of the configuration in force.", func() float64 { return float64(e.watcher.Present().Version) })
 	m.Counter("currantward_configuration_reverts_total", "Times that the version in force decreased; an invariant is broken above zero.", e.watcher.Violations)
-	m.Gauge("currantward_ready", "1 while this host takes requests, else 0.", func() float64 { return flag(e.ready()) })
+	m.Gauge("currantward_ready", "1 while this host takes requests, else 0.", func() float64 { return boolGauge(e.ready()) })
 	m.Gauge("currantward_unreachable_hosts", "Entry hosts that are listed as live and can't be reached.", e.unreachable)
 	m.Counter("currantward_totals_lost_total", "Answers that are missing from the totals because the inbox was full.", e.totals.Lost)
 	m.Counter("currantward_totals_days_dropped_total", "Days of totals forgotten unwritten in a long outage.", e.totals.Dropped)
@@ -27,10 +27,3 @@
 	}
 	return float64(n)
 }
-
-func flag(on bool) float64 {
-	if on {
-		return 1
-	}
-	return 0
-}
