--- a/test/cwprocess/process_test.go
+++ b/test/cwprocess/process_test.go
@@ -120,6 +120,17 @@
 	return nil
 }
 
+// pauseInOutage pauses an owner past its claim while the platform is down.
+func (b *bench) pauseInOutage(ctx context.Context) error {
+	if err := b.SetFaults(ctx, cwstore.Faults{Down: true}); err != nil {
+		return err
+	}
+	if err := b.pauseHost(ctx); err != nil {
+		return err
+	}
+	return b.SetFaults(ctx, cwstore.Faults{LoseAnswer: 5})
+}
+
 func (b *bench) cutPlatform(ctx context.Context) error {
 	for _, cut := range []bool{true, false, true, false} {
 		for _, host := range b.Hosts {
@@ -183,7 +194,8 @@
 		{"a rack of workers is killed", 2, []func(*bench, context.Context) error{(*bench).killRack}},
 		{"a rack of workers is paused past its leases", 1, []func(*bench, context.Context) error{(*bench).pauseRack}},
 		{"an entry host drains", 1, []func(*bench, context.Context) error{(*bench).drainHost}},
-		{"an entry host is killed while another is paused", 2, []func(*bench, context.Context) error{(*bench).killHost, (*bench).pauseHost}},
+		{"an owner is paused while the platform is down, twice", 1, []func(*bench, context.Context) error{(*bench).pauseInOutage, (*bench).pauseInOutage}},
+		{"an entry host is killed and another is paused", 2, []func(*bench, context.Context) error{(*bench).killHost, (*bench).pauseHost}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
