--- a/internal/core/cwdecider/gang.go
+++ b/internal/core/cwdecider/gang.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"currantward/internal/core/cwcapacity"
 	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwplacement"
 )
 
 // gang is a set of tasks that start all at once or not at all; it waits in its queue as its first task.
@@ -101,7 +101,7 @@
 }
 
 // takeUpTo reserves the longest prefix of tasks that fits and returns their workers, which find chooses.
-func (d *Decider) takeUpTo(tasks []*task, find func(*task, cwmodel.Resources) *cwcapacity.Node) (places []*worker) {
+func (d *Decider) takeUpTo(tasks []*task, find func(*task, cwmodel.Resources) *cwplacement.Node) (places []*worker) {
 	for _, state := range tasks {
 		demand := d.reservation(state)
 		if !d.mayUse(state, demand) {
--- a/internal/core/cwdecider/place.go
+++ b/internal/core/cwdecider/place.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"currantward/internal/core/cwcapacity"
 	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwplacement"
 )
 
 // place starts waiting tasks in the order of fairness until nothing more fits.
@@ -200,17 +200,17 @@
 }
 
 // findNode prefers racks without tasks of the same job, then workers where the task did not fail before.
-func (d *Decider) findNode(state *task, demand cwmodel.Resources) *cwcapacity.Node {
+func (d *Decider) findNode(state *task, demand cwmodel.Resources) *cwplacement.Node {
 	if isSpread(state) {
 		limit := d.leastCrowded(state.Job)
 		counts := d.spread[state.Job]
-		n := d.fleet.Find(demand, func(n *cwcapacity.Node) bool { return counts[n.Worker().Rack] <= limit })
+		n := d.fleet.Find(demand, func(n *cwplacement.Node) bool { return counts[n.Worker().Rack] <= limit })
 		if n != nil {
 			return n
 		}
 	}
 	if avoid := state.attempt.Worker; avoid != "" && !state.preempted {
-		if n := d.fleet.Find(demand, func(n *cwcapacity.Node) bool { return n.Worker().ID != avoid }); n != nil {
+		if n := d.fleet.Find(demand, func(n *cwplacement.Node) bool { return n.Worker().ID != avoid }); n != nil {
 			return n
 		}
 	}
@@ -218,7 +218,7 @@
 }
 
 // findTightest packs without regard to racks.
-func (d *Decider) findTightest(_ *task, demand cwmodel.Resources) *cwcapacity.Node {
+func (d *Decider) findTightest(_ *task, demand cwmodel.Resources) *cwplacement.Node {
 	return d.fleet.Find(demand, nil)
 }
 
--- a/internal/core/cwcapacity/tree.go
+++ b/internal/core/cwplacement/tree.go
@@ -1,4 +1,4 @@
-package cwcapacity
+package cwplacement
 
 import (
 	"math"
