Log and count broken invariants of decisions in production

Cause: the decider panics on a broken invariant unless told otherwise, and nothing told it. The scheduler now logs invariant-violated-decision and counts it (currantward_decision_violations); tests of the decider still fail at once.

--- a/internal/app/cwentry/entry.go
+++ b/internal/app/cwentry/entry.go
@@ -303,5 +303,6 @@
 	e.metrics.Gauge("currantward_owned_workers", "Workers that this host owns.", func() float64 { return float64(e.scheduler.Load().Workers) })
 	e.metrics.Gauge("currantward_waiting_tasks", "Tasks that wait at this host.", func() float64 { return float64(e.scheduler.Load().Waiting) })
 	e.metrics.Gauge("currantward_running_tasks", "Tasks that run for this host.", func() float64 { return float64(e.scheduler.Load().Running) })
+	e.metrics.Gauge("currantward_decision_violations", "Invariants of decisions that were found broken.", func() float64 { return float64(e.scheduler.Violations()) })
 	e.metrics.Gauge("currantward_inbox_refusals", "Events that found the scheduler's inbox full.", func() float64 { return float64(e.scheduler.Refused()) })
 }
--- a/internal/app/cwscheduler/scheduler.go
+++ b/internal/app/cwscheduler/scheduler.go
@@ -78,6 +78,7 @@
 	decider *cwdecider.Decider
 	replies map[cwmodel.TaskID]func(cwmodel.Answer)
 	load    atomic.Pointer[cwdecider.Load]
+	broken  atomic.Uint64
 }
 
 // New starts the duty and returns the function that stops it.
@@ -85,9 +86,12 @@
 	s = &Scheduler{
 		opts:    opts,
 		inbox:   cwring.New[event](opts.InboxSize),
-		decider: cwdecider.New(opts.Decider),
 		replies: map[cwmodel.TaskID]func(cwmodel.Answer){},
 	}
+	if opts.Decider.Violated == nil {
+		opts.Decider.Violated = s.violated
+	}
+	s.decider = cwdecider.New(opts.Decider)
 	s.load.Store(&cwdecider.Load{})
 	cancel := opts.Timer.Every(opts.TickEvery, func(time.Time) { s.inbox.Offer(event{kind: eventTick}) })
 	stopDuty := cwduty.Start("scheduler", s.run)
@@ -145,6 +149,15 @@
 // InboxLen returns how many events wait in the inbox.
 func (s *Scheduler) InboxLen() int { return s.inbox.Len() }
 
+// violated logs and counts a broken invariant of the decider.
+func (s *Scheduler) violated(message string) {
+	s.broken.Add(1)
+	s.opts.Log.WithField("message", message).Error("invariant-violated-decision")
+}
+
+// Violations returns how many invariants of the decider were found broken.
+func (s *Scheduler) Violations() uint64 { return s.broken.Load() }
+
 // Refused returns how many events found the inbox full.
 func (s *Scheduler) Refused() uint64 { return s.inbox.Refused() }
 
