--- a/internal/app/cwentry/jobs.go
+++ b/internal/app/cwentry/jobs.go
@@ -35,6 +35,7 @@
 	jobs.Submit, jobs.Cancel, jobs.Ended = e.scheduler.Submit, e.scheduler.Cancel, e.scheduler.Ended
 	jobs.Order, jobs.Acknowledge = e.links.Order, e.links.Acknowledge
 	jobs.Roomiest, jobs.SubmitGang = e.roomiest, e.scheduler.SubmitGang
+	jobs.Over = e.jobOver
 	e.jobs, stop = cwjobs.New(jobs)
 	e.cleanup.Add(stop)
 
@@ -103,12 +104,12 @@
 // handBack takes what the scheduler no longer holds of a durable task.
 func (e *Entry) handBack(action actionOf) { e.jobs.Action(action) }
 
-// ended hands the result of an attempt to the jobs or to the scheduler.
-func (e *Entry) ended(ctx context.Context, result cwmodel.Result) error {
+// ended hands the result of an attempt to the jobs, which acknowledge it once it is written, or to the scheduler.
+func (e *Entry) ended(ctx context.Context, result cwmodel.Result) (acknowledge bool, err error) {
 	if isDurable(result.Attempt.Task) {
-		return e.jobs.Result(ctx, result)
+		return false, e.jobs.Result(ctx, result)
 	}
-	return e.scheduler.Ended(ctx, result)
+	return true, e.scheduler.Ended(ctx, result)
 }
 
 // roomiest returns the peer of this data centre with the most room among those where a task of this demand would start at once.
