Count what a team uses at other owners against its quota

Cause: each owner gave out the whole quota of a team, so that twelve owners together could give out twelve of them. Ruled out: dividing the quota by each owner's part of the workers (first tried, not committed): a job at one home would get a twelfth of its team's quota while the rest lies idle. Change: digests carry what teams with a quota use; the decider counts it as used elsewhere. Owners that start work in the same moment may together exceed a quota until their next digests. Before and after: with Elsewhere left out of the sum, the new case starts 9 tasks where 4 are allowed; it passes with it. Conclusion: quotas hold over all owners within the period of the digests.

--- a/internal/adapter/cwpeer/convert.go
+++ b/internal/adapter/cwpeer/convert.go
@@ -27,11 +27,25 @@
 	}
 }
 
+func teamsToWire(uses []cwmodel.TeamUse) (teams []*cwpeerwire.TeamUse) {
+	for _, use := range uses {
+		teams = append(teams, &cwpeerwire.TeamUse{Team: string(use.Team), Used: resourcesToWire(use.Used)})
+	}
+	return teams
+}
+
+func teamsFromWire(teams []*cwpeerwire.TeamUse) (uses []cwmodel.TeamUse) {
+	for _, team := range teams {
+		uses = append(uses, cwmodel.TeamUse{Team: cwmodel.TeamName(team.GetTeam()), Used: resourcesFromWire(team.GetUsed())})
+	}
+	return uses
+}
+
 func digestToWire(d cwport.Digest) *cwpeerwire.Digest {
 	return &cwpeerwire.Digest{
 		Host: string(d.Host), DataCentre: string(d.DataCentre), Address: d.Address.String(), Configuration: uint64(d.Configuration),
 		Workers: int64(d.Workers), Free: resourcesToWire(d.Free), LargestFree: resourcesToWire(d.LargestFree),
-		Waiting: int64(d.Waiting), Leaving: d.Leaving,
+		Waiting: int64(d.Waiting), Leaving: d.Leaving, Teams: teamsToWire(d.Teams),
 	}
 }
 
@@ -40,7 +54,7 @@
 	return cwport.Digest{
 		Host: cwmodel.HostID(d.GetHost()), DataCentre: cwmodel.DataCentre(d.GetDataCentre()), Address: addr,
 		Configuration: cwpolicy.Version(d.GetConfiguration()), Workers: int(d.GetWorkers()), Free: resourcesFromWire(d.GetFree()),
-		LargestFree: resourcesFromWire(d.GetLargestFree()), Waiting: int(d.GetWaiting()), Leaving: d.GetLeaving(),
+		LargestFree: resourcesFromWire(d.GetLargestFree()), Waiting: int(d.GetWaiting()), Leaving: d.GetLeaving(), Teams: teamsFromWire(d.GetTeams()),
 	}, err
 }
 
--- a/internal/app/cwentry/jobs.go
+++ b/internal/app/cwentry/jobs.go
@@ -130,6 +130,11 @@
 func (e *Entry) view(workers []cwmodel.Host, hosts []cwmodel.HostID) {
 	e.keeper.View(workers, hosts)
 	e.jobs.View(workers, hosts)
+	var uses []cwmodel.TeamUse
+	for _, d := range e.digests() {
+		uses = append(uses, d.Teams...)
+	}
+	e.scheduler.Elsewhere(uses)
 }
 
 func (e *Entry) submitJob(ctx context.Context, request cwmodel.Request, tasks int) (*cwjob.Job, error) {
--- a/internal/app/cwscheduler/gang.go
+++ b/internal/app/cwscheduler/gang.go
@@ -35,11 +35,14 @@
 	return s.inbox.Put(ctx, event{kind: eventRelease, job: job})
 }
 
-// QuotaShare states which part of each team's quota this host gives out.
-func (s *Scheduler) QuotaShare(ctx context.Context, share float64) error {
-	return s.inbox.Put(ctx, event{kind: eventQuota, share: share})
+// Elsewhere states what each team uses on the workers of other owners; one that finds the inbox full is superseded.
+func (s *Scheduler) Elsewhere(uses []cwmodel.TeamUse) {
+	s.inbox.Offer(event{kind: eventElsewhere, uses: uses})
 }
 
+// TeamUses returns what the teams with a quota used at the latest tick.
+func (s *Scheduler) TeamUses() []cwmodel.TeamUse { return *s.uses.Load() }
+
 func (s *Scheduler) handleGang(now time.Time, e event) {
 	switch e.kind {
 	case eventGang:
--- a/internal/app/cwscheduler/scheduler.go
+++ b/internal/app/cwscheduler/scheduler.go
@@ -51,7 +51,7 @@
 	eventHold      eventKind = "hold"
 	eventCommit    eventKind = "commit-hold"
 	eventRelease   eventKind = "release-hold"
-	eventQuota     eventKind = "quota-share"
+	eventElsewhere eventKind = "elsewhere"
 )
 
 // event is one item of the inbox; which fields are set depends on its kind.
@@ -67,7 +67,7 @@
 	usage     []cwmodel.Usage
 	job       cwmodel.JobID
 	at        time.Time // last renewal of a lost worker; expiry of a hold
-	share     float64
+	uses      []cwmodel.TeamUse
 	held      func(count int)
 	committed func(ok bool)
 }
@@ -79,6 +79,7 @@
 	decider *cwdecider.Decider
 	replies map[cwmodel.TaskID]func(cwmodel.Answer)
 	load    atomic.Pointer[cwdecider.Load]
+	uses    atomic.Pointer[[]cwmodel.TeamUse]
 	broken  atomic.Uint64
 }
 
@@ -94,6 +95,7 @@
 	}
 	s.decider = cwdecider.New(opts.Decider)
 	s.load.Store(&cwdecider.Load{})
+	s.uses.Store(&[]cwmodel.TeamUse{})
 	cancel := opts.Timer.Every(opts.TickEvery, func(time.Time) { s.inbox.Offer(event{kind: eventTick}) })
 	stopDuty := cwduty.Start("scheduler", s.run)
 	return s, func() {
@@ -201,10 +203,12 @@
 		s.decider.Configure(now, e.cfg)
 	case eventTick:
 		s.decider.Tick(now)
+		uses := s.decider.TeamUses()
+		s.uses.Store(&uses)
 	case eventUsage:
 		s.decider.Observe(now, e.usage)
-	case eventQuota:
-		s.decider.SetQuotaShare(e.share)
+	case eventElsewhere:
+		s.decider.SetElsewhere(now, e.uses)
 	default:
 		s.handleGang(now, e)
 	}
--- a/internal/core/cwdecider/decider.go
+++ b/internal/core/cwdecider/decider.go
@@ -45,7 +45,6 @@
 	StartWindow      time.Duration // how long after its decision a start may begin
 	GangPatience     time.Duration // how long a blocked task waits before capacity is reserved for it
 	ReservationLimit time.Duration // how long capacity is reserved for one task or gang
-	QuotaShare       float64       // part of each team's quota that this decider gives out
 
 	// Violated is told of a broken invariant; nil panics.
 	Violated func(message string)
@@ -63,7 +62,6 @@
 	setDefault(&o.StartWindow, defaultStartWindow)
 	setDefault(&o.GangPatience, defaultGangPatience)
 	setDefault(&o.ReservationLimit, defaultReservationLimit)
-	setDefault(&o.QuotaShare, 1)
 	if o.Violated == nil {
 		o.Violated = func(message string) { panic(message) }
 	}
@@ -146,12 +144,6 @@
 	d.place(now)
 }
 
-// SetQuotaShare states which part of each team's quota this decider gives out; all owners' parts add up to at most one.
-func (d *Decider) SetQuotaShare(share float64) {
-	d.opts.QuotaShare = share
-	d.applyTeams()
-}
-
 // Knows reports whether a task waits or runs here and is not answered yet.
 func (d *Decider) Knows(id cwmodel.TaskID) bool {
 	_, ok := d.tasks[id]
--- a/internal/core/cwdecider/policy_test.go
+++ b/internal/core/cwdecider/policy_test.go
@@ -152,6 +152,20 @@
 			}
 			s.Equal(len(s.starts), 9)
 		}},
+		{name: "what a team uses elsewhere counts against its quota", workers: 2, run: func(s *stage) {
+			elsewhere := cwmodel.TeamUse{Team: "b", Used: cwmodel.Resources{MilliProcessors: 5000}}
+			s.d.SetElsewhere(s.now, []cwmodel.TeamUse{elsewhere})
+			for range 12 {
+				t := s.task("urgent", 1)
+				t.Team = "b"
+				s.submit(t)
+			}
+			s.Equal(len(s.starts), 4)
+			s.Equal(s.d.TeamUses()[0].Used.MilliProcessors, int64(4000))
+			s.d.SetElsewhere(s.now, nil)
+			s.collect()
+			s.Equal(len(s.starts), 9)
+		}},
 		{name: "a profile does not exceed its ceiling", workers: 1, run: func(s *stage) {
 			s.fill("best", 8)
 			s.Equal(len(s.starts), 7)
--- a/internal/core/cwdecider/profile.go
+++ b/internal/core/cwdecider/profile.go
@@ -36,7 +36,6 @@
 // team is a team with its use.
 type team struct {
 	name    cwmodel.TeamName
-	quota   cwmodel.Resources // over all owners; the account holds this decider's part
 	account cwfairness.Account
 }
 
@@ -120,30 +119,38 @@
 // keepAccelerators is the part of a free accelerator's processors and memory that other work leaves alone.
 const keepAccelerators = 0.5
 
-// applyTeams takes over weights and this decider's part of each quota.
+// applyTeams takes over weights and quotas.
 func (d *Decider) applyTeams() {
 	for _, settings := range d.cfg.Teams {
 		t := d.teamOf(settings.Name)
-		t.account.Weight, t.quota = settings.Weight, settings.Quota
-		t.account.Quota = partOf(settings.Quota, d.opts.QuotaShare)
+		t.account.Weight, t.account.Quota = settings.Weight, settings.Quota
 	}
 	d.updateShares()
 }
 
-func partOf(quota cwmodel.Resources, share float64) cwmodel.Resources {
-	if share >= 1 {
-		return quota
-	}
-	part := func(whole int64) int64 {
-		if whole == 0 {
-			return 0
+// TeamUses returns what the teams that have a quota use on the workers of this decider, sorted by name.
+func (d *Decider) TeamUses() (uses []cwmodel.TeamUse) {
+	for _, settings := range d.cfg.Teams {
+		used := d.teamOf(settings.Name).account.Used
+		if settings.Quota != (cwmodel.Resources{}) && used != (cwmodel.Resources{}) {
+			uses = append(uses, cwmodel.TeamUse{Team: settings.Name, Used: used})
 		}
-		return max(int64(float64(whole)*share), 1)
 	}
-	return cwmodel.Resources{
-		MilliProcessors: part(quota.MilliProcessors), MemoryBytes: part(quota.MemoryBytes), Accelerators: part(quota.Accelerators),
-		Slots: part(quota.Slots), Connections: part(quota.Connections),
+	return uses
+}
+
+// SetElsewhere states what each team uses on the workers of all other owners, as last known.
+//
+// Owners that start work at the same moment may together exceed a quota until they hear of each other.
+func (d *Decider) SetElsewhere(now time.Time, uses []cwmodel.TeamUse) {
+	for _, t := range d.teams {
+		t.account.Elsewhere = cwmodel.Resources{}
+	}
+	for _, use := range uses {
+		t := d.teamOf(use.Team)
+		t.account.Elsewhere = t.account.Elsewhere.Plus(use.Used)
 	}
+	d.place(now)
 }
 
 // noteWork records whether the profile has had work of late.
--- a/internal/core/cwfairness/account.go
+++ b/internal/core/cwfairness/account.go
@@ -14,6 +14,9 @@
 	Ceiling float64 // share of the fleet that is never exceeded; zero for no limit
 	Quota   cwmodel.Resources
 
+	// Elsewhere is what other owners were last known to use of the quota.
+	Elsewhere cwmodel.Resources
+
 	share    float64
 	weighted float64
 }
@@ -53,7 +56,8 @@
 //
 // A first task is always allowed: whether the whole quota holds it is checked when it is admitted.
 func (a *Account) InQuota(demand cwmodel.Resources) bool {
-	return a.Used == (cwmodel.Resources{}) || Within(a.Used.Plus(demand), a.Quota)
+	used := a.Used.Plus(a.Elsewhere)
+	return used == (cwmodel.Resources{}) || Within(used.Plus(demand), a.Quota)
 }
 
 // Within reports whether use is at most the quota in each dimension that has one.
--- a/internal/core/cwmodel/model.go
+++ b/internal/core/cwmodel/model.go
@@ -190,6 +190,12 @@
 	At   time.Time
 }
 
+// TeamUse is what the running tasks of one team use.
+type TeamUse struct {
+	Team TeamName
+	Used Resources
+}
+
 // Answer is what a caller is told.
 type Answer struct {
 	Task     TaskID
