Test the lease keeper as a duty

Table of what happens to one worker in memory (claimed, leaving by its word or the list, gone from the list, overtaken) against what the keeper hands on; each case ends with a release. Seen red: without the release at the stop, and without the leaving flag of a renewal. Run: go test -race of cwmember, cwintake, cwlink, cwkeeper, cwpeer, cwroute, cwclaim: ok; go test -race -count=2 ./internal/app/cwkeeper: ok, 2.0 s.

--- /dev/null
+++ b/internal/app/cwkeeper/keeper_test.go
@@ -0,0 +1,83 @@
+package cwkeeper_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/panjf2000/ants/v2"
+
+	"currantward/internal/adapter/cwmemory"
+	"currantward/internal/app/cwkeeper"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwclaim"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwport"
+)
+
+// ports reach one worker in memory.
+func ports(w *cwmemory.Worker) cwport.Workers {
+	return cwport.Workers{
+		Inspect: func(context.Context, netip.AddrPort) (cwport.Inventory, error) { return w.Inspect(), nil },
+		Claim: func(_ context.Context, _ netip.AddrPort, claim cwport.Claim) (cwport.Inventory, error) {
+			return w.Claim(claim)
+		},
+		Renew: func(_ context.Context, _ netip.AddrPort, heartbeat cwport.Heartbeat) (cwport.Renewal, error) {
+			return w.Renew(heartbeat)
+		},
+		Release: func(_ context.Context, _ netip.AddrPort, epoch cwmodel.Epoch) error { return w.Release(epoch) },
+	}
+}
+
+func TestKeeperHandsOnWhatHappensToAWorker(t *testing.T) {
+	cases := []struct {
+		name   string
+		happen func(w *cwmemory.Worker, k *cwkeeper.Keeper, now time.Time)
+		want   []string
+	}{
+		{"claimed", func(*cwmemory.Worker, *cwkeeper.Keeper, time.Time) {}, []string{"owned"}},
+		{"leaving by its own word", func(w *cwmemory.Worker, _ *cwkeeper.Keeper, _ time.Time) { w.Drain() }, []string{"owned", "draining"}},
+		{"leaving by the list", func(_ *cwmemory.Worker, k *cwkeeper.Keeper, _ time.Time) {
+			k.View([]cwmodel.Host{{ID: "worker-1", State: cwmodel.HostLeaving}}, []cwmodel.HostID{"self"})
+		}, []string{"owned", "draining"}},
+		{"gone from the list", func(_ *cwmemory.Worker, k *cwkeeper.Keeper, _ time.Time) { k.View(nil, []cwmodel.HostID{"self"}) }, []string{"owned", "closing"}},
+		{"claimed anew after its epoch was overtaken", func(w *cwmemory.Worker, _ *cwkeeper.Keeper, now time.Time) {
+			_, _ = w.Claim(cwport.Claim{Owner: "self", Epoch: cwmodel.Epoch(now.UnixMilli() + 10), TTL: time.Millisecond})
+		}, []string{"owned", "lost", "owned"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			timer, stopTimer := cwtimer.New()
+			defer stopTimer()
+			pool, err := ants.NewPool(8, ants.WithNonblocking(true))
+			is.NoErr(err)
+			defer pool.Release()
+			w := cwmemory.NewWorker(cwmemory.WorkerOptions{Worker: cwmodel.Worker{ID: "worker-1"}, Now: timer.Now})
+			seen := make(chan string, 100)
+			note := func(what string) func(context.Context, cwmodel.HostID) error {
+				return func(context.Context, cwmodel.HostID) error { seen <- what; return nil }
+			}
+			k, stop := cwkeeper.New(cwkeeper.Options{
+				Timer: timer, Log: cwlog.Discard(), Workers: ports(w), Pool: pool, Claims: cwclaim.DefaultOptions("self", 600*time.Millisecond), CallLimit: time.Second,
+				Owned:    func(context.Context, cwport.Inventory, cwclaim.Hold) error { seen <- "owned"; return nil },
+				Extended: func(cwmodel.HostID, cwmodel.Epoch, cwclaim.Hold) {},
+				Lost:     func(context.Context, cwmodel.HostID, time.Time) error { seen <- "lost"; return nil },
+				Draining: note("draining"), Closing: note("closing"), Open: func(cwmodel.HostID) int { return 0 },
+			})
+			k.View([]cwmodel.Host{{ID: "worker-1", State: cwmodel.HostLive}}, []cwmodel.HostID{"self"})
+			for n, want := range c.want {
+				is.Equal(<-seen, want)
+				if n == 0 {
+					c.happen(w, k, timer.Now())
+				}
+			}
+			stop()
+			is.Equal(w.Inspect().Owner, cwmodel.HostID("")) // the claim is released
+			is.Equal(<-seen, "lost")
+		})
+	}
+}
--- a/internal/app/cwmember/member_test.go
+++ b/internal/app/cwmember/member_test.go
@@ -83,12 +83,11 @@
 				View:   func(workers []cwmodel.Host, hosts []cwmodel.HostID) { views <- view{workers, hosts} },
 			})
 			defer stop()
-			var last view
 			for range c.lists { // each list gives a view
-				last = <-views
+				<-views
 				clock.Advance(100 * time.Millisecond)
 			}
-			last = <-views
+			last := <-views
 			if c.digest != nil {
 				m.Heard(*c.digest)
 				last = <-views
