Hand the usage that workers report to the decider

Cause: heartbeats carry usage, and nothing passed it on, so that sizes were learned from ended tasks only and outgrown workers were never relieved.

--- a/internal/app/cwkeeper/keeper.go
+++ b/internal/app/cwkeeper/keeper.go
@@ -35,6 +35,8 @@
 	Lost func(ctx context.Context, worker cwmodel.HostID, lastRenewal time.Time) error
 	// Closing takes a worker that another host is to own: nothing more is to be placed on it.
 	Closing func(ctx context.Context, worker cwmodel.HostID) error
+	// Usage takes what the tasks of a worker use, as its answer to a heartbeat tells; it returns false if it has no room.
+	Usage func(usage []cwmodel.Usage) bool
 	// Draining takes a worker that leaves: nothing more is to be placed on it, and what can move is to move.
 	Draining func(ctx context.Context, worker cwmodel.HostID) error
 	// Open returns how many requests of this host may run on a worker.
@@ -248,6 +250,9 @@
 	heartbeat := cwport.Heartbeat{Epoch: a.Epoch, TTL: k.opts.Claims.TTL, NotAfter: a.NotAfter}
 	renewal, err := k.opts.Workers.Renew(ctx, a.Host.Address, heartbeat)
 	e.answer.Clock, e.answer.Leaving = renewal.Clock, renewal.Leaving
+	if len(renewal.Usage) > 0 && k.opts.Usage != nil {
+		k.opts.Usage(renewal.Usage)
+	}
 	return err
 }
 
