--- a/internal/app/cwmember/known.go
+++ b/internal/app/cwmember/known.go
@@ -29,7 +29,7 @@
 }
 
 // ExchangeNow tells all peers our digest without waiting for the period.
-func (m *Member) ExchangeNow() { m.inbox.Offer(event{kind: eventExchange}) }
+func (m *Member) ExchangeNow() { m.inbox.Offer(event{kind: eventExchangeNow}) }
 
 // ListedAt returns when the latest list came; zero if there was none, and then hosts may exist that Known lacks.
 func (m *Member) ListedAt() time.Time {
@@ -57,7 +57,7 @@
 	for id, p := range m.peers {
 		k := Known{
 			Host: id, DataCentre: p.host.DataCentre, Listed: m.listedHosts[id], State: p.host.State, Digest: p.digest, Heard: p.heard,
-			Reachable: !p.heard.IsZero() && now.Sub(p.heard) <= m.opts.SilenceLimit,
+			Reachable: m.isLive(now, p),
 		}
 		if k.DataCentre == "" {
 			k.DataCentre = p.digest.DataCentre
