--- a/internal/adapter/cwmemory/worker.go
+++ b/internal/adapter/cwmemory/worker.go
@@ -39,6 +39,7 @@
 	owner     cwmodel.HostID
 	epoch     cwmodel.Epoch
 	claimEnds time.Time
+	usageAt   time.Time // of the latest report of usage
 	leaving   bool
 	running   map[cwmodel.TaskID]*execution
 	seen      attempts         // highest attempt of each task, whether begun or refused
@@ -129,10 +130,23 @@
 	w.claimEnds = now.Add(heartbeat.TTL)
 	w.renewLeases(now)
 	renewal = cwport.Renewal{Clock: now, Leaving: w.leaving, Running: len(w.running)}
+	renewal.Usage = w.usage(now)
+	return renewal, nil
+}
+
+// usageEvery is how often a worker reports what its tasks use.
+const usageEvery = 10 * time.Second
+
+// usage returns what the tasks use, or nothing if that was reported lately.
+func (w *Worker) usage(now time.Time) (uses []cwmodel.Usage) {
+	if now.Sub(w.usageAt) < usageEvery {
+		return nil
+	}
+	w.usageAt = now
 	for _, e := range w.inOrder() {
-		renewal.Usage = append(renewal.Usage, cwmodel.Usage{Task: e.Attempt.Task, Used: e.plan.Used, At: now})
+		uses = append(uses, cwmodel.Usage{Task: e.Attempt.Task, Used: e.plan.Used, At: now})
 	}
-	return renewal, nil
+	return uses
 }
 
 // Release ends the claim.
