--- a/internal/adapter/cwcodec/worker.go
+++ b/internal/adapter/cwcodec/worker.go
@@ -124,6 +124,7 @@
 	Owner      string         `json:"owner,omitempty"`
 	Epoch      uint64         `json:"epoch"`
 	Clock      time.Time      `json:"clock"`
+	Booted     time.Time      `json:"booted,omitzero"`
 	Leaving    bool           `json:"leaving,omitempty"`
 	Running    []Running      `json:"running"`
 }
@@ -141,6 +142,7 @@
 		Owner:   cwmodel.HostID(i.Owner),
 		Epoch:   cwmodel.Epoch(i.Epoch),
 		Clock:   i.Clock,
+		Booted:  i.Booted,
 		Leaving: i.Leaving,
 	}
 	for _, r := range i.Running {
@@ -160,6 +162,7 @@
 		Owner:      string(i.Owner),
 		Epoch:      uint64(i.Epoch),
 		Clock:      i.Clock,
+		Booted:     i.Booted,
 		Leaving:    i.Leaving,
 		Running:    []Running{},
 	}
--- a/internal/adapter/cwmemory/worker.go
+++ b/internal/adapter/cwmemory/worker.go
@@ -35,6 +35,7 @@
 // Worker is a worker in memory: it runs tasks under leases and refuses what is stale or does not fit.
 type Worker struct {
 	opts      WorkerOptions
+	booted    time.Time
 	mu        sync.Mutex
 	owner     cwmodel.HostID
 	epoch     cwmodel.Epoch
@@ -60,10 +61,12 @@
 	if opts.Execute == nil {
 		opts.Execute = func(cwmodel.Task) Execution { return Execution{RunTime: 1, End: cwmodel.EndDone} }
 	}
+	now := opts.Now()
 	return &Worker{
 		opts:    opts,
+		booted:  now,
 		running: map[cwmodel.TaskID]*execution{},
-		seen:    newAttempts(opts.Now()),
+		seen:    newAttempts(now),
 		changed: make(chan struct{}),
 	}
 }
@@ -342,7 +345,9 @@
 }
 
 func (w *Worker) inventory() cwport.Inventory {
-	inventory := cwport.Inventory{Worker: w.opts.Worker, Owner: w.owner, Epoch: w.epoch, Clock: w.opts.Now(), Leaving: w.leaving}
+	inventory := cwport.Inventory{
+		Worker: w.opts.Worker, Owner: w.owner, Epoch: w.epoch, Clock: w.opts.Now(), Booted: w.booted, Leaving: w.leaving,
+	}
 	for _, e := range w.inOrder() {
 		inventory.Running = append(inventory.Running, e.Running)
 	}
--- a/internal/app/cwjobs/drive.go
+++ b/internal/app/cwjobs/drive.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"currantward/internal/base/cwfault"
+	"currantward/internal/core/cwclaim"
 	"currantward/internal/core/cwdecider"
 	"currantward/internal/core/cwjob"
 	"currantward/internal/core/cwmodel"
@@ -258,13 +259,14 @@
 
 func (j *Jobs) attendOwned(ctx context.Context, now time.Time, e *entry, n int, w *ownedWorker) {
 	attempt, h := e.job.Tasks[n].Attempt, e.task(n)
-	if e.job.IsStopping() && !now.Before(h.stopAt) {
+	runs := w.running[attempt.Task] == attempt.Number
+	isKnown := runs || cwclaim.Remembers(attempt.Epoch, w.epoch, w.booted)
+	if isKnown && e.job.IsStopping() && !now.Before(h.stopAt) {
 		h.stopAt = now.Add(2 * j.opts.RetryAfter)
 		stop := attempt
 		stop.Epoch = w.epoch
 		j.opts.Order(cwdecider.Action{Kind: cwdecider.ActionStop, Attempt: stop, Mode: cwmodel.StopNow})
 	}
-	runs := w.running[attempt.Task] == attempt.Number
 	isOlder := attempt.Epoch != w.epoch && !runs
 	isLong := attempt.Epoch == w.epoch && now.Sub(h.since) > j.opts.VerifyAfter
 	isAsked := attempt.Epoch == w.epoch && e.hinted && !j.isHome(e)
@@ -278,7 +280,7 @@
 // settle asks a worker what became of an attempt.
 //
 // An attempt that is not running has a result at the worker, or has been refused, or is refused from now
-// on. A worker whose epoch is below that of the attempt has lost its memory, so that nothing is known.
+// on. A worker that has restarted since the order remembers nothing of it, so the attempt counts as lost.
 func (j *Jobs) settle(ctx context.Context, id cwmodel.JobID, n int, attempt cwmodel.Attempt, w *ownedWorker) {
 	addr, epoch := w.worker.Address, w.epoch
 	j.call(ctx, func(ctx context.Context) event {
@@ -299,16 +301,18 @@
 		if cwfault.CodeOf(back.err) == cwfault.NotFound {
 			back.result, back.err = cwmodel.Result{End: cwmodel.EndNeverBegan, Message: "refused by the worker", Ended: inventory.Clock}, nil
 		}
-		if epoch < attempt.Epoch && back.result.End == cwmodel.EndNeverBegan {
-			back.result.End = cwmodel.EndLapsed
-			back.result.Message = "the worker has lost its memory"
-		}
+		isNeverBegan := back.err == nil && back.result.End == cwmodel.EndNeverBegan
+		back.forgotten = isNeverBegan && !cwclaim.Remembers(attempt.Epoch, epoch, inventory.Booted)
 		back.result.Attempt = attempt
 		return back
 	})
 }
 
-func (j *Jobs) settled(back event) {
+func (j *Jobs) settled(ctx context.Context, back event) {
+	if back.forgotten {
+		j.lose(ctx, j.entryOf(back.id), back.task, back.result.Attempt)
+		return
+	}
 	if e, ok := j.entries[back.id]; ok && back.err == nil && back.result.End == "" {
 		h := e.task(back.task)
 		h.isVerified = h.attempt == back.result.Attempt.Number
@@ -332,11 +336,15 @@
 	if l.missing.IsZero() || now.Sub(l.missing) <= e.job.Lease+j.opts.LeaseGrace {
 		return
 	}
+	j.lose(ctx, e, n, attempt)
+}
+
+// lose records that an attempt is over and that its result is not known.
+func (j *Jobs) lose(ctx context.Context, e *entry, n int, attempt cwmodel.Attempt) {
+	now := j.opts.Timer.Now()
 	j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "task": attempt.Task, "attempt": attempt.Number, "worker": attempt.Worker}).Warn("attempt-lost")
 	j.wish(ctx, e, change{
-		apply: func(now time.Time, job *cwjob.Job) bool {
-			return job.Home == j.opts.Self && job.Lose(now, n, attempt.Number)
-		},
+		apply: func(now time.Time, job *cwjob.Job) bool { return job.Lose(now, n, attempt.Number) },
 		done: func(applied bool) {
 			if applied {
 				_ = j.opts.Ended(ctx, cwmodel.Result{Attempt: attempt, End: cwmodel.EndLapsed, Ended: now})
--- a/internal/app/cwjobs/fuzz_test.go
+++ b/internal/app/cwjobs/fuzz_test.go
@@ -51,11 +51,12 @@
 // TestJobsEndAfter holds failures that the fuzz test has found.
 func TestJobsEndAfter(t *testing.T) {
 	cases := []struct {
-		name string
-		play func(f *fuzz)
+		name    string
+		profile cwmodel.ProfileName
+		play    func(f *fuzz)
 	}{
-		{"a home without workers", func(f *fuzz) { f.hosts[1].claim(f.workers[0]) }},
-		{"an adoption while the start order of the former home is lost", func(f *fuzz) {
+		{"a home without workers", "filings", func(f *fuzz) { f.hosts[1].claim(f.workers[0]) }},
+		{"an adoption while the start order of the former home is lost", "filings", func(f *fuzz) {
 			former, next := f.hosts[0], f.hosts[1]
 			former.claim(f.workers[0])
 			former.pump()
@@ -71,7 +72,7 @@
 			former.send(0, "order")
 			former.send(0, "order") // nor does the stop order arrive
 		}},
-		{"a home that dies before the result is written", func(f *fuzz) {
+		{"a home that dies before the result is written", "filings", func(f *fuzz) {
 			former := f.hosts[0]
 			former.claim(f.workers[0])
 			former.pump()
@@ -90,12 +91,43 @@
 			former.poll() // drops what is acknowledged
 			former.die()
 		}},
+		{"a worker that has restarted and is claimed again", "filings", func(f *fuzz) {
+			former := f.hosts[0]
+			former.claim(f.workers[0])
+			former.pump()
+			former.write("")
+			former.pump()
+			former.place(0)
+			former.pump()
+			former.write("")
+			former.pump()
+			former.send(0, "") // the attempt begins
+			f.advance(time.Second)
+			f.restart(f.workers[0])
+			former.die()
+			f.advance(time.Second)
+		}},
+		{"a cancellation of what runs since the moment in which its worker restarted", "portal", func(f *fuzz) {
+			former := f.hosts[0]
+			f.restart(f.workers[0])
+			former.claim(f.workers[0])
+			former.pump()
+			former.write("")
+			former.pump()
+			former.place(0)
+			former.pump()
+			former.write("")
+			former.pump()
+			former.send(0, "")
+			former.die()
+			f.advance(3 * time.Second)
+		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			f := &fuzz{sim: newSim(1, 2, 1), accepted: map[cwmodel.JobID]bool{}, ended: map[string]string{}}
 			f.clock.Advance(5 * time.Second)
-			f.accept(t, f.hosts[0], "filings", 1)
+			f.accept(t, f.hosts[0], c.profile, 1)
 			c.play(f)
 			f.heal(t)
 		})
@@ -202,7 +234,7 @@
 }
 
 func (f *fuzz) injectFault(t *rapid.T) {
-	fault := rapid.SampledFrom([]string{"kill", "kill", "boot", "boot", "boot", "table", "table", "ghost", "ghost", "worker"}).Draw(t, "fault")
+	fault := rapid.SampledFrom([]string{"kill", "kill", "boot", "boot", "boot", "table", "table", "ghost", "ghost", "worker", "restart"}).Draw(t, "fault")
 	h := f.host(t)
 	switch {
 	case fault == "kill" && h.alive:
@@ -213,6 +245,8 @@
 		f.down = !f.down
 	case fault == "ghost" && len(f.ghosts) > 0:
 		f.sendGhost()
+	case fault == "restart":
+		f.restart(f.workers[rapid.IntRange(0, len(f.workers)-1).Draw(t, "restarted")])
 	case fault == "worker" && rapid.IntRange(0, 5).Draw(t, "rarely") == 0:
 		f.workers[2].gone, f.workers[2].listed = true, false
 	}
--- a/internal/app/cwjobs/jobs.go
+++ b/internal/app/cwjobs/jobs.go
@@ -124,6 +124,7 @@
 	payload    []byte
 	change     change
 	again      bool // the event comes back to be tried anew
+	forgotten  bool // the worker has lost its memory of the attempt
 	err        error
 }
 
@@ -131,6 +132,7 @@
 type ownedWorker struct {
 	worker  cwmodel.Worker
 	epoch   cwmodel.Epoch
+	booted  time.Time
 	running map[cwmodel.TaskID]int // number of the attempt
 }
 
@@ -262,7 +264,7 @@
 	case eventPayload:
 		j.fetched(ctx, e)
 	case eventSettled:
-		j.settled(e)
+		j.settled(ctx, e)
 	case eventStored:
 		j.stored(ctx, e)
 	case eventPage:
@@ -282,7 +284,7 @@
 }
 
 func (j *Jobs) takeWorker(inventory cwport.Inventory) {
-	w := &ownedWorker{worker: inventory.Worker, epoch: inventory.Epoch, running: map[cwmodel.TaskID]int{}}
+	w := &ownedWorker{worker: inventory.Worker, epoch: inventory.Epoch, booted: inventory.Booted, running: map[cwmodel.TaskID]int{}}
 	for _, r := range inventory.Running {
 		w.running[r.Attempt.Task] = r.Attempt.Number
 	}
--- a/internal/app/cwjobs/sim_test.go
+++ b/internal/app/cwjobs/sim_test.go
@@ -13,6 +13,7 @@
 	"currantward/internal/base/cwfault"
 	"currantward/internal/base/cwlog"
 	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwclaim"
 	"currantward/internal/core/cwdecider"
 	"currantward/internal/core/cwjob"
 	"currantward/internal/core/cwmodel"
@@ -81,9 +82,8 @@
 	}
 	for n := range workers {
 		id := cwmodel.HostID(fmt.Sprintf("worker-%d", n))
-		s.workers = append(s.workers, &simWorker{id: id, listed: true, Worker: cwmemory.NewWorker(cwmemory.WorkerOptions{
-			Worker: cwmodel.Worker{ID: id, DataCentre: "cairo-1", Capacity: cwmodel.Resources{Slots: 100}}, Now: s.clock.Now, Execute: s.execute,
-		})})
+		s.workers = append(s.workers, &simWorker{id: id, listed: true})
+		s.restart(s.workers[n])
 	}
 	for n := range hosts {
 		s.hosts = append(s.hosts, &simHost{sim: s, id: cwmodel.HostID(fmt.Sprintf("entry-%d", n))})
@@ -92,6 +92,13 @@
 	return s
 }
 
+// restart gives a worker a new life: it runs and remembers nothing.
+func (s *sim) restart(w *simWorker) {
+	w.Worker = cwmemory.NewWorker(cwmemory.WorkerOptions{
+		Worker: cwmodel.Worker{ID: w.id, DataCentre: "cairo-1", Capacity: cwmodel.Resources{Slots: 100}}, Now: s.clock.Now, Execute: s.execute,
+	})
+}
+
 func (s *sim) execute(t cwmodel.Task) cwmemory.Execution {
 	s.started[t.ID]++
 	ends := []cwmodel.End{cwmodel.EndDone, cwmodel.EndDone, cwmodel.EndDone, cwmodel.EndTransient, cwmodel.EndFailed}
@@ -272,7 +279,8 @@
 	if w.gone {
 		return
 	}
-	inventory, err := w.Claim(cwport.Claim{Owner: h.id, Epoch: w.Inspect().Epoch + 1, TTL: 2 * time.Second})
+	seen := w.Inspect()
+	inventory, err := w.Claim(cwport.Claim{Owner: h.id, Epoch: cwclaim.NextEpoch(seen.Epoch, seen.Clock), TTL: 2 * time.Second})
 	if err != nil {
 		return
 	}
--- a/internal/core/cwclaim/machine_test.go
+++ b/internal/core/cwclaim/machine_test.go
@@ -267,3 +267,28 @@
 	is.True(cwclaim.NextEpoch(first, clock) > first)
 	is.True(cwclaim.NextEpoch(0, clock.Add(time.Second)) > first) // the worker has forgotten its epoch
 }
+
+func TestRemembersWhatWasOrderedInThePresentLifeOfTheWorker(t *testing.T) {
+	booted := time.Unix(1000, 0)
+	at := func(d time.Duration) cwmodel.Epoch { return cwclaim.NextEpoch(0, booted.Add(d)) }
+	cases := []struct {
+		name             string
+		attempt, present cwmodel.Epoch
+		booted           time.Time
+		want             bool
+	}{
+		{"the present epoch", at(time.Second), at(time.Second), booted, true},
+		{"an earlier epoch of this life", at(time.Second), at(time.Minute), booted, true},
+		{"an epoch of an earlier life", at(-time.Second), at(time.Minute), booted, false},
+		{"an epoch of the moment of the start", at(0), at(time.Minute), booted, false},
+		{"an epoch above the present one, as the clock went back", at(time.Hour), at(time.Minute), booted, false},
+		{"the present epoch of a worker that does not say when it started", at(time.Second), at(time.Second), time.Time{}, true},
+		{"an earlier epoch of a worker that does not say when it started", at(time.Second), at(time.Minute), time.Time{}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(cwclaim.Remembers(c.attempt, c.present, c.booted), c.want)
+		})
+	}
+}
--- a/internal/port/cwport/port.go
+++ b/internal/port/cwport/port.go
@@ -92,6 +92,7 @@
 	Owner   cwmodel.HostID
 	Epoch   cwmodel.Epoch
 	Clock   time.Time // the worker's present time
+	Booted  time.Time // when the worker started to remember, by its own clock; zero if it does not say
 	Leaving bool
 	Running []cwmodel.Running
 }
