Withdraw a task of a job without refusing its next submission

Cause: the jobs withdrew a task by the cancellation that callers use. When the scheduler had answered the task in the same moment, it did not know it any more and left a tombstone, so that the job's next submission at this host (after it was handed over and back) was refused as cancelled until 4,096 later cancellations had passed. For a gang this was the rule, as the first cancellation answers all members and each further one left a tombstone. Ruled out: dropping tombstones for good, as a caller's cancellation may come before its task; clearing one on submission, which is what it is there to prevent. Change: Decider.CancelKnown and Scheduler.Withdraw end a task only if it is known; the jobs use these. Conclusion: submissions and withdrawals of the jobs pass through one inbox in order, so that none has to be remembered.

--- a/internal/app/cwjobs/drive.go
+++ b/internal/app/cwjobs/drive.go
@@ -27,7 +27,7 @@
 		case cwjob.PhaseOver:
 			if h.generation > 0 {
 				h.generation = 0
-				_ = j.opts.Cancel(ctx, cwjob.TaskID(e.id, n))
+				_ = j.opts.Withdraw(ctx, cwjob.TaskID(e.id, n))
 			}
 		case cwjob.PhaseOrdered:
 			j.checkLost(ctx, now, e, n)
--- a/internal/app/cwjobs/entry.go
+++ b/internal/app/cwjobs/entry.go
@@ -170,7 +170,7 @@
 	for _, n := range slices.Sorted(maps.Keys(e.tasks)) {
 		if h := e.tasks[n]; h.generation > 0 {
 			h.generation = 0
-			_ = j.opts.Cancel(ctx, cwjob.TaskID(e.id, n))
+			_ = j.opts.Withdraw(ctx, cwjob.TaskID(e.id, n))
 		}
 	}
 }
--- a/internal/app/cwjobs/jobs.go
+++ b/internal/app/cwjobs/jobs.go
@@ -59,8 +59,8 @@
 	SubmitGang func(tasks []cwmodel.Task, reply func(cwmodel.Answer)) bool
 	// Roomiest returns a live peer of this data centre where a task of this demand would start at once.
 	Roomiest func(demand cwmodel.Resources) (host cwmodel.HostID, ok bool)
-	// Cancel withdraws a task from the scheduler.
-	Cancel func(ctx context.Context, id cwmodel.TaskID) error
+	// Withdraw ends a task that the scheduler holds.
+	Withdraw func(ctx context.Context, id cwmodel.TaskID) error
 	// Ended tells the scheduler that an attempt is over.
 	Ended func(ctx context.Context, r cwmodel.Result) error
 	// Order sends a start or stop order to an owned worker; it must not block.
--- a/internal/app/cwjobs/sim_test.go
+++ b/internal/app/cwjobs/sim_test.go
@@ -126,7 +126,7 @@
 	opts.Configuration = func() *cwpolicy.Configuration { return &simConfiguration }
 	opts.Go = func(work func()) error { h.calls = append(h.calls, work); return nil }
 	opts.Write = func(e cwledger.Entry) { h.writes = append(h.writes, e) }
-	opts.Submit, opts.Cancel, opts.Ended = h.submit, h.withdraw, h.ended
+	opts.Submit, opts.Withdraw, opts.Ended = h.submit, h.withdraw, h.ended
 	opts.Roomiest = h.roomiest
 	opts.Order = func(a cwdecider.Action) { h.orders = append(h.orders, a) }
 	opts.Acknowledge = func(a cwmodel.Attempt) { h.acks = append(h.acks, a) }
--- a/internal/app/cwscheduler/scheduler.go
+++ b/internal/app/cwscheduler/scheduler.go
@@ -39,6 +39,7 @@
 const (
 	eventSubmit    eventKind = "submit"
 	eventCancel    eventKind = "cancel"
+	eventWithdraw  eventKind = "withdraw"
 	eventEnded     eventKind = "ended"
 	eventOwned     eventKind = "worker-owned"
 	eventLost      eventKind = "worker-lost"
@@ -110,6 +111,11 @@
 	return s.inbox.Put(ctx, event{kind: eventCancel, task: cwmodel.Task{ID: id}})
 }
 
+// Withdraw ends a task if it is known here; unlike Cancel it has no effect on a later submission.
+func (s *Scheduler) Withdraw(ctx context.Context, id cwmodel.TaskID) error {
+	return s.inbox.Put(ctx, event{kind: eventWithdraw, task: cwmodel.Task{ID: id}})
+}
+
 // Ended hands over the result of an attempt and blocks while the inbox is full.
 func (s *Scheduler) Ended(ctx context.Context, r cwmodel.Result) error {
 	return s.inbox.Put(ctx, event{kind: eventEnded, result: r})
@@ -174,6 +180,8 @@
 		s.submit(now, e)
 	case eventCancel:
 		s.decider.Cancel(now, e.task.ID)
+	case eventWithdraw:
+		s.decider.CancelKnown(now, e.task.ID)
 	case eventEnded:
 		s.decider.Ended(now, e.result)
 	case eventOwned:
--- a/internal/core/cwdecider/decider.go
+++ b/internal/core/cwdecider/decider.go
@@ -180,12 +180,17 @@
 
 // Cancel ends a task on its caller's demand; one that is not known yet is refused when it comes.
 func (d *Decider) Cancel(now time.Time, id cwmodel.TaskID) {
-	state, ok := d.tasks[id]
-	if !ok {
+	if !d.Knows(id) {
 		d.revoked.add(id)
 		return
 	}
-	if state.cancelled {
+	d.CancelKnown(now, id)
+}
+
+// CancelKnown ends a task if it is known; unlike Cancel it has no effect on a later submission.
+func (d *Decider) CancelKnown(now time.Time, id cwmodel.TaskID) {
+	state, ok := d.tasks[id]
+	if !ok || state.cancelled {
 		return
 	}
 	if state.gang != nil && state.phase == phaseWaiting {
