Give the rows of jobs a package of their own

Change: keys, writes and reads of the rows and the objects' keys move to cwjobstore (210 lines); behaviour is as before. go test and -race of cwjobs pass.

--- a/internal/app/cwentry/jobs.go
+++ b/internal/app/cwentry/jobs.go
@@ -8,6 +8,7 @@
 
 	"currantward/internal/app/cwintent"
 	"currantward/internal/app/cwjobs"
+	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
 	"currantward/internal/app/cwsweep"
 	"currantward/internal/core/cwjob"
@@ -65,8 +66,8 @@
 			{Prefix: cwintent.Prefix, Expired: func(now time.Time, value []byte) ([]string, bool) {
 				return cwintent.Expired(now, value, keepIntents)
 			}},
-			{Prefix: cwjobs.PrefixEnded, Expired: func(now time.Time, value []byte) ([]string, bool) {
-				return cwjobs.Expired(now, value, keepJobs)
+			{Prefix: cwjobstore.PrefixEnded, Expired: func(now time.Time, value []byte) ([]string, bool) {
+				return cwjobstore.Expired(now, value, keepJobs)
 			}},
 		},
 	}))
--- a/internal/app/cwjobs/entry.go
+++ b/internal/app/cwjobs/entry.go
@@ -4,12 +4,11 @@
 	"context"
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
 	"currantward/internal/base/cwfault"
 	"currantward/internal/core/cwdecider"
@@ -18,19 +17,6 @@
 	"currantward/internal/port/cwport"
 )
 
-// Keys of the rows of jobs.
-const (
-	prefixLive  = "job/live/"
-	prefixEnded = "job/ended/"
-	prefixHint  = "job/hint/"
-)
-
-func keyLive(id cwmodel.JobID) string  { return prefixLive + string(id) }
-func keyEnded(id cwmodel.JobID) string { return prefixEnded + string(id) }
-func keyHint(host cwmodel.HostID, id cwmodel.JobID) string {
-	return prefixHint + string(host) + "/" + string(id)
-}
-
 // change is one wish to change a job; it is made on the committed state.
 type change struct {
 	apply    func(now time.Time, job *cwjob.Job) bool
@@ -114,12 +100,8 @@
 func (j *Jobs) startRead(ctx context.Context, e *entry) {
 	id := e.id
 	e.busy = j.call(ctx, func(ctx context.Context) event {
-		row, err := j.opts.Table.Read(ctx, keyLive(id))
-		back := event{kind: eventRead, id: id, version: row.Version, err: err}
-		if err == nil && row.Version > 0 {
-			back.job, back.err = cwcodec.DecodeJob(row.Value)
-		}
-		return back
+		job, version, err := j.store.Live(ctx, id)
+		return event{kind: eventRead, id: id, job: job, version: version, err: err}
 	})
 	if !e.busy {
 		e.retryAt = j.opts.Timer.Now().Add(j.opts.RetryAfter)
@@ -193,7 +175,7 @@
 		j.advance(ctx, e)
 		return
 	}
-	write, err := j.rowsOf(e)
+	write, err := cwjobstore.Replace(e.job, e.next, e.version, j.opts.Self.Host)
 	if err != nil {
 		j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "error": err.Error()}).Error("job-not-encoded")
 		e.applied = make([]bool, len(e.flight))
@@ -207,28 +189,6 @@
 	j.opts.Write(write)
 }
 
-// rowsOf returns the write that replaces the row of a job, or moves it to the ended ones.
-func (j *Jobs) rowsOf(e *entry) (w cwledger.Entry, err error) {
-	value, err := cwcodec.EncodeJob(e.next)
-	if err != nil {
-		return w, err
-	}
-	w.Checks = []cwport.Check{{Key: keyLive(e.id), Version: e.version}}
-	if e.next.IsOver() {
-		w.Puts = []cwport.Put{{Key: keyEnded(e.id), Value: value}}
-		w.Deletes = []string{keyLive(e.id)}
-	} else {
-		w.Puts = []cwport.Put{{Key: keyLive(e.id), Value: value}}
-	}
-	if former := e.job.Home.Host; former != e.next.Home.Host {
-		w.Deletes = append(w.Deletes, keyHint(former, e.id))
-	}
-	if home := e.next.Home.Host; home != j.opts.Self.Host {
-		w.Puts = append(w.Puts, cwport.Put{Key: keyHint(home, e.id)})
-	}
-	return w, nil
-}
-
 func (j *Jobs) written(ctx context.Context, back event) {
 	e, ok := j.entries[back.id]
 	if !ok || !e.busy || back.verdict == cwledger.Unknown {
@@ -369,7 +329,7 @@
 			}
 			isNew := job.Record(now, n, r)
 			if isNew && len(r.Answer) > j.opts.InlineSize {
-				job.Tasks[n].Answer, job.Tasks[n].AnswerKey = nil, keyAnswer(r.Attempt)
+				job.Tasks[n].Answer, job.Tasks[n].AnswerKey = nil, cwjobstore.KeyAnswer(r.Attempt)
 			}
 			return isNew
 		},
@@ -382,14 +342,10 @@
 	j.storeAnswer(ctx, e, r, c)
 }
 
-func keyAnswer(a cwmodel.Attempt) string {
-	return "job/" + string(a.Task) + "/answer-" + strconv.Itoa(a.Number)
-}
-
 // storeAnswer puts a large answer into the object store before its result is recorded.
 func (j *Jobs) storeAnswer(ctx context.Context, e *entry, r cwmodel.Result, c change) {
 	stored := j.call(ctx, func(ctx context.Context) event {
-		return event{kind: eventStored, id: e.id, result: r, change: c, err: j.opts.Objects.Put(ctx, keyAnswer(r.Attempt), r.Answer)}
+		return event{kind: eventStored, id: e.id, result: r, change: c, err: j.opts.Objects.Put(ctx, cwjobstore.KeyAnswer(r.Attempt), r.Answer)}
 	})
 	if !stored {
 		j.later(event{kind: eventStored, id: e.id, result: r, change: c, err: errNoRoom})
--- a/internal/app/cwjobs/fuzz_test.go
+++ b/internal/app/cwjobs/fuzz_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
 	"currantward/internal/core/cwjob"
 	"currantward/internal/core/cwmodel"
@@ -276,16 +277,16 @@
 			t.Fatalf("task %s runs %d times at once", id, running[id])
 		}
 	}
-	for _, row := range f.table.Scan(prefixEnded, "", 1000) {
+	for _, row := range f.table.Scan(cwjobstore.PrefixEnded, "", 1000) {
 		f.checkEnded(t, row.Key, string(row.Value))
 	}
 	for _, id := range sortedKeys(f.over) {
-		if told := f.over[id]; told > 1 || f.table.Read(keyEnded(id)).Version == 0 {
-			t.Fatalf("the end of job %s was told %d times, its ended row has version %d", id, told, f.table.Read(keyEnded(id)).Version)
+		if told := f.over[id]; told > 1 || f.table.Read(cwjobstore.KeyEnded(id)).Version == 0 {
+			t.Fatalf("the end of job %s was told %d times, its ended row has version %d", id, told, f.table.Read(cwjobstore.KeyEnded(id)).Version)
 		}
 	}
 	for _, id := range sortedKeys(f.accepted) {
-		live, ended := f.table.Read(keyLive(id)).Version, f.table.Read(keyEnded(id)).Version
+		live, ended := f.table.Read(cwjobstore.KeyLive(id)).Version, f.table.Read(cwjobstore.KeyEnded(id)).Version
 		if (live > 0) == (ended > 0) {
 			t.Fatalf("job %s has a live row of version %d and an ended row of version %d", id, live, ended)
 		}
@@ -332,7 +333,7 @@
 			return
 		}
 	}
-	for _, row := range f.table.Scan(prefixLive, "", 100) {
+	for _, row := range f.table.Scan(cwjobstore.PrefixLive, "", 100) {
 		t.Logf("%s", row.Value)
 	}
 	for _, h := range f.hosts {
@@ -341,7 +342,7 @@
 			t.Logf("  %s busy %v stale %v retry %v changes %d job %+v", id, e.busy, e.stale, e.retryAt.Sub(f.clock.Now()), len(e.changes), e.job)
 		}
 	}
-	t.Fatalf("%d jobs have not ended", len(f.table.Scan(prefixLive, "", 100)))
+	t.Fatalf("%d jobs have not ended", len(f.table.Scan(cwjobstore.PrefixLive, "", 100)))
 }
 
 // round lets every host do everything that it can.
@@ -385,11 +386,11 @@
 
 // cancelServices cancels what would run for ever and reports whether no live job is left.
 func (f *fuzz) cancelServices() bool {
-	rows := f.table.Scan(prefixLive, "", 100)
+	rows := f.table.Scan(cwjobstore.PrefixLive, "", 100)
 	for _, row := range rows {
 		job, err := cwcodec.DecodeJob(row.Value)
 		if err == nil && job.Kind == cwmodel.KindService && !job.Cancelled {
-			id := cwmodel.JobID(strings.TrimPrefix(row.Key, prefixLive))
+			id := cwmodel.JobID(strings.TrimPrefix(row.Key, cwjobstore.PrefixLive))
 			f.hosts[0].jobs.deliver(event{kind: eventCancel, id: id, reply: func(cwledger.Verdict) {}})
 			f.hosts[0].pump()
 		}
--- a/internal/app/cwjobs/jobs.go
+++ b/internal/app/cwjobs/jobs.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
 	"currantward/internal/base/cwduty"
 	"currantward/internal/base/cwring"
@@ -145,6 +146,7 @@
 // Jobs owns the jobs of one entry host.
 type Jobs struct {
 	opts       Options
+	store      *cwjobstore.Store
 	inbox      *cwring.Ring[event]
 	entries    map[cwmodel.JobID]*entry
 	owned      map[cwmodel.HostID]*ownedWorker
@@ -170,7 +172,7 @@
 
 func newJobs(opts Options) *Jobs {
 	j := &Jobs{
-		opts: opts, inbox: cwring.New[event](opts.InboxSize), entries: map[cwmodel.JobID]*entry{},
+		opts: opts, store: cwjobstore.New(opts.Table, opts.Objects), inbox: cwring.New[event](opts.InboxSize), entries: map[cwmodel.JobID]*entry{},
 		owned: map[cwmodel.HostID]*ownedWorker{}, listed: map[cwmodel.HostID]*listing{},
 		peers: map[cwmodel.HostID]time.Time{}, began: opts.Timer.Now(),
 	}
--- a/internal/app/cwjobs/scan.go
+++ b/internal/app/cwjobs/scan.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
 	"currantward/internal/base/cwfault"
 	"currantward/internal/core/cwjob"
@@ -16,9 +16,6 @@
 	"currantward/internal/port/cwport"
 )
 
-// pageSize is how many rows one scan of the table returns.
-const pageSize = 200
-
 // scanPause lets several changes of the hosts lead to one scan.
 const scanPause = 500 * time.Millisecond
 
@@ -52,7 +49,7 @@
 	}
 	after := j.scan.after
 	j.scan.busy = j.call(ctx, func(ctx context.Context) event {
-		rows, err := j.opts.Table.Scan(ctx, prefixLive, after, pageSize)
+		rows, err := j.store.ScanLive(ctx, after)
 		return event{kind: eventPage, rows: rows, err: err}
 	})
 }
@@ -73,7 +70,7 @@
 		}
 		j.found(ctx, job, row.Version)
 	}
-	if len(back.rows) < pageSize {
+	if len(back.rows) < cwjobstore.PageSize {
 		j.scan.on, j.scan.after = false, ""
 		return
 	}
@@ -153,9 +150,8 @@
 		return
 	}
 	j.nextHint = now.Add(j.opts.HintEvery)
-	prefix := prefixHint + string(j.opts.Self.Host) + "/"
 	j.hinting = j.call(ctx, func(ctx context.Context) event {
-		rows, err := j.opts.Table.Scan(ctx, prefix, "", pageSize)
+		rows, err := j.store.ScanHints(ctx, j.opts.Self.Host)
 		return event{kind: eventHints, rows: rows, err: err}
 	})
 }
@@ -166,14 +162,11 @@
 		return
 	}
 	for _, row := range back.rows {
-		id := cwmodel.JobID(strings.TrimPrefix(row.Key, prefixHint+string(j.opts.Self.Host)+"/"))
+		id := cwjobstore.HintedJob(j.opts.Self.Host, row.Key)
 		e := j.entryOf(id)
 		e.stale, e.hinted = true, !j.isHome(e)
 		j.advance(ctx, e)
-		j.opts.Write(cwledger.Entry{
-			Checks: []cwport.Check{{Key: row.Key, Version: row.Version}}, Deletes: []string{row.Key},
-			Deadline: j.opts.Timer.Now().Add(j.opts.WriteLimit), Done: func(cwledger.Verdict) {},
-		})
+		j.writeHint(cwjobstore.RemoveHint(row))
 	}
 }
 
@@ -191,9 +184,11 @@
 		if err != nil || inventory.Owner == "" || inventory.Owner == j.opts.Self.Host {
 			return
 		}
-		j.opts.Write(cwledger.Entry{
-			Puts:     []cwport.Put{{Key: keyHint(inventory.Owner, id)}},
-			Deadline: j.opts.Timer.Now().Add(j.opts.WriteLimit), Done: func(cwledger.Verdict) {},
-		})
+		j.writeHint(cwjobstore.Hint(inventory.Owner, id))
 	})
 }
+
+func (j *Jobs) writeHint(w cwledger.Entry) {
+	w.Deadline = j.opts.Timer.Now().Add(j.opts.WriteLimit)
+	j.opts.Write(w)
+}
--- a/internal/app/cwjobs/submit.go
+++ b/internal/app/cwjobs/submit.go
@@ -11,12 +11,11 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
-	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
 	"currantward/internal/base/cwfault"
 	"currantward/internal/core/cwjob"
 	"currantward/internal/core/cwmodel"
-	"currantward/internal/port/cwport"
 )
 
 // Submission is what a caller asks for, before a profile has made it a job.
@@ -35,7 +34,7 @@
 		return nil, err
 	}
 	if len(job.Payload) > j.opts.InlineSize {
-		job.PayloadKey = "job/" + string(job.ID) + "/payload-" + job.Digest
+		job.PayloadKey = cwjobstore.KeyPayload(job)
 		if err = j.opts.Objects.Put(ctx, job.PayloadKey, job.Payload); err != nil {
 			return nil, cwfault.New(cwfault.Unavailable, "not run: the payload could not be stored: %s", cwfault.MessageOf(err))
 		}
@@ -132,7 +131,7 @@
 }
 
 func (j *Jobs) accept(a event) {
-	value, err := cwcodec.EncodeJob(a.job)
+	write, err := cwjobstore.Create(a.job)
 	if err != nil || len(j.entries) >= j.opts.MaxJobs || j.entries[a.job.ID] != nil {
 		verdict := cwledger.Refused
 		if j.entries[a.job.ID] != nil {
@@ -147,14 +146,11 @@
 	e.flight = []change{{done: func(bool) {}}}
 	e.applied = []bool{true}
 	e.job = &cwjob.Job{ID: id}
-	j.opts.Write(cwledger.Entry{
-		Checks:   []cwport.Check{{Key: keyLive(id)}, {Key: keyEnded(id)}},
-		Puts:     []cwport.Put{{Key: keyLive(id), Value: value}},
-		Deadline: j.opts.Timer.Now().Add(j.opts.WriteLimit),
-		Done: func(verdict cwledger.Verdict) {
-			j.deliver(event{kind: eventAccepted, id: id, verdict: verdict, reply: a.reply})
-		},
-	})
+	write.Deadline = j.opts.Timer.Now().Add(j.opts.WriteLimit)
+	write.Done = func(verdict cwledger.Verdict) {
+		j.deliver(event{kind: eventAccepted, id: id, verdict: verdict, reply: a.reply})
+	}
+	j.opts.Write(write)
 }
 
 // accepted takes the verdict on the first write of a job.
@@ -178,59 +174,13 @@
 }
 
 // Get returns a job, whoever is its home.
-func (j *Jobs) Get(ctx context.Context, id cwmodel.JobID) (job *cwjob.Job, err error) {
-	defer func() { err = eris.Wrap(err, "get job") }()
-	for _, key := range []string{keyLive(id), keyEnded(id), keyLive(id)} {
-		row, err := j.opts.Table.Read(ctx, key)
-		if err != nil {
-			return nil, err
-		}
-		if row.Version > 0 {
-			job, err = cwcodec.DecodeJob(row.Value)
-			if err != nil {
-				return nil, err
-			}
-			return job, j.fillAnswers(ctx, job)
-		}
-	}
-	return nil, cwfault.New(cwfault.NotFound, "no job %q", id)
-}
-
-// fillAnswers fetches the large answers of a job.
-func (j *Jobs) fillAnswers(ctx context.Context, job *cwjob.Job) (err error) {
-	for n := range job.Tasks {
-		if t := &job.Tasks[n]; t.AnswerKey != "" {
-			if t.Answer, err = j.opts.Objects.Get(ctx, t.AnswerKey); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
+func (j *Jobs) Get(ctx context.Context, id cwmodel.JobID) (*cwjob.Job, error) {
+	return j.store.Get(ctx, id)
 }
 
 // List returns up to limit jobs of a team, the live ones first, without large answers.
-func (j *Jobs) List(ctx context.Context, team cwmodel.TeamName, limit int) (jobs []*cwjob.Job, err error) {
-	defer func() { err = eris.Wrap(err, "list jobs") }()
-	for _, prefix := range []string{prefixLive, prefixEnded} {
-		after := ""
-		for len(jobs) < limit {
-			rows, err := j.opts.Table.Scan(ctx, prefix+string(team)+".", after, min(pageSize, limit-len(jobs)))
-			if err != nil {
-				return nil, err
-			}
-			for _, row := range rows {
-				job, err := cwcodec.DecodeJob(row.Value)
-				if err != nil {
-					return nil, err
-				}
-				jobs, after = append(jobs, job), row.Key
-			}
-			if len(rows) == 0 {
-				break
-			}
-		}
-	}
-	return jobs, nil
+func (j *Jobs) List(ctx context.Context, team cwmodel.TeamName, limit int) ([]*cwjob.Job, error) {
+	return j.store.List(ctx, team, limit)
 }
 
 // Cancel forbids further starts of a job and stops what runs; it is idempotent and any host can carry it out.
@@ -261,23 +211,3 @@
 		done:  func(bool) { c.reply(cwledger.Committed) },
 	})
 }
-
-// PrefixEnded starts the keys of the rows of ended jobs.
-const PrefixEnded = prefixEnded
-
-// Expired reports whether a job has ended longer than keep ago, and which objects belong to it.
-func Expired(now time.Time, value []byte, keep time.Duration) (objects []string, ok bool) {
-	job, err := cwcodec.DecodeJob(value)
-	if err != nil || job.Ended.IsZero() || now.Sub(job.Ended) < keep {
-		return nil, false
-	}
-	if job.PayloadKey != "" {
-		objects = append(objects, job.PayloadKey)
-	}
-	for _, t := range job.Tasks {
-		if t.AnswerKey != "" {
-			objects = append(objects, t.AnswerKey)
-		}
-	}
-	return objects, true
-}
--- /dev/null
+++ b/internal/app/cwjobstore/row.go
@@ -0,0 +1,88 @@
+package cwjobstore
+
+import (
+	"strconv"
+	"strings"
+
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/app/cwledger"
+	"currantward/internal/core/cwjob"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwport"
+)
+
+// Prefixes of the keys of the rows of jobs.
+const (
+	PrefixLive  = "job/live/"
+	PrefixEnded = "job/ended/"
+	prefixHint  = "job/hint/"
+)
+
+// KeyLive returns the key of the row of a live job.
+func KeyLive(id cwmodel.JobID) string { return PrefixLive + string(id) }
+
+// KeyEnded returns the key of the row of an ended job.
+func KeyEnded(id cwmodel.JobID) string { return PrefixEnded + string(id) }
+
+func prefixHints(host cwmodel.HostID) string { return prefixHint + string(host) + "/" }
+
+func keyHint(host cwmodel.HostID, id cwmodel.JobID) string { return prefixHints(host) + string(id) }
+
+// HintedJob returns the job that a hint for a host is about.
+func HintedJob(host cwmodel.HostID, key string) cwmodel.JobID {
+	return cwmodel.JobID(strings.TrimPrefix(key, prefixHints(host)))
+}
+
+// KeyPayload returns the key of the object that holds a large payload.
+func KeyPayload(job *cwjob.Job) string { return "job/" + string(job.ID) + "/payload-" + job.Digest }
+
+// KeyAnswer returns the key of the object that holds the large answer of an attempt.
+func KeyAnswer(a cwmodel.Attempt) string {
+	return "job/" + string(a.Task) + "/answer-" + strconv.Itoa(a.Number)
+}
+
+// Create returns the write of the first row of a job.
+func Create(job *cwjob.Job) (w cwledger.Entry, err error) {
+	value, err := cwcodec.EncodeJob(job)
+	if err != nil {
+		return w, err
+	}
+	w.Checks = []cwport.Check{{Key: KeyLive(job.ID)}, {Key: KeyEnded(job.ID)}}
+	w.Puts = []cwport.Put{{Key: KeyLive(job.ID), Value: value}}
+	return w, nil
+}
+
+// Replace returns the write that replaces the row of a job, or moves it to the ended ones; a home that is not self is hinted.
+func Replace(former, next *cwjob.Job, version cwport.RowVersion, self cwmodel.HostID) (w cwledger.Entry, err error) {
+	value, err := cwcodec.EncodeJob(next)
+	if err != nil {
+		return w, err
+	}
+	id := next.ID
+	w.Checks = []cwport.Check{{Key: KeyLive(id), Version: version}}
+	if next.IsOver() {
+		w.Puts = []cwport.Put{{Key: KeyEnded(id), Value: value}}
+		w.Deletes = []string{KeyLive(id)}
+	} else {
+		w.Puts = []cwport.Put{{Key: KeyLive(id), Value: value}}
+	}
+	if former.Home.Host != next.Home.Host {
+		w.Deletes = append(w.Deletes, keyHint(former.Home.Host, id))
+	}
+	if home := next.Home.Host; home != self {
+		w.Puts = append(w.Puts, cwport.Put{Key: keyHint(home, id)})
+	}
+	return w, nil
+}
+
+// Hint returns the write that asks a host to look at a job.
+func Hint(host cwmodel.HostID, id cwmodel.JobID) cwledger.Entry {
+	return cwledger.Entry{Puts: []cwport.Put{{Key: keyHint(host, id)}}, Done: func(cwledger.Verdict) {}}
+}
+
+// RemoveHint returns the write that removes a hint unless it has been renewed.
+func RemoveHint(row cwport.Row) cwledger.Entry {
+	return cwledger.Entry{
+		Checks: []cwport.Check{{Key: row.Key, Version: row.Version}}, Deletes: []string{row.Key}, Done: func(cwledger.Verdict) {},
+	}
+}
--- /dev/null
+++ b/internal/app/cwjobstore/store.go
@@ -0,0 +1,122 @@
+// Package cwjobstore reads jobs from the platform's table and object store.
+package cwjobstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/core/cwjob"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwport"
+)
+
+// PageSize is how many rows one scan of the table returns.
+const PageSize = 200
+
+// Store reads the rows of jobs and their objects.
+type Store struct {
+	table   cwport.Table
+	objects cwport.Objects
+}
+
+// New returns a store on a table and an object store.
+func New(table cwport.Table, objects cwport.Objects) *Store {
+	return &Store{table: table, objects: objects}
+}
+
+// Live returns a live job with the version of its row, and nil if there is none.
+func (s *Store) Live(ctx context.Context, id cwmodel.JobID) (job *cwjob.Job, version cwport.RowVersion, err error) {
+	row, err := s.table.Read(ctx, KeyLive(id))
+	if err != nil || row.Version == 0 {
+		return nil, row.Version, err
+	}
+	job, err = cwcodec.DecodeJob(row.Value)
+	return job, row.Version, err
+}
+
+// ScanLive returns the next page of live jobs after a key.
+func (s *Store) ScanLive(ctx context.Context, after string) ([]cwport.Row, error) {
+	return s.table.Scan(ctx, PrefixLive, after, PageSize)
+}
+
+// ScanHints returns the first page of the hints for a host.
+func (s *Store) ScanHints(ctx context.Context, host cwmodel.HostID) ([]cwport.Row, error) {
+	return s.table.Scan(ctx, prefixHints(host), "", PageSize)
+}
+
+// Get returns a job with its large answers, whoever is its home.
+func (s *Store) Get(ctx context.Context, id cwmodel.JobID) (job *cwjob.Job, err error) {
+	defer func() { err = eris.Wrap(err, "get job") }()
+	for _, key := range []string{KeyLive(id), KeyEnded(id), KeyLive(id)} {
+		row, err := s.table.Read(ctx, key)
+		if err != nil {
+			return nil, err
+		}
+		if row.Version > 0 {
+			job, err = cwcodec.DecodeJob(row.Value)
+			if err != nil {
+				return nil, err
+			}
+			return job, s.fillAnswers(ctx, job)
+		}
+	}
+	return nil, cwfault.New(cwfault.NotFound, "no job %q", id)
+}
+
+// fillAnswers fetches the large answers of a job.
+func (s *Store) fillAnswers(ctx context.Context, job *cwjob.Job) (err error) {
+	for n := range job.Tasks {
+		if t := &job.Tasks[n]; t.AnswerKey != "" {
+			if t.Answer, err = s.objects.Get(ctx, t.AnswerKey); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// List returns up to limit jobs of a team, the live ones first, without large answers.
+func (s *Store) List(ctx context.Context, team cwmodel.TeamName, limit int) (jobs []*cwjob.Job, err error) {
+	defer func() { err = eris.Wrap(err, "list jobs") }()
+	for _, prefix := range []string{PrefixLive, PrefixEnded} {
+		after := ""
+		for len(jobs) < limit {
+			rows, err := s.table.Scan(ctx, prefix+string(team)+".", after, min(PageSize, limit-len(jobs)))
+			if err != nil {
+				return nil, err
+			}
+			for _, row := range rows {
+				job, err := cwcodec.DecodeJob(row.Value)
+				if err != nil {
+					return nil, err
+				}
+				jobs, after = append(jobs, job), row.Key
+			}
+			if len(rows) == 0 {
+				break
+			}
+		}
+	}
+	return jobs, nil
+}
+
+// Expired reports whether a job has ended longer than keep ago, and which objects belong to it.
+func Expired(now time.Time, value []byte, keep time.Duration) (objects []string, ok bool) {
+	job, err := cwcodec.DecodeJob(value)
+	if err != nil || job.Ended.IsZero() || now.Sub(job.Ended) < keep {
+		return nil, false
+	}
+	if job.PayloadKey != "" {
+		objects = append(objects, job.PayloadKey)
+	}
+	for _, t := range job.Tasks {
+		if t.AnswerKey != "" {
+			objects = append(objects, t.AnswerKey)
+		}
+	}
+	return objects, true
+}
