Split the submissions and the fleet off the jobs

Change: cwsubmission makes a job of what a caller asks for; cwjobfleet (pure) holds the owned workers, the listed ones and the live peers, and decides on adoption. Behaviour is as before; go test and -race of cwjobs pass.

--- a/internal/app/cwentry/jobs.go
+++ b/internal/app/cwentry/jobs.go
@@ -10,6 +10,7 @@
 	"currantward/internal/app/cwjobs"
 	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
+	"currantward/internal/app/cwsubmission"
 	"currantward/internal/app/cwsweep"
 	"currantward/internal/core/cwjob"
 	"currantward/internal/core/cwmodel"
@@ -134,5 +135,5 @@
 }
 
 func (e *Entry) submitJob(ctx context.Context, request cwmodel.Request, tasks int) (*cwjob.Job, error) {
-	return e.jobs.Submit(ctx, cwjobs.Submission{Request: request, Tasks: tasks})
+	return e.jobs.Submit(ctx, cwsubmission.Submission{Request: request, Tasks: tasks})
 }
--- a/internal/app/cwjobs/drive.go
+++ b/internal/app/cwjobs/drive.go
@@ -11,6 +11,7 @@
 	"currantward/internal/core/cwclaim"
 	"currantward/internal/core/cwdecider"
 	"currantward/internal/core/cwjob"
+	"currantward/internal/core/cwjobfleet"
 	"currantward/internal/core/cwmodel"
 )
 
@@ -176,7 +177,7 @@
 
 // tryElsewhere hands a job that fits no worker of ours to a live host that has not tried it, and reports whether there is one.
 func (j *Jobs) tryElsewhere(ctx context.Context, e *entry) bool {
-	for _, host := range j.liveHosts() {
+	for _, host := range j.fleet.LivePeers(j.opts.Timer.Now()) {
 		if host != j.opts.Self.Host && !slices.Contains(e.job.Tried, host) {
 			j.handOver(ctx, e, host, true)
 			return true
@@ -236,7 +237,7 @@
 		if h.attempt != t.Attempt.Number {
 			h.attempt, h.since, h.stopAt, h.settleAt, h.isVerified = t.Attempt.Number, now, time.Time{}, time.Time{}, false
 		}
-		w, isOwned := j.owned[t.Attempt.Worker]
+		w, isOwned := j.fleet.Owned(t.Attempt.Worker)
 		if isOwned {
 			j.attendOwned(ctx, now, e, n, w)
 		} else if j.isHome(e) {
@@ -257,19 +258,17 @@
 	}
 }
 
-func (j *Jobs) attendOwned(ctx context.Context, now time.Time, e *entry, n int, w *ownedWorker) {
+func (j *Jobs) attendOwned(ctx context.Context, now time.Time, e *entry, n int, w *cwjobfleet.Worker) {
 	attempt, h := e.job.Tasks[n].Attempt, e.task(n)
-	runs := w.running[attempt.Task] == attempt.Number
-	isKnown := runs || cwclaim.Remembers(attempt.Epoch, w.epoch, w.booted)
-	if isKnown && e.job.IsStopping() && !now.Before(h.stopAt) {
+	if w.Knows(attempt) && e.job.IsStopping() && !now.Before(h.stopAt) {
 		h.stopAt = now.Add(2 * j.opts.RetryAfter)
 		stop := attempt
-		stop.Epoch = w.epoch
+		stop.Epoch = w.Epoch
 		j.opts.Order(cwdecider.Action{Kind: cwdecider.ActionStop, Attempt: stop, Mode: cwmodel.StopNow})
 	}
-	isOlder := attempt.Epoch != w.epoch && !runs
-	isLong := attempt.Epoch == w.epoch && now.Sub(h.since) > j.opts.VerifyAfter
-	isAsked := attempt.Epoch == w.epoch && e.hinted && !j.isHome(e)
+	isOlder := attempt.Epoch != w.Epoch && !w.Ran(attempt)
+	isLong := attempt.Epoch == w.Epoch && now.Sub(h.since) > j.opts.VerifyAfter
+	isAsked := attempt.Epoch == w.Epoch && e.hinted && !j.isHome(e)
 	isDue := !h.isVerified && !now.Before(h.settleAt)
 	if isDue && (isOlder || isLong || isAsked) {
 		h.settleAt = now.Add(j.opts.VerifyAfter)
@@ -281,8 +280,8 @@
 //
 // An attempt that is not running has a result at the worker, or has been refused, or is refused from now
 // on. A worker that has restarted since the order remembers nothing of it, so the attempt counts as lost.
-func (j *Jobs) settle(ctx context.Context, id cwmodel.JobID, n int, attempt cwmodel.Attempt, w *ownedWorker) {
-	addr, epoch := w.worker.Address, w.epoch
+func (j *Jobs) settle(ctx context.Context, id cwmodel.JobID, n int, attempt cwmodel.Attempt, w *cwjobfleet.Worker) {
+	addr, epoch := w.Address, w.Epoch
 	j.call(ctx, func(ctx context.Context) event {
 		back := event{kind: eventSettled, id: id, task: n, result: cwmodel.Result{Attempt: attempt}}
 		inventory, err := j.opts.Workers.Inspect(ctx, addr)
@@ -325,18 +324,9 @@
 // checkLost ends an attempt whose worker the platform has taken away and whose lease is certainly past.
 func (j *Jobs) checkLost(ctx context.Context, now time.Time, e *entry, n int) {
 	attempt := e.job.Tasks[n].Attempt
-	if _, isOwned := j.owned[attempt.Worker]; isOwned || len(j.listed) == 0 {
-		return
-	}
-	l, ok := j.listed[attempt.Worker]
-	if !ok {
-		l = &listing{missing: now}
-		j.listed[attempt.Worker] = l
-	}
-	if l.missing.IsZero() || now.Sub(l.missing) <= e.job.Lease+j.opts.LeaseGrace {
-		return
+	if j.fleet.IsGone(now, attempt.Worker, e.job.Lease+j.opts.LeaseGrace) {
+		j.lose(ctx, e, n, attempt)
 	}
-	j.lose(ctx, e, n, attempt)
 }
 
 // lose records that an attempt is over and that its result is not known.
--- a/internal/app/cwjobs/entry.go
+++ b/internal/app/cwjobs/entry.go
@@ -125,7 +125,7 @@
 	if wasHome && !j.isHome(e) {
 		j.displaced(ctx, e)
 	}
-	if e.job.Home.Host == j.opts.Self.Host && j.mayAdopt(e.job) {
+	if e.job.Home.Host == j.opts.Self.Host && j.fleet.MayAdopt(j.opts.Timer.Now(), e.job) {
 		j.adopt(ctx, e)
 		return
 	}
--- a/internal/app/cwjobs/fuzz_test.go
+++ b/internal/app/cwjobs/fuzz_test.go
@@ -12,6 +12,7 @@
 	"currantward/internal/adapter/cwcodec"
 	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
+	"currantward/internal/app/cwsubmission"
 	"currantward/internal/core/cwjob"
 	"currantward/internal/core/cwmodel"
 )
@@ -151,7 +152,7 @@
 
 // accept submits a job to one host.
 func (f *fuzz) accept(t rapid.TB, h *simHost, profile cwmodel.ProfileName, tasks int) {
-	job, err := h.jobs.prepare(Submission{Request: cwmodel.Request{Profile: profile, Team: "riders"}, Tasks: tasks})
+	job, err := h.jobs.builder.Build(f.clock.Now(), cwsubmission.Submission{Request: cwmodel.Request{Profile: profile, Team: "riders"}, Tasks: tasks})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/app/cwjobs/jobs.go
+++ b/internal/app/cwjobs/jobs.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -15,11 +14,13 @@
 
 	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
+	"currantward/internal/app/cwsubmission"
 	"currantward/internal/base/cwduty"
 	"currantward/internal/base/cwring"
 	"currantward/internal/base/cwtimer"
 	"currantward/internal/core/cwdecider"
 	"currantward/internal/core/cwjob"
+	"currantward/internal/core/cwjobfleet"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwpolicy"
 	"currantward/internal/port/cwport"
@@ -129,29 +130,14 @@
 	err        error
 }
 
-// ownedWorker is a worker that this host may start work on, as its claim found it.
-type ownedWorker struct {
-	worker  cwmodel.Worker
-	epoch   cwmodel.Epoch
-	booted  time.Time
-	running map[cwmodel.TaskID]int // number of the attempt
-}
-
-// listing is what the host list says of one worker.
-type listing struct {
-	addr    netip.AddrPort
-	missing time.Time // when it was first seen to be gone; zero while it is listed
-}
-
 // Jobs owns the jobs of one entry host.
 type Jobs struct {
 	opts       Options
 	store      *cwjobstore.Store
 	inbox      *cwring.Ring[event]
 	entries    map[cwmodel.JobID]*entry
-	owned      map[cwmodel.HostID]*ownedWorker
-	listed     map[cwmodel.HostID]*listing  // workers that the host list shows or has shown
-	peers      map[cwmodel.HostID]time.Time // entry hosts of this data centre, by when they were last live
+	builder    *cwsubmission.Builder
+	fleet      *cwjobfleet.Fleet
 	began      time.Time
 	scan       scan
 	hinting    bool
@@ -173,8 +159,10 @@
 func newJobs(opts Options) *Jobs {
 	j := &Jobs{
 		opts: opts, store: cwjobstore.New(opts.Table, opts.Objects), inbox: cwring.New[event](opts.InboxSize), entries: map[cwmodel.JobID]*entry{},
-		owned: map[cwmodel.HostID]*ownedWorker{}, listed: map[cwmodel.HostID]*listing{},
-		peers: map[cwmodel.HostID]time.Time{}, began: opts.Timer.Now(),
+		fleet: cwjobfleet.New(opts.Self, opts.AdoptAfter), began: opts.Timer.Now(),
+		builder: &cwsubmission.Builder{
+			Self: opts.Self, DataCentre: opts.DataCentre, RunsGangs: opts.SubmitGang != nil, Configuration: opts.Configuration,
+		},
 	}
 	j.scan.due = j.began.Add(opts.AdoptAfter)
 	return j
@@ -244,9 +232,9 @@
 	case eventOwned:
 		j.takeWorker(e.inventory)
 	case eventLost:
-		delete(j.owned, e.worker)
+		j.fleet.Lose(e.worker)
 	case eventView:
-		j.view(e)
+		j.fleet.View(j.opts.Timer.Now(), e.workers, e.hosts)
 	case eventTick:
 		j.tick(ctx)
 	default:
@@ -286,53 +274,15 @@
 }
 
 func (j *Jobs) takeWorker(inventory cwport.Inventory) {
-	w := &ownedWorker{worker: inventory.Worker, epoch: inventory.Epoch, booted: inventory.Booted, running: map[cwmodel.TaskID]int{}}
-	for _, r := range inventory.Running {
-		w.running[r.Attempt.Task] = r.Attempt.Number
-	}
-	j.owned[w.worker.ID] = w
+	worker := cwjobfleet.NewWorker(inventory.Worker.Address, inventory.Epoch, inventory.Booted, inventory.Running)
+	j.fleet.Own(inventory.Worker.ID, worker)
 	j.scanSoon()
 }
 
-// view notes which hosts are there and asks for a scan once one is gone.
-func (j *Jobs) view(e event) {
-	now := j.opts.Timer.Now()
-	for _, host := range e.hosts {
-		j.peers[host] = now
-	}
-	if len(e.workers) == 0 {
-		return
-	}
-	present := map[cwmodel.HostID]bool{}
-	for _, w := range e.workers {
-		present[w.ID] = true
-		j.listed[w.ID] = &listing{addr: w.Address}
-	}
-	for id, l := range j.listed {
-		if !present[id] && l.missing.IsZero() {
-			l.missing = now
-		}
-	}
-}
-
-// liveHosts returns the entry hosts that were live until lately.
-func (j *Jobs) liveHosts() (hosts []cwmodel.HostID) {
-	for host, at := range j.peers {
-		if j.opts.Timer.Now().Sub(at) <= j.opts.AdoptAfter {
-			hosts = append(hosts, host)
-		}
-	}
-	slices.Sort(hosts)
-	return hosts
-}
-
 func (j *Jobs) tick(ctx context.Context) {
 	now := j.opts.Timer.Now()
-	for host, at := range j.peers {
-		if now.Sub(at) > j.opts.AdoptAfter {
-			delete(j.peers, host)
-			j.scanSoon()
-		}
+	if j.fleet.ForgetPeers(now) {
+		j.scanSoon()
 	}
 	for _, id := range slices.Sorted(maps.Keys(j.entries)) {
 		if e, ok := j.entries[id]; ok {
--- a/internal/app/cwjobs/scan.go
+++ b/internal/app/cwjobs/scan.go
@@ -12,7 +12,6 @@
 	"currantward/internal/base/cwfault"
 	"currantward/internal/core/cwjob"
 	"currantward/internal/core/cwmodel"
-	"currantward/internal/core/cwowner"
 	"currantward/internal/port/cwport"
 )
 
@@ -87,8 +86,8 @@
 	if job.DataCentre != j.opts.DataCentre {
 		return
 	}
-	mayAdopt := j.mayAdopt(job)
-	if job.Home != j.opts.Self && !mayAdopt && !j.needsAttention(job) {
+	mayAdopt := j.fleet.MayAdopt(j.opts.Timer.Now(), job)
+	if job.Home != j.opts.Self && !mayAdopt && !j.fleet.NeedsAttention(job) {
 		return
 	}
 	e := j.entryOf(job.ID)
@@ -100,31 +99,6 @@
 	j.advance(ctx, e)
 }
 
-// mayAdopt reports whether the home of a job is gone and this host is the one to take over.
-func (j *Jobs) mayAdopt(job *cwjob.Job) bool {
-	if job.Home.Host == j.opts.Self.Host {
-		return job.Home.Incarnation < j.opts.Self.Incarnation
-	}
-	live := append(j.liveHosts(), j.opts.Self.Host)
-	for _, host := range live {
-		if host == job.Home.Host {
-			return false
-		}
-	}
-	return cwowner.Preferred(cwmodel.HostID(job.ID), live) == j.opts.Self.Host
-}
-
-// needsAttention reports whether an attempt on a worker of ours may have to be settled or stopped.
-func (j *Jobs) needsAttention(job *cwjob.Job) bool {
-	for _, t := range job.Tasks {
-		w, ok := j.owned[t.Attempt.Worker]
-		if ok && t.Phase == cwjob.PhaseOrdered && (job.IsStopping() || w.epoch != t.Attempt.Epoch) {
-			return true
-		}
-	}
-	return false
-}
-
 // adopt makes this host the home of a job by compare-and-set; the former home is fenced by the row's version.
 func (j *Jobs) adopt(ctx context.Context, e *entry) {
 	former := e.job.Home
@@ -172,11 +146,10 @@
 
 // hintOwner tells the owner of a worker to look at a job.
 func (j *Jobs) hintOwner(ctx context.Context, id cwmodel.JobID, worker cwmodel.HostID) {
-	l, ok := j.listed[worker]
-	if !ok || !l.addr.IsValid() {
+	addr, ok := j.fleet.Address(worker)
+	if !ok {
 		return
 	}
-	addr := l.addr
 	_ = j.opts.Go(func() {
 		callCtx, cancel := context.WithTimeout(ctx, j.opts.CallLimit)
 		defer cancel()
--- a/internal/app/cwjobs/submit.go
+++ b/internal/app/cwjobs/submit.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -13,24 +9,19 @@
 
 	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
+	"currantward/internal/app/cwsubmission"
 	"currantward/internal/base/cwfault"
 	"currantward/internal/core/cwjob"
 	"currantward/internal/core/cwmodel"
 )
 
-// Submission is what a caller asks for, before a profile has made it a job.
-type Submission struct {
-	Request cwmodel.Request
-	Tasks   int
-}
-
 // Submit accepts a job once its row is committed.
 //
 // It fails with Unavailable if the job was not accepted and never will be, with Indefinite if that is not
 // known, and with Conflict if the idempotency key was used for another job.
-func (j *Jobs) Submit(ctx context.Context, s Submission) (job *cwjob.Job, err error) {
+func (j *Jobs) Submit(ctx context.Context, s cwsubmission.Submission) (job *cwjob.Job, err error) {
 	defer func() { err = eris.Wrap(err, "submit job") }()
-	if job, err = j.prepare(s); err != nil {
+	if job, err = j.builder.Build(j.opts.Timer.Now(), s); err != nil {
 		return nil, err
 	}
 	if len(job.Payload) > j.opts.InlineSize {
@@ -56,65 +47,6 @@
 	return nil, cwfault.New(cwfault.Unavailable, "not run: the table could not be written or this host holds too many jobs")
 }
 
-// prepare makes a job of a submission, or says what is wrong with it.
-func (j *Jobs) prepare(s Submission) (job *cwjob.Job, err error) {
-	cfg, r := j.opts.Configuration(), s.Request
-	profile, ok := cfg.Profile(r.Profile)
-	_, hasTeam := cfg.Team(r.Team)
-	tasks := max(s.Tasks, 1)
-	switch {
-	case cfg.Version == 0:
-		return nil, cwfault.New(cwfault.Unavailable, "not run: this host holds no configuration yet")
-	case !ok:
-		return nil, cwfault.New(cwfault.NotFound, "no profile %q", r.Profile)
-	case !hasTeam:
-		return nil, cwfault.New(cwfault.NotFound, "no team %q", r.Team)
-	case profile.Kind == cwmodel.KindRequest:
-		return nil, cwfault.New(cwfault.Invalid, "profile %q is for requests, not for jobs", r.Profile)
-	case profile.Kind == cwmodel.KindGang && j.opts.SubmitGang == nil:
-		return nil, cwfault.New(cwfault.NotSupported, "this host runs no gangs")
-	case s.Tasks < 0 || tasks > cwjob.MaxTasks:
-		return nil, cwfault.New(cwfault.Invalid, "tasks: %d is not from 1 to %d", s.Tasks, cwjob.MaxTasks)
-	case r.Deadline < 0:
-		return nil, cwfault.New(cwfault.Refused, "not run: the deadline has passed")
-	}
-	now := j.opts.Timer.Now()
-	job = &cwjob.Job{
-		Team: r.Team, Profile: r.Profile, Kind: profile.Kind, DataCentre: j.opts.DataCentre, Demand: profile.Demand, Lease: profile.Lease,
-		MaxAttempts: profile.MaxAttempts, Repeatable: profile.Repeatable, Checkpointable: profile.Checkpointable,
-		Arrived: now, Payload: r.Payload, Home: j.opts.Self, Tasks: make([]cwjob.Task, tasks),
-	}
-	for n := range job.Tasks {
-		job.Tasks[n].Phase = cwjob.PhaseWaiting
-	}
-	if r.Demand != nil {
-		job.Demand = *r.Demand
-	}
-	if limit := max(r.Deadline, 0); limit > 0 {
-		job.Deadline = now.Add(limit)
-	} else if profile.Deadline > 0 {
-		job.Deadline = now.Add(profile.Deadline)
-	}
-	return job, identify(job, s)
-}
-
-// identify names a job; the same idempotency key of the same team always gives the same name.
-func identify(job *cwjob.Job, s Submission) error {
-	document, err := json.Marshal(s)
-	if err != nil {
-		return err
-	}
-	sum := sha256.Sum256(document)
-	job.Digest = hex.EncodeToString(sum[:16])
-	name := rand.Text()
-	if key := s.Request.IdempotencyKey; key != "" {
-		sum = sha256.Sum256([]byte(key))
-		name = hex.EncodeToString(sum[:16])
-	}
-	job.ID = cwmodel.JobID(string(job.Team) + "." + name)
-	return nil
-}
-
 // same returns the job that was accepted under the same key if it is the same job.
 func (j *Jobs) same(ctx context.Context, job *cwjob.Job) (*cwjob.Job, error) {
 	first, err := j.Get(ctx, job.ID)
