Split the writes of one row off the jobs

Change: cwjobrow makes the waiting changes on a copy of the committed job and concludes each of them once; cwjobs keeps what leads to a write and what follows it.

--- /dev/null
+++ b/internal/app/cwjobrow/row_test.go
@@ -0,0 +1,48 @@
+package cwjobrow_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"currantward/internal/app/cwjobrow"
+	"currantward/internal/core/cwjob"
+	"currantward/internal/core/cwmodel"
+)
+
+func TestChangesAreConcludedOnce(t *testing.T) {
+	start := time.Unix(1000, 0)
+	cases := []struct {
+		name string
+		play func(r *cwjobrow.Row)
+		done []bool // what the change was told
+		team cwmodel.TeamName
+		left int
+	}{
+		{"committed", func(r *cwjobrow.Row) { r.Begin(start); r.Commit() }, []bool{true}, "b", 0},
+		{"not yet committed", func(r *cwjobrow.Row) { r.Begin(start) }, nil, "a", 0},
+		{"in conflict, then committed", func(r *cwjobrow.Row) { r.Begin(start); r.Retry(); r.Begin(start); r.Commit() }, []bool{true}, "b", 0},
+		{"in conflict", func(r *cwjobrow.Row) { r.Begin(start); r.Retry() }, nil, "a", 1},
+		{"not encoded", func(r *cwjobrow.Row) { r.Begin(start); r.Fail() }, []bool{false}, "a", 0},
+		{"past its deadline", func(r *cwjobrow.Row) { r.Expire(start.Add(time.Minute)) }, []bool{false}, "a", 0},
+		{"past its deadline while it is written", func(r *cwjobrow.Row) { r.Begin(start); r.Expire(start.Add(time.Minute)) }, nil, "a", 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var done []bool
+			r := &cwjobrow.Row{}
+			r.Load(&cwjob.Job{ID: "job", Team: "a"}, 1)
+			r.Add(cwjobrow.Change{
+				Apply:    func(_ time.Time, job *cwjob.Job) bool { job.Team = "b"; return true },
+				Done:     func(applied bool) { done = append(done, applied) },
+				Deadline: start.Add(time.Minute),
+			})
+			c.play(r)
+			is.Equal(done, c.done)
+			is.Equal(r.Job.Team, c.team)
+			is.Equal(r.Waiting(), c.left)
+		})
+	}
+}
--- a/internal/app/cwjobs/drive.go
+++ b/internal/app/cwjobs/drive.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"currantward/internal/app/cwjobrow"
 	"currantward/internal/base/cwfault"
 	"currantward/internal/core/cwclaim"
 	"currantward/internal/core/cwdecider"
@@ -22,8 +23,8 @@
 		return
 	}
 	ready := 0
-	for n := range e.job.Tasks {
-		t, h := &e.job.Tasks[n], e.task(n)
+	for n := range e.Job.Tasks {
+		t, h := &e.Job.Tasks[n], e.task(n)
 		switch t.Phase {
 		case cwjob.PhaseOver:
 			if h.generation > 0 {
@@ -38,22 +39,22 @@
 			}
 		}
 	}
-	if ready > 0 && !e.job.IsStopping() && j.hasPayload(ctx, e) {
+	if ready > 0 && !e.Job.IsStopping() && j.hasPayload(ctx, e) {
 		j.submit(now, e, ready)
 	}
 }
 
 // submit hands the waiting tasks to the scheduler; a gang goes as a whole or not at all.
 func (j *Jobs) submit(now time.Time, e *entry, ready int) {
-	if e.job.Kind == cwmodel.KindGang {
-		if ready == len(e.job.Tasks) {
+	if e.Job.Kind == cwmodel.KindGang {
+		if ready == len(e.Job.Tasks) {
 			j.submitGang(now, e)
 		}
 		return
 	}
-	for n := range e.job.Tasks {
+	for n := range e.Job.Tasks {
 		h := e.task(n)
-		if e.job.Tasks[n].Phase != cwjob.PhaseWaiting || h.generation > 0 || now.Before(h.retryAt) {
+		if e.Job.Tasks[n].Phase != cwjob.PhaseWaiting || h.generation > 0 || now.Before(h.retryAt) {
 			continue
 		}
 		j.generation++
@@ -67,8 +68,8 @@
 func (j *Jobs) submitGang(now time.Time, e *entry) {
 	j.generation++
 	generation := j.generation
-	tasks := make([]cwmodel.Task, 0, len(e.job.Tasks))
-	for n := range e.job.Tasks {
+	tasks := make([]cwmodel.Task, 0, len(e.Job.Tasks))
+	for n := range e.Job.Tasks {
 		e.task(n).generation = generation
 		tasks = append(tasks, e.taskOf(n))
 	}
@@ -81,7 +82,7 @@
 	if j.opts.SubmitGang != nil && j.opts.SubmitGang(tasks, reply) {
 		return
 	}
-	for n := range e.job.Tasks {
+	for n := range e.Job.Tasks {
 		h := e.task(n)
 		h.generation, h.retryAt = 0, now.Add(j.opts.RetryAfter)
 	}
@@ -97,7 +98,7 @@
 //
 // The scheduler is allowed no attempt beyond this one: what follows is decided from the committed row.
 func (e *entry) taskOf(n int) cwmodel.Task {
-	job := e.job
+	job := e.Job
 	payload := job.Payload
 	if job.PayloadKey != "" {
 		payload = e.payload
@@ -111,13 +112,13 @@
 
 // hasPayload reports whether the payload is at hand and fetches it if not.
 func (j *Jobs) hasPayload(ctx context.Context, e *entry) bool {
-	if e.job.PayloadKey == "" || e.payload != nil {
+	if e.Job.PayloadKey == "" || e.payload != nil {
 		return true
 	}
 	if e.fetching {
 		return false
 	}
-	id, key := e.id, e.job.PayloadKey
+	id, key := e.id, e.Job.PayloadKey
 	e.fetching = j.call(ctx, func(ctx context.Context) event {
 		body, err := j.opts.Objects.Get(ctx, key)
 		return event{kind: eventPayload, id: id, payload: body, err: err}
@@ -159,7 +160,7 @@
 	}
 	now := j.opts.Timer.Now()
 	h.retryAt = now.Add(j.opts.RetryAfter)
-	isLate := !e.job.Deadline.IsZero() && !now.Before(e.job.Deadline)
+	isLate := !e.Job.Deadline.IsZero() && !now.Before(e.Job.Deadline)
 	isTooLarge := back.answer.Reason == cwmodel.ReasonTooLarge
 	if isTooLarge && j.tryElsewhere(ctx, e) {
 		return
@@ -167,18 +168,18 @@
 	if !isLate && !isTooLarge && !lasting[back.answer.Reason] {
 		return
 	}
-	j.wish(ctx, e, change{
-		apply: func(now time.Time, job *cwjob.Job) bool {
+	j.wish(ctx, e, cwjobrow.Change{
+		Apply: func(now time.Time, job *cwjob.Job) bool {
 			return job.Home == j.opts.Self && job.Refuse(now, back.task, back.answer.Reason)
 		},
-		done: func(bool) {},
+		Done: func(bool) {},
 	})
 }
 
 // tryElsewhere hands a job that fits no worker of ours to a live host that has not tried it, and reports whether there is one.
 func (j *Jobs) tryElsewhere(ctx context.Context, e *entry) bool {
 	for _, host := range j.fleet.LivePeers(j.opts.Timer.Now()) {
-		if host != j.opts.Self.Host && !slices.Contains(e.job.Tried, host) {
+		if host != j.opts.Self.Host && !slices.Contains(e.Job.Tried, host) {
 			j.handOver(ctx, e, host, true)
 			return true
 		}
@@ -188,7 +189,7 @@
 
 // relocate hands a job that has waited for long to a peer that has room, and reports whether it does.
 func (j *Jobs) relocate(ctx context.Context, now time.Time, e *entry) bool {
-	isWaiting := !slices.ContainsFunc(e.job.Tasks, func(t cwjob.Task) bool { return t.Phase == cwjob.PhaseOrdered })
+	isWaiting := !slices.ContainsFunc(e.Job.Tasks, func(t cwjob.Task) bool { return t.Phase == cwjob.PhaseOrdered })
 	if !isWaiting || e.waiting.IsZero() {
 		e.waiting = time.Time{}
 		if isWaiting {
@@ -196,11 +197,11 @@
 		}
 		return false
 	}
-	if e.job.IsStopping() || now.Sub(e.waiting) < j.opts.HandOverAfter {
+	if e.Job.IsStopping() || now.Sub(e.waiting) < j.opts.HandOverAfter {
 		return false
 	}
 	e.waiting = now
-	host, ok := j.opts.Roomiest(e.job.Demand)
+	host, ok := j.opts.Roomiest(e.Job.Demand)
 	if ok {
 		j.handOver(ctx, e, host, false)
 	}
@@ -208,9 +209,9 @@
 }
 
 func (j *Jobs) handOver(ctx context.Context, e *entry, to cwmodel.HostID, isTooLarge bool) {
-	j.wish(ctx, e, change{
-		deadline: j.opts.Timer.Now().Add(j.opts.WriteLimit),
-		apply: func(_ time.Time, job *cwjob.Job) bool {
+	j.wish(ctx, e, cwjobrow.Change{
+		Deadline: j.opts.Timer.Now().Add(j.opts.WriteLimit),
+		Apply: func(_ time.Time, job *cwjob.Job) bool {
 			if job.Home != j.opts.Self || !job.HandOver(to) {
 				return false
 			}
@@ -219,7 +220,7 @@
 			}
 			return true
 		},
-		done: func(applied bool) {
+		Done: func(applied bool) {
 			j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "to": to, "moved": applied}).Info("job-handed-over")
 		},
 	})
@@ -228,8 +229,8 @@
 // attend settles and stops outstanding attempts on workers that this host owns, whoever is the home of the job.
 func (j *Jobs) attend(ctx context.Context, e *entry) {
 	now := j.opts.Timer.Now()
-	for n := range e.job.Tasks {
-		t := &e.job.Tasks[n]
+	for n := range e.Job.Tasks {
+		t := &e.Job.Tasks[n]
 		if t.Phase != cwjob.PhaseOrdered {
 			continue
 		}
@@ -250,17 +251,17 @@
 func (j *Jobs) attendForeign(ctx context.Context, now time.Time, e *entry, n int) {
 	h := e.task(n)
 	age := now.Sub(h.since)
-	isStopDue := e.job.IsStopping() && !now.Before(h.stopAt)
+	isStopDue := e.Job.IsStopping() && !now.Before(h.stopAt)
 	isLookDue := age > j.opts.VerifyAfter && !now.Before(h.settleAt)
 	if isStopDue || isLookDue {
 		h.stopAt, h.settleAt = now.Add(j.opts.RetryAfter), now.Add(age)
-		j.hintOwner(ctx, e.id, e.job.Tasks[n].Attempt.Worker)
+		j.hintOwner(ctx, e.id, e.Job.Tasks[n].Attempt.Worker)
 	}
 }
 
 func (j *Jobs) attendOwned(ctx context.Context, now time.Time, e *entry, n int, w *cwjobfleet.Worker) {
-	attempt, h := e.job.Tasks[n].Attempt, e.task(n)
-	if w.Knows(attempt) && e.job.IsStopping() && !now.Before(h.stopAt) {
+	attempt, h := e.Job.Tasks[n].Attempt, e.task(n)
+	if w.Knows(attempt) && e.Job.IsStopping() && !now.Before(h.stopAt) {
 		h.stopAt = now.Add(2 * j.opts.RetryAfter)
 		stop := attempt
 		stop.Epoch = w.Epoch
@@ -323,8 +324,8 @@
 
 // checkLost ends an attempt whose worker the platform has taken away and whose lease is certainly past.
 func (j *Jobs) checkLost(ctx context.Context, now time.Time, e *entry, n int) {
-	attempt := e.job.Tasks[n].Attempt
-	if j.fleet.IsGone(now, attempt.Worker, e.job.Lease+j.opts.LeaseGrace) {
+	attempt := e.Job.Tasks[n].Attempt
+	if j.fleet.IsGone(now, attempt.Worker, e.Job.Lease+j.opts.LeaseGrace) {
 		j.lose(ctx, e, n, attempt)
 	}
 }
@@ -333,9 +334,9 @@
 func (j *Jobs) lose(ctx context.Context, e *entry, n int, attempt cwmodel.Attempt) {
 	now := j.opts.Timer.Now()
 	j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "task": attempt.Task, "attempt": attempt.Number, "worker": attempt.Worker}).Warn("attempt-lost")
-	j.wish(ctx, e, change{
-		apply: func(now time.Time, job *cwjob.Job) bool { return job.Lose(now, n, attempt.Number) },
-		done: func(applied bool) {
+	j.wish(ctx, e, cwjobrow.Change{
+		Apply: func(now time.Time, job *cwjob.Job) bool { return job.Lose(now, n, attempt.Number) },
+		Done: func(applied bool) {
 			if applied {
 				_ = j.opts.Ended(ctx, cwmodel.Result{Attempt: attempt, End: cwmodel.EndLapsed, Ended: now})
 			}
--- a/internal/app/cwjobs/entry.go
+++ b/internal/app/cwjobs/entry.go
@@ -8,31 +8,19 @@
 
 	"github.com/sirupsen/logrus"
 
+	"currantward/internal/app/cwjobrow"
 	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
 	"currantward/internal/base/cwfault"
 	"currantward/internal/core/cwdecider"
 	"currantward/internal/core/cwjob"
 	"currantward/internal/core/cwmodel"
-	"currantward/internal/port/cwport"
 )
 
-// change is one wish to change a job; it is made on the committed state.
-type change struct {
-	apply    func(now time.Time, job *cwjob.Job) bool
-	done     func(applied bool) // called once the change is committed, or can never be
-	deadline time.Time          // zero for none; past it a change that is not sent is given up
-}
-
-// entry is one job in memory: its committed state and what is under way.
+// entry is one job in memory: its row and what is under way for it.
 type entry struct {
+	cwjobrow.Row
 	id       cwmodel.JobID
-	job      *cwjob.Job // committed; nil until it is read
-	version  cwport.RowVersion
-	changes  []change // not yet sent
-	flight   []change // in the write under way
-	applied  []bool   // which of the flight took effect on next
-	next     *cwjob.Job
 	busy     bool // a call is out
 	stale    bool // the row may have changed
 	hinted   bool // its home asks this host to look after it
@@ -72,11 +60,11 @@
 	return e
 }
 
-func (j *Jobs) isHome(e *entry) bool { return e.job != nil && e.job.Home == j.opts.Self }
+func (j *Jobs) isHome(e *entry) bool { return e.Job != nil && e.Job.Home == j.opts.Self }
 
 // wish adds a change and sends it as soon as nothing is under way for this job.
-func (j *Jobs) wish(ctx context.Context, e *entry, c change) {
-	e.changes = append(e.changes, c)
+func (j *Jobs) wish(ctx context.Context, e *entry, c cwjobrow.Change) {
+	e.Add(c)
 	j.advance(ctx, e)
 }
 
@@ -85,9 +73,9 @@
 	now := j.opts.Timer.Now()
 	switch {
 	case e.busy || now.Before(e.retryAt):
-	case e.job == nil || e.stale:
+	case e.Job == nil || e.stale:
 		j.startRead(ctx, e)
-	case len(e.changes) > 0:
+	case e.Waiting() > 0:
 		j.startWrite(ctx, now, e)
 	case j.isHome(e):
 		j.drive(ctx, now, e)
@@ -121,11 +109,11 @@
 	}
 	e.stale = false
 	wasHome := j.isHome(e)
-	e.job, e.version = back.job, back.version
+	e.Load(back.job, back.version)
 	if wasHome && !j.isHome(e) {
 		j.displaced(ctx, e)
 	}
-	if e.job.Home.Host == j.opts.Self.Host && j.fleet.MayAdopt(j.opts.Timer.Now(), e.job) {
+	if e.Job.Home.Host == j.opts.Self.Host && j.fleet.MayAdopt(j.opts.Timer.Now(), e.Job) {
 		j.adopt(ctx, e)
 		return
 	}
@@ -136,14 +124,12 @@
 func (j *Jobs) forget(ctx context.Context, e *entry) {
 	delete(j.entries, e.id)
 	j.withdraw(ctx, e)
-	for _, c := range e.changes {
-		c.done(false)
-	}
+	e.Abandon()
 }
 
 // displaced drops what another home does from now on; running attempts go on.
 func (j *Jobs) displaced(ctx context.Context, e *entry) {
-	j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "home": e.job.Home.Host}).Info("job-has-another-home")
+	j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "home": e.Job.Home.Host}).Info("job-has-another-home")
 	j.withdraw(ctx, e)
 	e.tasks = map[int]*handling{}
 }
@@ -159,32 +145,21 @@
 
 // startWrite makes the waiting changes on a copy and hands the row to the ledger.
 func (j *Jobs) startWrite(ctx context.Context, now time.Time, e *entry) {
-	e.next, e.flight, e.changes = e.job.Clone(), e.changes, nil
-	e.applied = make([]bool, len(e.flight))
-	changed := false
-	entryDeadline := time.Time{}
-	for n, c := range e.flight {
-		e.applied[n] = c.apply(now, e.next)
-		changed = changed || e.applied[n]
-		if !c.deadline.IsZero() && (entryDeadline.IsZero() || c.deadline.Before(entryDeadline)) {
-			entryDeadline = c.deadline
-		}
-	}
-	if !changed {
-		j.conclude(e)
+	deadline, isChanged := e.Begin(now)
+	if !isChanged {
+		e.Conclude()
 		j.advance(ctx, e)
 		return
 	}
-	write, err := cwjobstore.Replace(e.job, e.next, e.version, j.opts.Self.Host)
+	write, err := cwjobstore.Replace(e.Job, e.Next(), e.Version, j.opts.Self.Host)
 	if err != nil {
 		j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "error": err.Error()}).Error("job-not-encoded")
-		e.applied = make([]bool, len(e.flight))
-		j.conclude(e)
+		e.Fail()
 		return
 	}
 	e.busy = true
 	id := e.id
-	write.Deadline = entryDeadline
+	write.Deadline = deadline
 	write.Done = func(verdict cwledger.Verdict) { j.deliver(event{kind: eventWritten, id: id, verdict: verdict}) }
 	j.opts.Write(write)
 }
@@ -200,64 +175,32 @@
 		j.committed(ctx, e)
 	case cwledger.Conflict:
 		e.stale = true
-		j.unsend(e)
+		e.Retry()
 	default:
 		e.retryAt = j.opts.Timer.Now().Add(j.opts.RetryAfter / 4)
-		j.unsend(e)
-		j.expireOrders(e)
+		e.Retry()
+		e.Expire(j.opts.Timer.Now())
 	}
 	if _, ok = j.entries[back.id]; ok {
 		j.advance(ctx, e)
 	}
 }
 
-// unsend puts the changes in flight back in front of the waiting ones.
-func (j *Jobs) unsend(e *entry) {
-	e.changes = append(e.flight, e.changes...)
-	e.flight, e.next, e.applied = nil, nil, nil
-}
-
 func (j *Jobs) committed(ctx context.Context, e *entry) {
 	wasHome := j.isHome(e)
-	e.job, e.version = e.next, e.version+1
-	j.conclude(e)
+	e.Commit()
 	if wasHome && !j.isHome(e) {
 		j.displaced(ctx, e)
 	}
-	if e.job.IsOver() {
-		j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "profile": e.job.Profile, "team": e.job.Team, "tasks": len(e.job.Tasks)}).Info("job-ended")
+	if e.Job.IsOver() {
+		j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "profile": e.Job.Profile, "team": e.Job.Team, "tasks": len(e.Job.Tasks)}).Info("job-ended")
 		if j.opts.Over != nil {
-			j.opts.Over(e.job)
+			j.opts.Over(e.Job)
 		}
 		j.forget(ctx, e)
 	}
 }
 
-// conclude tells each change of the flight whether it is committed.
-func (j *Jobs) conclude(e *entry) {
-	flight, applied := e.flight, e.applied
-	e.flight, e.next, e.applied = nil, nil, nil
-	for n, c := range flight {
-		c.done(applied[n])
-	}
-}
-
-// expireOrders gives up changes whose deadline has passed and that are certainly not written.
-func (j *Jobs) expireOrders(e *entry) {
-	now := j.opts.Timer.Now()
-	var late []change
-	e.changes = slices.DeleteFunc(e.changes, func(c change) bool {
-		isLate := !c.deadline.IsZero() && !now.Before(c.deadline)
-		if isLate {
-			late = append(late, c)
-		}
-		return isLate
-	})
-	for _, c := range late {
-		c.done(false)
-	}
-}
-
 // action takes an order of the scheduler for a durable task.
 func (j *Jobs) action(ctx context.Context, a cwdecider.Action) {
 	id, n, ok := cwjob.ParseTaskID(a.Attempt.Task)
@@ -270,19 +213,19 @@
 		}
 		return
 	default:
-		if ok && known && a.Kind == cwdecider.ActionStop && j.isHome(e) && e.job.Tasks[n].Phase == cwjob.PhaseOrdered && e.job.Tasks[n].Attempt == a.Attempt {
+		if ok && known && a.Kind == cwdecider.ActionStop && j.isHome(e) && e.Job.Tasks[n].Phase == cwjob.PhaseOrdered && e.Job.Tasks[n].Attempt == a.Attempt {
 			j.opts.Order(a)
 		}
 		return
 	}
-	if !ok || !known || !j.isHome(e) || n >= len(e.job.Tasks) {
+	if !ok || !known || !j.isHome(e) || n >= len(e.Job.Tasks) {
 		j.neverBegan(ctx, a.Attempt, cwfault.New(cwfault.Refused, "this host is not the home of the job"))
 		return
 	}
 	var refused error
-	j.wish(ctx, e, change{
-		deadline: j.opts.Timer.Now().Add(j.opts.WriteLimit),
-		apply: func(now time.Time, job *cwjob.Job) bool {
+	j.wish(ctx, e, cwjobrow.Change{
+		Deadline: j.opts.Timer.Now().Add(j.opts.WriteLimit),
+		Apply: func(now time.Time, job *cwjob.Job) bool {
 			if job.Home != j.opts.Self {
 				refused = cwfault.New(cwfault.Refused, "another host is the home of the job")
 				return false
@@ -290,7 +233,7 @@
 			refused = job.Order(now, n, a.Attempt)
 			return refused == nil
 		},
-		done: func(applied bool) { j.ordered(ctx, e, a, applied, refused) },
+		Done: func(applied bool) { j.ordered(ctx, e, a, applied, refused) },
 	})
 }
 
@@ -322,8 +265,8 @@
 		return
 	}
 	e := j.entryOf(id)
-	c := change{
-		apply: func(now time.Time, job *cwjob.Job) bool {
+	c := cwjobrow.Change{
+		Apply: func(now time.Time, job *cwjob.Job) bool {
 			if n >= len(job.Tasks) {
 				return false
 			}
@@ -333,7 +276,7 @@
 			}
 			return isNew
 		},
-		done: func(bool) { j.opts.Acknowledge(r.Attempt) },
+		Done: func(bool) { j.opts.Acknowledge(r.Attempt) },
 	}
 	if len(r.Answer) <= j.opts.InlineSize {
 		j.wish(ctx, e, c)
@@ -343,7 +286,7 @@
 }
 
 // storeAnswer puts a large answer into the object store before its result is recorded.
-func (j *Jobs) storeAnswer(ctx context.Context, e *entry, r cwmodel.Result, c change) {
+func (j *Jobs) storeAnswer(ctx context.Context, e *entry, r cwmodel.Result, c cwjobrow.Change) {
 	stored := j.call(ctx, func(ctx context.Context) event {
 		return event{kind: eventStored, id: e.id, result: r, change: c, err: j.opts.Objects.Put(ctx, cwjobstore.KeyAnswer(r.Attempt), r.Answer)}
 	})
--- a/internal/app/cwjobs/jobs.go
+++ b/internal/app/cwjobs/jobs.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"currantward/internal/app/cwjobrow"
 	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
 	"currantward/internal/app/cwsubmission"
@@ -124,7 +125,7 @@
 	hosts      []cwmodel.HostID
 	rows       []cwport.Row
 	payload    []byte
-	change     change
+	change     cwjobrow.Change
 	again      bool // the event comes back to be tried anew
 	forgotten  bool // the worker has lost its memory of the attempt
 	err        error
@@ -286,7 +287,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(j.entries)) {
 		if e, ok := j.entries[id]; ok {
-			j.expireOrders(e)
+			e.Expire(now)
 			j.advance(ctx, e)
 		}
 	}
--- a/internal/app/cwjobs/scan.go
+++ b/internal/app/cwjobs/scan.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/app/cwjobrow"
 	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
 	"currantward/internal/base/cwfault"
@@ -79,7 +80,7 @@
 // found looks at one live job: ours, to be adopted, or only in need of something on a worker of ours.
 func (j *Jobs) found(ctx context.Context, job *cwjob.Job, version cwport.RowVersion) {
 	if e, ok := j.entries[job.ID]; ok {
-		e.stale = e.stale || (!e.busy && e.version != version)
+		e.stale = e.stale || (!e.busy && e.Version != version)
 		j.advance(ctx, e)
 		return
 	}
@@ -91,7 +92,7 @@
 		return
 	}
 	e := j.entryOf(job.ID)
-	e.job, e.version = job, version
+	e.Load(job, version)
 	if mayAdopt {
 		j.adopt(ctx, e)
 		return
@@ -101,16 +102,16 @@
 
 // adopt makes this host the home of a job by compare-and-set; the former home is fenced by the row's version.
 func (j *Jobs) adopt(ctx context.Context, e *entry) {
-	former := e.job.Home
-	j.wish(ctx, e, change{
-		apply: func(_ time.Time, job *cwjob.Job) bool {
+	former := e.Job.Home
+	j.wish(ctx, e, cwjobrow.Change{
+		Apply: func(_ time.Time, job *cwjob.Job) bool {
 			isSame := job.Home == former
 			if isSame {
 				job.Home = j.opts.Self
 			}
 			return isSame
 		},
-		done: func(applied bool) {
+		Done: func(applied bool) {
 			if applied {
 				j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "former-home": former.Host}).Info("job-adopted")
 			}
--- a/internal/app/cwjobs/submit.go
+++ b/internal/app/cwjobs/submit.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"currantward/internal/app/cwjobrow"
 	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
 	"currantward/internal/app/cwsubmission"
@@ -74,10 +75,8 @@
 	}
 	id := a.job.ID
 	e := j.entryOf(id)
-	e.next, e.busy = a.job, true
-	e.flight = []change{{done: func(bool) {}}}
-	e.applied = []bool{true}
-	e.job = &cwjob.Job{ID: id}
+	e.busy = true
+	e.Create(a.job)
 	write.Deadline = j.opts.Timer.Now().Add(j.opts.WriteLimit)
 	write.Done = func(verdict cwledger.Verdict) {
 		j.deliver(event{kind: eventAccepted, id: id, verdict: verdict, reply: a.reply})
@@ -92,7 +91,7 @@
 	case cwledger.Committed:
 		e.busy = false
 		j.opts.Log.WithFields(logrus.Fields{
-			"job-id": e.id, "profile": e.next.Profile, "team": e.next.Team, "tasks": len(e.next.Tasks),
+			"job-id": e.id, "profile": e.Next().Profile, "team": e.Next().Team, "tasks": len(e.Next().Tasks),
 		}).Info("job-accepted")
 		j.committed(ctx, e)
 		back.reply(back.verdict)
@@ -138,8 +137,8 @@
 }
 
 func (j *Jobs) cancel(ctx context.Context, c event) {
-	j.wish(ctx, j.entryOf(c.id), change{
-		apply: func(now time.Time, job *cwjob.Job) bool { return job.Cancel(now) },
-		done:  func(bool) { c.reply(cwledger.Committed) },
+	j.wish(ctx, j.entryOf(c.id), cwjobrow.Change{
+		Apply: func(now time.Time, job *cwjob.Job) bool { return job.Cancel(now) },
+		Done:  func(bool) { c.reply(cwledger.Committed) },
 	})
 }
