Split the callers' operations and the questions to workers off the jobs

The jobs need no configuration any more, so the simulation makes its jobs by a builder of its own. Behaviour is as before. Ruled out for now: a package for scans and hints, and one for placing tasks, since both change the duty's entries at each step.

--- /dev/null
+++ b/internal/app/cwattempt/ask.go
@@ -0,0 +1,57 @@
+// Package cwattempt asks workers what became of an attempt.
+package cwattempt
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+
+	"currantward/internal/base/cwfault"
+	"currantward/internal/core/cwclaim"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwport"
+)
+
+// State says what is known of an attempt.
+type State string
+
+// The closed set of states.
+const (
+	StateRunning   State = "running"
+	StateOver      State = "over"      // its result is known
+	StateForgotten State = "forgotten" // its worker has restarted since, so that its result is lost
+)
+
+// Finding is what a worker told of an attempt.
+type Finding struct {
+	State  State
+	Result cwmodel.Result // if it is over
+}
+
+// Ask asks a worker that is owned under an epoch what became of an attempt.
+//
+// An attempt that is not running has a result at the worker, or has been refused, or is refused from now
+// on. A worker that has restarted since the order remembers nothing of it.
+func Ask(ctx context.Context, workers cwport.Workers, addr netip.AddrPort, epoch cwmodel.Epoch, attempt cwmodel.Attempt) (f Finding, err error) {
+	inventory, err := workers.Inspect(ctx, addr)
+	if err != nil || inventory.Epoch != epoch {
+		return f, cwfault.New(cwfault.Unavailable, "the worker cannot be asked")
+	}
+	if slices.ContainsFunc(inventory.Running, func(r cwmodel.Running) bool { return r.Attempt.Task == attempt.Task }) {
+		return Finding{State: StateRunning}, nil
+	}
+	stop := attempt
+	stop.Epoch = epoch
+	result, err := workers.Stop(ctx, addr, stop, cwmodel.StopNow)
+	if cwfault.CodeOf(err) == cwfault.NotFound {
+		result, err = cwmodel.Result{End: cwmodel.EndNeverBegan, Message: "refused by the worker", Ended: inventory.Clock}, nil
+	}
+	if err != nil {
+		return f, err
+	}
+	if result.End == cwmodel.EndNeverBegan && !cwclaim.Remembers(attempt.Epoch, epoch, inventory.Booted) {
+		return Finding{State: StateForgotten}, nil
+	}
+	result.Attempt = attempt
+	return Finding{State: StateOver, Result: result}, nil
+}
--- a/internal/app/cwentry/entry.go
+++ b/internal/app/cwentry/entry.go
@@ -17,6 +17,7 @@
 	"currantward/internal/adapter/cwpeer"
 	"currantward/internal/app/cwintake"
 	"currantward/internal/app/cwintent"
+	"currantward/internal/app/cwjobcaller"
 	"currantward/internal/app/cwjobs"
 	"currantward/internal/app/cwkeeper"
 	"currantward/internal/app/cwledger"
@@ -98,6 +99,7 @@
 	intake    *cwintake.Intake
 	ledger    *cwledger.Ledger
 	jobs      *cwjobs.Jobs
+	callers   *cwjobcaller.Callers
 	intents   *cwintent.Intents
 	peers     cwport.Peers
 	traffic   *cwhttp.Traffic // of all connections with peers
--- a/internal/app/cwentry/front.go
+++ b/internal/app/cwentry/front.go
@@ -23,7 +23,7 @@
 	limits := e.limits("callers")
 	bound, stop, err := cwfront.New(cwfront.Options{
 		Listen: o.Settings.ListenCallers, Limits: limits, Log: o.Log, Run: e.run, Ready: e.checked, Leaving: e.leaving,
-		SubmitJob: e.submitJob, GetJob: e.jobs.Get, ListJobs: e.jobs.List, CancelJob: e.jobs.Cancel,
+		SubmitJob: e.submitJob, GetJob: e.callers.Get, ListJobs: e.callers.List, CancelJob: e.callers.Cancel,
 	})
 	if err != nil {
 		return err
--- a/internal/app/cwentry/jobs.go
+++ b/internal/app/cwentry/jobs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"currantward/internal/app/cwintent"
+	"currantward/internal/app/cwjobcaller"
 	"currantward/internal/app/cwjobs"
 	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
@@ -33,13 +34,18 @@
 	jobs.Table, jobs.Objects, jobs.Workers = o.Table, o.Objects, o.Workers
 	jobs.Self, jobs.DataCentre = home, o.Settings.DataCentre
 	jobs.LeaseGrace = 2 * o.Settings.ClaimTTL
-	jobs.Configuration, jobs.Write = e.watcher.Present, e.ledger.Write
+	jobs.Write = e.ledger.Write
 	jobs.Submit, jobs.Withdraw, jobs.Ended = e.scheduler.Submit, e.scheduler.Withdraw, e.scheduler.Ended
 	jobs.Order, jobs.Acknowledge = e.links.Order, e.links.Acknowledge
 	jobs.Roomiest, jobs.SubmitGang = e.roomiest, e.scheduler.SubmitGang
 	jobs.Over = e.jobOver
 	e.jobs, stop = cwjobs.New(jobs)
 	e.cleanup.Add(stop)
+	e.callers = cwjobcaller.New(cwjobcaller.Options{
+		Timer: o.Timer, Objects: o.Objects, Store: cwjobstore.New(o.Table, o.Objects),
+		Builder:    &cwsubmission.Builder{Self: home, DataCentre: o.Settings.DataCentre, RunsGangs: true, Configuration: e.watcher.Present},
+		WriteLimit: jobs.WriteLimit, InlineSize: jobs.InlineSize, Accept: e.jobs.Accept, Cancel: e.jobs.Cancel,
+	})
 
 	intents := cwintent.DefaultOptions()
 	intents.Timer, intents.Log, intents.Table, intents.Objects, intents.Self = o.Timer, o.Log, o.Table, o.Objects, home
@@ -135,5 +141,5 @@
 }
 
 func (e *Entry) submitJob(ctx context.Context, request cwmodel.Request, tasks int) (*cwjob.Job, error) {
-	return e.jobs.Submit(ctx, cwsubmission.Submission{Request: request, Tasks: tasks})
+	return e.callers.Submit(ctx, cwsubmission.Submission{Request: request, Tasks: tasks})
 }
--- a/internal/app/cwjobs/fuzz_test.go
+++ b/internal/app/cwjobs/fuzz_test.go
@@ -15,6 +15,7 @@
 	"currantward/internal/app/cwsubmission"
 	"currantward/internal/core/cwjob"
 	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwpolicy"
 )
 
 // The seed and the number of checks are fixed unless the command line names others.
@@ -152,7 +153,10 @@
 
 // accept submits a job to one host.
 func (f *fuzz) accept(t rapid.TB, h *simHost, profile cwmodel.ProfileName, tasks int) {
-	job, err := h.jobs.builder.Build(f.clock.Now(), cwsubmission.Submission{Request: cwmodel.Request{Profile: profile, Team: "riders"}, Tasks: tasks})
+	builder := cwsubmission.Builder{
+		Self: h.jobs.opts.Self, DataCentre: h.jobs.opts.DataCentre, Configuration: func() *cwpolicy.Configuration { return &simConfiguration },
+	}
+	job, err := builder.Build(f.clock.Now(), cwsubmission.Submission{Request: cwmodel.Request{Profile: profile, Team: "riders"}, Tasks: tasks})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/app/cwjobs/jobs.go
+++ b/internal/app/cwjobs/jobs.go
@@ -12,10 +12,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"currantward/internal/app/cwattempt"
 	"currantward/internal/app/cwjobrow"
 	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
-	"currantward/internal/app/cwsubmission"
 	"currantward/internal/base/cwduty"
 	"currantward/internal/base/cwring"
 	"currantward/internal/base/cwtimer"
@@ -23,7 +23,6 @@
 	"currantward/internal/core/cwjob"
 	"currantward/internal/core/cwjobfleet"
 	"currantward/internal/core/cwmodel"
-	"currantward/internal/core/cwpolicy"
 	"currantward/internal/port/cwport"
 )
 
@@ -43,17 +42,15 @@
 	ScanEvery     time.Duration // between looks at all live jobs when nothing else asks for one
 	AdoptAfter    time.Duration // a home that is gone for longer is adopted from
 	CallLimit     time.Duration // of one call to the table, the object store or a worker
-	WriteLimit    time.Duration // how long a caller or a start waits for its commit
+	WriteLimit    time.Duration // how long the acceptance of a job or a start waits for its commit
 	RetryAfter    time.Duration // before a task that could not be placed is submitted again
 	HandOverAfter time.Duration // a job that waits for longer goes to a peer that has room
 	VerifyAfter   time.Duration // an attempt that is outstanding for longer is looked for at its worker, once
 	LeaseGrace    time.Duration // added to a lease before an attempt on a host that is gone counts as over
-	InlineSize    int           // larger payloads and answers go to the object store
+	InlineSize    int           // larger answers go to the object store
 
 	// Go runs work that may block; it fails if there is no room for it.
 	Go func(work func()) error
-	// Configuration returns the configuration in force.
-	Configuration func() *cwpolicy.Configuration
 	// Write hands one entry to the ledger.
 	Write func(e cwledger.Entry)
 	// Submit hands a task to the scheduler; it returns false if there is no room.
@@ -118,6 +115,8 @@
 	reply      func(verdict cwledger.Verdict)
 	action     cwdecider.Action
 	result     cwmodel.Result
+	attempt    cwmodel.Attempt
+	finding    cwattempt.Finding
 	answer     cwmodel.Answer
 	inventory  cwport.Inventory
 	worker     cwmodel.HostID
@@ -127,7 +126,6 @@
 	payload    []byte
 	change     cwjobrow.Change
 	again      bool // the event comes back to be tried anew
-	forgotten  bool // the worker has lost its memory of the attempt
 	err        error
 }
 
@@ -137,7 +135,6 @@
 	store      *cwjobstore.Store
 	inbox      *cwring.Ring[event]
 	entries    map[cwmodel.JobID]*entry
-	builder    *cwsubmission.Builder
 	fleet      *cwjobfleet.Fleet
 	began      time.Time
 	scan       scan
@@ -161,9 +158,6 @@
 	j := &Jobs{
 		opts: opts, store: cwjobstore.New(opts.Table, opts.Objects), inbox: cwring.New[event](opts.InboxSize), entries: map[cwmodel.JobID]*entry{},
 		fleet: cwjobfleet.New(opts.Self, opts.AdoptAfter), began: opts.Timer.Now(),
-		builder: &cwsubmission.Builder{
-			Self: opts.Self, DataCentre: opts.DataCentre, RunsGangs: opts.SubmitGang != nil, Configuration: opts.Configuration,
-		},
 	}
 	j.scan.due = j.began.Add(opts.AdoptAfter)
 	return j
--- a/internal/app/cwjobs/sim_test.go
+++ b/internal/app/cwjobs/sim_test.go
@@ -123,7 +123,6 @@
 	opts.Timer, opts.Log = h.sim.clock.Service, cwlog.Discard()
 	opts.Table, opts.Objects, opts.Workers = h.tablePort(), cwmemory.NewObjects().Port(), h.workersPort()
 	opts.Self, opts.DataCentre = cwjob.Home{Host: h.id, Incarnation: h.lives}, "cairo-1"
-	opts.Configuration = func() *cwpolicy.Configuration { return &simConfiguration }
 	opts.Go = func(work func()) error { h.calls = append(h.calls, work); return nil }
 	opts.Write = func(e cwledger.Entry) { h.writes = append(h.writes, e) }
 	opts.Submit, opts.Withdraw, opts.Ended = h.submit, h.withdraw, h.ended
