--- a/internal/app/cwentry/entry.go
+++ b/internal/app/cwentry/entry.go
@@ -173,7 +173,7 @@
 	claims.OrderWindow = o.Settings.StartWindow
 	keeper, stopKeeper := cwkeeper.New(cwkeeper.Options{
 		Timer: o.Timer, Log: o.Log, Workers: o.Workers, Pool: e.pool, Claims: claims, CallLimit: o.Settings.OrderTimeout,
-		Owned: e.owned, Extended: links.Extend, Lost: e.lost, Draining: scheduler.Draining, Closing: scheduler.Closing, Open: links.OpenRequests,
+		Owned: e.owned, Extended: links.Extend, Lost: e.lost, Usage: scheduler.Usage, Draining: scheduler.Draining, Closing: scheduler.Closing, Open: links.OpenRequests,
 	})
 	e.keeper = keeper
 	e.cleanup.Add(stopKeeper)
@@ -287,7 +287,7 @@
 	return cwport.Digest{
 		Host: e.opts.Settings.HostID, DataCentre: e.opts.Settings.DataCentre, Address: e.Peers,
 		Configuration: e.watcher.Present().Version, Workers: load.Workers, Free: load.Free, LargestFree: load.LargestFree,
-		Waiting: load.Waiting, Leaving: e.intake.Leaving(),
+		Waiting: load.Waiting, Leaving: e.intake.Leaving(), Teams: e.scheduler.TeamUses(),
 	}
 }
 
