--- a/internal/app/cwjobs/fuzz_test.go
+++ b/internal/app/cwjobs/fuzz_test.go
@@ -10,9 +10,12 @@
 	"pgregory.net/rapid"
 
 	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
+	"currantward/internal/app/cwsubmission"
 	"currantward/internal/core/cwjob"
 	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwpolicy"
 )
 
 // The seed and the number of checks are fixed unless the command line names others.
@@ -51,11 +54,12 @@
 // TestJobsEndAfter holds failures that the fuzz test has found.
 func TestJobsEndAfter(t *testing.T) {
 	cases := []struct {
-		name string
-		play func(f *fuzz)
+		name    string
+		profile cwmodel.ProfileName
+		play    func(f *fuzz)
 	}{
-		{"a home without workers", func(f *fuzz) { f.hosts[1].claim(f.workers[0]) }},
-		{"an adoption while the start order of the former home is lost", func(f *fuzz) {
+		{"a home without workers", "filings", func(f *fuzz) { f.hosts[1].claim(f.workers[0]) }},
+		{"an adoption while the start order of the former home is lost", "filings", func(f *fuzz) {
 			former, next := f.hosts[0], f.hosts[1]
 			former.claim(f.workers[0])
 			former.pump()
@@ -71,7 +75,7 @@
 			former.send(0, "order")
 			former.send(0, "order") // nor does the stop order arrive
 		}},
-		{"a home that dies before the result is written", func(f *fuzz) {
+		{"a home that dies before the result is written", "filings", func(f *fuzz) {
 			former := f.hosts[0]
 			former.claim(f.workers[0])
 			former.pump()
@@ -90,12 +94,43 @@
 			former.poll() // drops what is acknowledged
 			former.die()
 		}},
+		{"a worker that has restarted and is claimed again", "filings", func(f *fuzz) {
+			former := f.hosts[0]
+			former.claim(f.workers[0])
+			former.pump()
+			former.write("")
+			former.pump()
+			former.place(0)
+			former.pump()
+			former.write("")
+			former.pump()
+			former.send(0, "") // the attempt begins
+			f.advance(time.Second)
+			f.restart(f.workers[0])
+			former.die()
+			f.advance(time.Second)
+		}},
+		{"a cancellation of what runs since the moment in which its worker restarted", "portal", func(f *fuzz) {
+			former := f.hosts[0]
+			f.restart(f.workers[0])
+			former.claim(f.workers[0])
+			former.pump()
+			former.write("")
+			former.pump()
+			former.place(0)
+			former.pump()
+			former.write("")
+			former.pump()
+			former.send(0, "")
+			former.die()
+			f.advance(3 * time.Second)
+		}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			f := &fuzz{sim: newSim(1, 2, 1), accepted: map[cwmodel.JobID]bool{}, ended: map[string]string{}}
 			f.clock.Advance(5 * time.Second)
-			f.accept(t, f.hosts[0], "filings", 1)
+			f.accept(t, f.hosts[0], c.profile, 1)
 			c.play(f)
 			f.heal(t)
 		})
@@ -118,7 +153,10 @@
 
 // accept submits a job to one host.
 func (f *fuzz) accept(t rapid.TB, h *simHost, profile cwmodel.ProfileName, tasks int) {
-	job, err := h.jobs.prepare(Submission{Request: cwmodel.Request{Profile: profile, Team: "riders"}, Tasks: tasks})
+	builder := cwsubmission.Builder{
+		Self: h.jobs.opts.Self, DataCentre: h.jobs.opts.DataCentre, Configuration: func() *cwpolicy.Configuration { return &simConfiguration },
+	}
+	job, err := builder.Build(f.clock.Now(), cwsubmission.Submission{Request: cwmodel.Request{Profile: profile, Team: "riders"}, Tasks: tasks})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -202,7 +240,7 @@
 }
 
 func (f *fuzz) injectFault(t *rapid.T) {
-	fault := rapid.SampledFrom([]string{"kill", "kill", "boot", "boot", "boot", "table", "table", "ghost", "ghost", "worker"}).Draw(t, "fault")
+	fault := rapid.SampledFrom([]string{"kill", "kill", "boot", "boot", "boot", "table", "table", "ghost", "ghost", "worker", "restart"}).Draw(t, "fault")
 	h := f.host(t)
 	switch {
 	case fault == "kill" && h.alive:
@@ -213,6 +251,8 @@
 		f.down = !f.down
 	case fault == "ghost" && len(f.ghosts) > 0:
 		f.sendGhost()
+	case fault == "restart":
+		f.restart(f.workers[rapid.IntRange(0, len(f.workers)-1).Draw(t, "restarted")])
 	case fault == "worker" && rapid.IntRange(0, 5).Draw(t, "rarely") == 0:
 		f.workers[2].gone, f.workers[2].listed = true, false
 	}
@@ -242,16 +282,16 @@
 			t.Fatalf("task %s runs %d times at once", id, running[id])
 		}
 	}
-	for _, row := range f.table.Scan(prefixEnded, "", 1000) {
+	for _, row := range f.table.Scan(cwjobstore.PrefixEnded, "", 1000) {
 		f.checkEnded(t, row.Key, string(row.Value))
 	}
 	for _, id := range sortedKeys(f.over) {
-		if told := f.over[id]; told > 1 || f.table.Read(keyEnded(id)).Version == 0 {
-			t.Fatalf("the end of job %s was told %d times, its ended row has version %d", id, told, f.table.Read(keyEnded(id)).Version)
+		if told := f.over[id]; told > 1 || f.table.Read(cwjobstore.KeyEnded(id)).Version == 0 {
+			t.Fatalf("the end of job %s was told %d times, its ended row has version %d", id, told, f.table.Read(cwjobstore.KeyEnded(id)).Version)
 		}
 	}
 	for _, id := range sortedKeys(f.accepted) {
-		live, ended := f.table.Read(keyLive(id)).Version, f.table.Read(keyEnded(id)).Version
+		live, ended := f.table.Read(cwjobstore.KeyLive(id)).Version, f.table.Read(cwjobstore.KeyEnded(id)).Version
 		if (live > 0) == (ended > 0) {
 			t.Fatalf("job %s has a live row of version %d and an ended row of version %d", id, live, ended)
 		}
@@ -298,16 +338,16 @@
 			return
 		}
 	}
-	for _, row := range f.table.Scan(prefixLive, "", 100) {
+	for _, row := range f.table.Scan(cwjobstore.PrefixLive, "", 100) {
 		t.Logf("%s", row.Value)
 	}
 	for _, h := range f.hosts {
 		t.Logf("%s owns %v, queue %d, calls %d, writes %d, orders %d, entries %d, scan %+v", h.id, h.owned, len(h.queue), len(h.calls), len(h.writes), len(h.orders), len(h.jobs.entries), h.jobs.scan)
 		for id, e := range h.jobs.entries {
-			t.Logf("  %s busy %v stale %v retry %v changes %d job %+v", id, e.busy, e.stale, e.retryAt.Sub(f.clock.Now()), len(e.changes), e.job)
+			t.Logf("  %s busy %v stale %v retry %v changes %d job %+v", id, e.busy, e.stale, e.retryAt.Sub(f.clock.Now()), e.Waiting(), e.Job)
 		}
 	}
-	t.Fatalf("%d jobs have not ended", len(f.table.Scan(prefixLive, "", 100)))
+	t.Fatalf("%d jobs have not ended", len(f.table.Scan(cwjobstore.PrefixLive, "", 100)))
 }
 
 // round lets every host do everything that it can.
@@ -351,11 +391,11 @@
 
 // cancelServices cancels what would run for ever and reports whether no live job is left.
 func (f *fuzz) cancelServices() bool {
-	rows := f.table.Scan(prefixLive, "", 100)
+	rows := f.table.Scan(cwjobstore.PrefixLive, "", 100)
 	for _, row := range rows {
 		job, err := cwcodec.DecodeJob(row.Value)
 		if err == nil && job.Kind == cwmodel.KindService && !job.Cancelled {
-			id := cwmodel.JobID(strings.TrimPrefix(row.Key, prefixLive))
+			id := cwmodel.JobID(strings.TrimPrefix(row.Key, cwjobstore.PrefixLive))
 			f.hosts[0].jobs.deliver(event{kind: eventCancel, id: id, reply: func(cwledger.Verdict) {}})
 			f.hosts[0].pump()
 		}
--- a/internal/app/cwjobs/jobs.go
+++ b/internal/app/cwjobs/jobs.go
@@ -7,20 +7,22 @@
 import (
 	"context"
 	"maps"
-	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"currantward/internal/app/cwattempt"
+	"currantward/internal/app/cwjobrow"
+	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
 	"currantward/internal/base/cwduty"
 	"currantward/internal/base/cwring"
 	"currantward/internal/base/cwtimer"
 	"currantward/internal/core/cwdecider"
 	"currantward/internal/core/cwjob"
+	"currantward/internal/core/cwjobfleet"
 	"currantward/internal/core/cwmodel"
-	"currantward/internal/core/cwpolicy"
 	"currantward/internal/port/cwport"
 )
 
@@ -40,17 +42,15 @@
 	ScanEvery     time.Duration // between looks at all live jobs when nothing else asks for one
 	AdoptAfter    time.Duration // a home that is gone for longer is adopted from
 	CallLimit     time.Duration // of one call to the table, the object store or a worker
-	WriteLimit    time.Duration // how long a caller or a start waits for its commit
+	WriteLimit    time.Duration // how long the acceptance of a job or a start waits for its commit
 	RetryAfter    time.Duration // before a task that could not be placed is submitted again
 	HandOverAfter time.Duration // a job that waits for longer goes to a peer that has room
 	VerifyAfter   time.Duration // an attempt that is outstanding for longer is looked for at its worker, once
 	LeaseGrace    time.Duration // added to a lease before an attempt on a host that is gone counts as over
-	InlineSize    int           // larger payloads and answers go to the object store
+	InlineSize    int           // larger answers go to the object store
 
 	// Go runs work that may block; it fails if there is no room for it.
 	Go func(work func()) error
-	// Configuration returns the configuration in force.
-	Configuration func() *cwpolicy.Configuration
 	// Write hands one entry to the ledger.
 	Write func(e cwledger.Entry)
 	// Submit hands a task to the scheduler; it returns false if there is no room.
@@ -59,8 +59,8 @@
 	SubmitGang func(tasks []cwmodel.Task, reply func(cwmodel.Answer)) bool
 	// Roomiest returns a live peer of this data centre where a task of this demand would start at once.
 	Roomiest func(demand cwmodel.Resources) (host cwmodel.HostID, ok bool)
-	// Cancel withdraws a task from the scheduler.
-	Cancel func(ctx context.Context, id cwmodel.TaskID) error
+	// Withdraw ends a task that the scheduler holds.
+	Withdraw func(ctx context.Context, id cwmodel.TaskID) error
 	// Ended tells the scheduler that an attempt is over.
 	Ended func(ctx context.Context, r cwmodel.Result) error
 	// Order sends a start or stop order to an owned worker; it must not block.
@@ -115,6 +115,8 @@
 	reply      func(verdict cwledger.Verdict)
 	action     cwdecider.Action
 	result     cwmodel.Result
+	attempt    cwmodel.Attempt
+	finding    cwattempt.Finding
 	answer     cwmodel.Answer
 	inventory  cwport.Inventory
 	worker     cwmodel.HostID
@@ -122,32 +124,18 @@
 	hosts      []cwmodel.HostID
 	rows       []cwport.Row
 	payload    []byte
-	change     change
+	change     cwjobrow.Change
 	again      bool // the event comes back to be tried anew
 	err        error
 }
 
-// ownedWorker is a worker that this host may start work on, as its claim found it.
-type ownedWorker struct {
-	worker  cwmodel.Worker
-	epoch   cwmodel.Epoch
-	running map[cwmodel.TaskID]int // number of the attempt
-}
-
-// listing is what the host list says of one worker.
-type listing struct {
-	addr    netip.AddrPort
-	missing time.Time // when it was first seen to be gone; zero while it is listed
-}
-
 // Jobs owns the jobs of one entry host.
 type Jobs struct {
 	opts       Options
+	store      *cwjobstore.Store
 	inbox      *cwring.Ring[event]
 	entries    map[cwmodel.JobID]*entry
-	owned      map[cwmodel.HostID]*ownedWorker
-	listed     map[cwmodel.HostID]*listing  // workers that the host list shows or has shown
-	peers      map[cwmodel.HostID]time.Time // entry hosts of this data centre, by when they were last live
+	fleet      *cwjobfleet.Fleet
 	began      time.Time
 	scan       scan
 	hinting    bool
@@ -168,9 +156,8 @@
 
 func newJobs(opts Options) *Jobs {
 	j := &Jobs{
-		opts: opts, inbox: cwring.New[event](opts.InboxSize), entries: map[cwmodel.JobID]*entry{},
-		owned: map[cwmodel.HostID]*ownedWorker{}, listed: map[cwmodel.HostID]*listing{},
-		peers: map[cwmodel.HostID]time.Time{}, began: opts.Timer.Now(),
+		opts: opts, store: cwjobstore.New(opts.Table, opts.Objects), inbox: cwring.New[event](opts.InboxSize), entries: map[cwmodel.JobID]*entry{},
+		fleet: cwjobfleet.New(opts.Self, opts.AdoptAfter), began: opts.Timer.Now(),
 	}
 	j.scan.due = j.began.Add(opts.AdoptAfter)
 	return j
@@ -240,9 +227,9 @@
 	case eventOwned:
 		j.takeWorker(e.inventory)
 	case eventLost:
-		delete(j.owned, e.worker)
+		j.fleet.Lose(e.worker)
 	case eventView:
-		j.view(e)
+		j.fleet.View(j.opts.Timer.Now(), e.workers, e.hosts)
 	case eventTick:
 		j.tick(ctx)
 	default:
@@ -262,7 +249,7 @@
 	case eventPayload:
 		j.fetched(ctx, e)
 	case eventSettled:
-		j.settled(e)
+		j.settled(ctx, e)
 	case eventStored:
 		j.stored(ctx, e)
 	case eventPage:
@@ -282,57 +269,19 @@
 }
 
 func (j *Jobs) takeWorker(inventory cwport.Inventory) {
-	w := &ownedWorker{worker: inventory.Worker, epoch: inventory.Epoch, running: map[cwmodel.TaskID]int{}}
-	for _, r := range inventory.Running {
-		w.running[r.Attempt.Task] = r.Attempt.Number
-	}
-	j.owned[w.worker.ID] = w
+	worker := cwjobfleet.NewWorker(inventory.Worker.Address, inventory.Epoch, inventory.Booted, inventory.Running)
+	j.fleet.Own(inventory.Worker.ID, worker)
 	j.scanSoon()
 }
 
-// view notes which hosts are there and asks for a scan once one is gone.
-func (j *Jobs) view(e event) {
-	now := j.opts.Timer.Now()
-	for _, host := range e.hosts {
-		j.peers[host] = now
-	}
-	if len(e.workers) == 0 {
-		return
-	}
-	present := map[cwmodel.HostID]bool{}
-	for _, w := range e.workers {
-		present[w.ID] = true
-		j.listed[w.ID] = &listing{addr: w.Address}
-	}
-	for id, l := range j.listed {
-		if !present[id] && l.missing.IsZero() {
-			l.missing = now
-		}
-	}
-}
-
-// liveHosts returns the entry hosts that were live until lately.
-func (j *Jobs) liveHosts() (hosts []cwmodel.HostID) {
-	for host, at := range j.peers {
-		if j.opts.Timer.Now().Sub(at) <= j.opts.AdoptAfter {
-			hosts = append(hosts, host)
-		}
-	}
-	slices.Sort(hosts)
-	return hosts
-}
-
 func (j *Jobs) tick(ctx context.Context) {
 	now := j.opts.Timer.Now()
-	for host, at := range j.peers {
-		if now.Sub(at) > j.opts.AdoptAfter {
-			delete(j.peers, host)
-			j.scanSoon()
-		}
+	if j.fleet.ForgetPeers(now) {
+		j.scanSoon()
 	}
 	for _, id := range slices.Sorted(maps.Keys(j.entries)) {
 		if e, ok := j.entries[id]; ok {
-			j.expireOrders(e)
+			e.Expire(now)
 			j.advance(ctx, e)
 		}
 	}
--- a/internal/app/cwjobs/scan.go
+++ b/internal/app/cwjobs/scan.go
@@ -2,23 +2,20 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"currantward/internal/adapter/cwcodec"
+	"currantward/internal/app/cwjobrow"
+	"currantward/internal/app/cwjobstore"
 	"currantward/internal/app/cwledger"
 	"currantward/internal/base/cwfault"
 	"currantward/internal/core/cwjob"
 	"currantward/internal/core/cwmodel"
-	"currantward/internal/core/cwowner"
 	"currantward/internal/port/cwport"
 )
 
-// pageSize is how many rows one scan of the table returns.
-const pageSize = 200
-
 // scanPause lets several changes of the hosts lead to one scan.
 const scanPause = 500 * time.Millisecond
 
@@ -52,7 +49,7 @@
 	}
 	after := j.scan.after
 	j.scan.busy = j.call(ctx, func(ctx context.Context) event {
-		rows, err := j.opts.Table.Scan(ctx, prefixLive, after, pageSize)
+		rows, err := j.store.ScanLive(ctx, after)
 		return event{kind: eventPage, rows: rows, err: err}
 	})
 }
@@ -73,7 +70,7 @@
 		}
 		j.found(ctx, job, row.Version)
 	}
-	if len(back.rows) < pageSize {
+	if len(back.rows) < cwjobstore.PageSize {
 		j.scan.on, j.scan.after = false, ""
 		return
 	}
@@ -83,19 +80,19 @@
 // found looks at one live job: ours, to be adopted, or only in need of something on a worker of ours.
 func (j *Jobs) found(ctx context.Context, job *cwjob.Job, version cwport.RowVersion) {
 	if e, ok := j.entries[job.ID]; ok {
-		e.stale = e.stale || (!e.busy && e.version != version)
+		e.stale = e.stale || (!e.busy && e.Version != version)
 		j.advance(ctx, e)
 		return
 	}
 	if job.DataCentre != j.opts.DataCentre {
 		return
 	}
-	mayAdopt := j.mayAdopt(job)
-	if job.Home != j.opts.Self && !mayAdopt && !j.needsAttention(job) {
+	mayAdopt := j.fleet.MayAdopt(j.opts.Timer.Now(), job)
+	if job.Home != j.opts.Self && !mayAdopt && !j.fleet.NeedsAttention(job) {
 		return
 	}
 	e := j.entryOf(job.ID)
-	e.job, e.version = job, version
+	e.Load(job, version)
 	if mayAdopt {
 		j.adopt(ctx, e)
 		return
@@ -103,43 +100,18 @@
 	j.advance(ctx, e)
 }
 
-// mayAdopt reports whether the home of a job is gone and this host is the one to take over.
-func (j *Jobs) mayAdopt(job *cwjob.Job) bool {
-	if job.Home.Host == j.opts.Self.Host {
-		return job.Home.Incarnation < j.opts.Self.Incarnation
-	}
-	live := append(j.liveHosts(), j.opts.Self.Host)
-	for _, host := range live {
-		if host == job.Home.Host {
-			return false
-		}
-	}
-	return cwowner.Preferred(cwmodel.HostID(job.ID), live) == j.opts.Self.Host
-}
-
-// needsAttention reports whether an attempt on a worker of ours may have to be settled or stopped.
-func (j *Jobs) needsAttention(job *cwjob.Job) bool {
-	for _, t := range job.Tasks {
-		w, ok := j.owned[t.Attempt.Worker]
-		if ok && t.Phase == cwjob.PhaseOrdered && (job.IsStopping() || w.epoch != t.Attempt.Epoch) {
-			return true
-		}
-	}
-	return false
-}
-
 // adopt makes this host the home of a job by compare-and-set; the former home is fenced by the row's version.
 func (j *Jobs) adopt(ctx context.Context, e *entry) {
-	former := e.job.Home
-	j.wish(ctx, e, change{
-		apply: func(_ time.Time, job *cwjob.Job) bool {
+	former := e.Job.Home
+	j.wish(ctx, e, cwjobrow.Change{
+		Apply: func(_ time.Time, job *cwjob.Job) bool {
 			isSame := job.Home == former
 			if isSame {
 				job.Home = j.opts.Self
 			}
 			return isSame
 		},
-		done: func(applied bool) {
+		Done: func(applied bool) {
 			if applied {
 				j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "former-home": former.Host}).Info("job-adopted")
 			}
@@ -153,9 +125,8 @@
 		return
 	}
 	j.nextHint = now.Add(j.opts.HintEvery)
-	prefix := prefixHint + string(j.opts.Self.Host) + "/"
 	j.hinting = j.call(ctx, func(ctx context.Context) event {
-		rows, err := j.opts.Table.Scan(ctx, prefix, "", pageSize)
+		rows, err := j.store.ScanHints(ctx, j.opts.Self.Host)
 		return event{kind: eventHints, rows: rows, err: err}
 	})
 }
@@ -166,24 +137,20 @@
 		return
 	}
 	for _, row := range back.rows {
-		id := cwmodel.JobID(strings.TrimPrefix(row.Key, prefixHint+string(j.opts.Self.Host)+"/"))
+		id := cwjobstore.HintedJob(j.opts.Self.Host, row.Key)
 		e := j.entryOf(id)
 		e.stale, e.hinted = true, !j.isHome(e)
 		j.advance(ctx, e)
-		j.opts.Write(cwledger.Entry{
-			Checks: []cwport.Check{{Key: row.Key, Version: row.Version}}, Deletes: []string{row.Key},
-			Deadline: j.opts.Timer.Now().Add(j.opts.WriteLimit), Done: func(cwledger.Verdict) {},
-		})
+		j.writeHint(cwjobstore.RemoveHint(row))
 	}
 }
 
 // hintOwner tells the owner of a worker to look at a job.
 func (j *Jobs) hintOwner(ctx context.Context, id cwmodel.JobID, worker cwmodel.HostID) {
-	l, ok := j.listed[worker]
-	if !ok || !l.addr.IsValid() {
+	addr, ok := j.fleet.Address(worker)
+	if !ok {
 		return
 	}
-	addr := l.addr
 	_ = j.opts.Go(func() {
 		callCtx, cancel := context.WithTimeout(ctx, j.opts.CallLimit)
 		defer cancel()
@@ -191,9 +158,11 @@
 		if err != nil || inventory.Owner == "" || inventory.Owner == j.opts.Self.Host {
 			return
 		}
-		j.opts.Write(cwledger.Entry{
-			Puts:     []cwport.Put{{Key: keyHint(inventory.Owner, id)}},
-			Deadline: j.opts.Timer.Now().Add(j.opts.WriteLimit), Done: func(cwledger.Verdict) {},
-		})
+		j.writeHint(cwjobstore.Hint(inventory.Owner, id))
 	})
 }
+
+func (j *Jobs) writeHint(w cwledger.Entry) {
+	w.Deadline = j.opts.Timer.Now().Add(j.opts.WriteLimit)
+	j.opts.Write(w)
+}
