Wait anew before a fall-back claim once the worker has an owner

Cause: 24 s after its start each entry host tried to claim every worker for which it is the second in rank, twice a second, for ever: the wait counted from when this host itself last owned the worker, not from when nobody did. Ruled out: dropping the fall-back, which serves a worker that its preferred owner cannot reach. Change: a conflict starts the wait anew; the capacity command measures after 30 s, when such traffic would show.

--- a/internal/bench/cwcapacity/measure.go
+++ b/internal/bench/cwcapacity/measure.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	settleTime  = 5 * time.Second // between the set-up and the measured window
+	settleTime  = 30 * time.Second // until the last claims, fall-backs included, are settled
 	setUpLimit  = 2 * time.Minute
 	changes     = 10 // configuration changes that are timed
 	longRequest = time.Hour
--- a/internal/core/cwclaim/machine.go
+++ b/internal/core/cwclaim/machine.go
@@ -241,7 +241,7 @@
 
 func (m *Machine) claimFailed(now time.Time, c *claim, code cwfault.Code) {
 	if code == cwfault.Conflict || code == cwfault.StaleEpoch {
-		c.failures = 0
+		c.failures, c.notOwned = 0, now // another host owns it
 		c.next = now.Add(m.opts.RenewEvery/4 + m.jitter(m.opts.RenewEvery/4))
 		return
 	}
--- a/internal/core/cwclaim/machine_test.go
+++ b/internal/core/cwclaim/machine_test.go
@@ -96,6 +96,10 @@
 		{"a less preferred host claims nothing at first, but falls back in the end", []step{
 			{event: onView, hosts: "self," + better}, {event: onTick, wait: 23 * time.Second, want: ""}, {event: onTick, wait: time.Second, want: "claim"},
 		}},
+		{"a less preferred host waits anew once it hears of an owner", []step{
+			{event: onView, hosts: "self," + better}, {event: onTick, wait: 4 * ttl, want: "claim"}, {event: onClaimed, code: cwfault.Conflict},
+			{event: onTick, wait: ttl, want: ""}, {event: onTick, wait: 3 * ttl, want: "claim"},
+		}},
 		{"a worker that says it leaves is drained and kept", after(
 			step{event: onTick, wait: 2 * time.Second, want: "renew"}, step{event: onRenewed, leaving: true, want: "extended drain:leaving"},
 			step{event: onTick, wait: 2 * time.Second, want: "renew"}, step{event: onRenewed, leaving: true, want: "extended"},
