--- a/internal/app/cwcommand/command.go
+++ b/internal/app/cwcommand/command.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -171,15 +170,11 @@
 	return nil
 }
 
-// gcPercent keeps the heap of an entry host small: its live data is a few mebibytes.
-const gcPercent = 50
-
 func (r *runtime) serve(a *serveArgs) error {
 	settings, err := cwsettings.Load(a.Settings)
 	if err != nil {
 		return err
 	}
-	debug.SetGCPercent(gcPercent)
 	log := cwlog.New(r.errors, settings.LogLevel)
 	entry, stop, err := cwdev.StartEntry(settings, r.timer, log)
 	if err != nil {
