Name the queue of a job's changes by the field's terms

Cause: read as a newcomer, 'wish' and 'fate' are words of our own. Ruled out: nothing. Change: names and comments only. Before and after: go test ./internal/app/cwjobs passes before and after. Conclusion: kept.

--- a/internal/adapter/cwfront/job.go
+++ b/internal/adapter/cwfront/job.go
@@ -74,7 +74,7 @@
 	cwhttp.WriteJSON(ctx, fasthttp.StatusOK, document)
 }
 
-// writeJob answers with a job, or with an error that names the job where its fate is not known.
+// writeJob answers with a job, or with an error that names the job where its outcome is not known.
 func writeJob(ctx *fasthttp.RequestCtx, status int, job *cwjob.Job, err error) {
 	if err != nil {
 		cwhttp.WriteError(ctx, err)
--- a/internal/app/cwjobrow/row.go
+++ b/internal/app/cwjobrow/row.go
@@ -11,7 +11,7 @@
 	"currantward/internal/port/cwport"
 )
 
-// Change is one wish to change a job; it is made on the committed state.
+// Change is one pending change of a job; it is applied to the committed state.
 type Change struct {
 	Apply    func(now time.Time, job *cwjob.Job) bool
 	Done     func(applied bool) // called once the change is committed, or can never be
--- a/internal/app/cwjobs/accept.go
+++ b/internal/app/cwjobs/accept.go
@@ -65,7 +65,7 @@
 }
 
 func (j *Jobs) cancel(ctx context.Context, c event) {
-	j.wish(ctx, j.entryOf(c.id), cwjobrow.Change{
+	j.enqueue(ctx, j.entryOf(c.id), cwjobrow.Change{
 		Apply: func(now time.Time, job *cwjob.Job) bool { return job.Cancel(now) },
 		Done:  func(bool) { c.reply(cwledger.Committed) },
 	})
--- a/internal/app/cwjobs/attend.go
+++ b/internal/app/cwjobs/attend.go
@@ -103,7 +103,7 @@
 func (j *Jobs) lose(ctx context.Context, e *entry, n int, attempt cwmodel.Attempt) {
 	now := j.opts.Timer.Now()
 	j.opts.Log.WithFields(logrus.Fields{"job-id": e.id, "task": attempt.Task, "attempt": attempt.Number, "worker": attempt.Worker}).Warn("attempt-lost")
-	j.wish(ctx, e, cwjobrow.Change{
+	j.enqueue(ctx, e, cwjobrow.Change{
 		Apply: func(now time.Time, job *cwjob.Job) bool { return job.Lose(now, n, attempt.Number) },
 		Done: func(applied bool) {
 			if applied {
--- a/internal/app/cwjobs/drive.go
+++ b/internal/app/cwjobs/drive.go
@@ -164,7 +164,7 @@
 	if !isLate && !isTooLarge && !lasting[back.answer.Reason] {
 		return
 	}
-	j.wish(ctx, e, cwjobrow.Change{
+	j.enqueue(ctx, e, cwjobrow.Change{
 		Apply: func(now time.Time, job *cwjob.Job) bool {
 			return job.Home == j.opts.Self && job.Refuse(now, back.task, back.answer.Reason)
 		},
@@ -205,7 +205,7 @@
 }
 
 func (j *Jobs) handOver(ctx context.Context, e *entry, to cwmodel.HostID, isTooLarge bool) {
-	j.wish(ctx, e, cwjobrow.Change{
+	j.enqueue(ctx, e, cwjobrow.Change{
 		Deadline: j.opts.Timer.Now().Add(j.opts.WriteLimit),
 		Apply: func(_ time.Time, job *cwjob.Job) bool {
 			if job.Home != j.opts.Self || !job.HandOver(to) {
--- a/internal/app/cwjobs/entry.go
+++ b/internal/app/cwjobs/entry.go
@@ -62,8 +62,8 @@
 
 func (j *Jobs) isHome(e *entry) bool { return e.Job != nil && e.Job.Home == j.opts.Self }
 
-// wish adds a change and sends it as soon as nothing is under way for this job.
-func (j *Jobs) wish(ctx context.Context, e *entry, c cwjobrow.Change) {
+// enqueue adds a change and sends it as soon as nothing is under way for this job.
+func (j *Jobs) enqueue(ctx context.Context, e *entry, c cwjobrow.Change) {
 	e.Add(c)
 	j.advance(ctx, e)
 }
@@ -223,7 +223,7 @@
 		return
 	}
 	var refused error
-	j.wish(ctx, e, cwjobrow.Change{
+	j.enqueue(ctx, e, cwjobrow.Change{
 		Deadline: j.opts.Timer.Now().Add(j.opts.WriteLimit),
 		Apply: func(now time.Time, job *cwjob.Job) bool {
 			if job.Home != j.opts.Self {
@@ -279,7 +279,7 @@
 		Done: func(bool) { j.opts.Acknowledge(r.Attempt) },
 	}
 	if len(r.Answer) <= j.opts.InlineSize {
-		j.wish(ctx, e, c)
+		j.enqueue(ctx, e, c)
 		return
 	}
 	j.storeAnswer(ctx, e, r, c)
@@ -304,7 +304,7 @@
 
 func (j *Jobs) stored(ctx context.Context, back event) {
 	if back.err == nil {
-		j.wish(ctx, j.entryOf(back.id), back.change)
+		j.enqueue(ctx, j.entryOf(back.id), back.change)
 		return
 	}
 	if back.again {
--- a/internal/app/cwjobs/scan.go
+++ b/internal/app/cwjobs/scan.go
@@ -103,7 +103,7 @@
 // adopt makes this host the home of a job by compare-and-set; the former home is fenced by the row's version.
 func (j *Jobs) adopt(ctx context.Context, e *entry) {
 	former := e.Job.Home
-	j.wish(ctx, e, cwjobrow.Change{
+	j.enqueue(ctx, e, cwjobrow.Change{
 		Apply: func(_ time.Time, job *cwjob.Job) bool {
 			isSame := job.Home == former
 			if isSame {
