Write the totals every 2 s again

Ruled out: a wider bound in the test, which would ease a promise for the sake of bytes. Change: the default is 2 s, as before; docs/CAPACITY.md says what that costs. Conclusion: the bytes with the platform are to be saved by writing less often changed lines apart.

--- a/internal/app/cwsettings/settings.go
+++ b/internal/app/cwsettings/settings.go
@@ -117,7 +117,7 @@
 		SilenceLimit:    cwcodec.Duration(3 * time.Second),
 		PeerTimeout:     cwcodec.Duration(time.Second),
 		ConfigEvery:     cwcodec.Duration(time.Second),
-		TotalsEvery:     cwcodec.Duration(5 * time.Second),
+		TotalsEvery:     cwcodec.Duration(2 * time.Second),
 		MaxMetricLabels: 200,
 	}
 }
