Return a clear error where an address is taken

Cause: New of the entry host set its named result to nil on a failed start, and its deferred clean-up then used it: a busy address ended the process with a nil dereference instead of an error. Ruled out: checking addresses beforehand, which another process can still take in between. Change: the host under construction has a name of its own. Before and after: TestBusyAddressIsAClearError panicked before, passes after.

--- /dev/null
+++ b/internal/app/cwdev/start_test.go
@@ -0,0 +1,44 @@
+package cwdev_test
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"currantward/internal/app/cwdev"
+	"currantward/internal/app/cwsettings"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/base/cwtimer"
+)
+
+func TestBusyAddressIsAClearError(t *testing.T) {
+	busy, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer func() { _ = busy.Close() }()
+	taken := netip.MustParseAddrPort(busy.Addr().String())
+	cases := []struct {
+		name string
+		set  func(s *cwsettings.Settings)
+	}{
+		{"callers", func(s *cwsettings.Settings) { s.ListenCallers = taken }},
+		{"operators", func(s *cwsettings.Settings) { s.ListenOperators = taken }},
+		{"peers", func(s *cwsettings.Settings) { s.ListenPeers = taken }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			document := cwsettings.Defaults()
+			document.HostID, document.DataCentre, document.Platform = "entry-1", "cairo-1", "127.0.0.1:1"
+			document.ListenCallers, document.ListenOperators, document.ListenPeers = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+			settings, err := document.Check()
+			is.NoErr(err)
+			c.set(&settings)
+			timer, stopTimer := cwtimer.New()
+			defer stopTimer()
+			_, _, err = cwdev.StartEntry(settings, timer, cwlog.Discard())
+			is.True(err != nil)
+		})
+	}
+}
--- a/internal/app/cwentry/entry.go
+++ b/internal/app/cwentry/entry.go
@@ -32,6 +32,7 @@
 	"currantward/internal/base/cwhttp"
 	"currantward/internal/base/cwtimer"
 	"currantward/internal/core/cwclaim"
+	"currantward/internal/core/cwdecider"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwpolicy"
 	"currantward/internal/core/cwroute"
@@ -109,9 +110,9 @@
 }
 
 // New starts an entry host and returns the function that shuts it down gracefully.
-func New(opts Options) (e *Entry, stop func(), err error) {
+func New(opts Options) (started *Entry, stop func(), err error) {
 	defer func() { err = eris.Wrap(err, "start entry host") }()
-	e = &Entry{opts: opts, Drained: make(chan struct{}), started: make(chan struct{}), metrics: cwmetric.New(opts.Settings.MaxMetricLabels), traffic: &cwhttp.Traffic{}}
+	e := &Entry{opts: opts, Drained: make(chan struct{}), started: make(chan struct{}), metrics: cwmetric.New(opts.Settings.MaxMetricLabels), traffic: &cwhttp.Traffic{}}
 	defer func() {
 		if err != nil {
 			e.cleanup.Run()
@@ -229,7 +230,7 @@
 	}
 }
 
-func (e *Entry) order(action actionOf) {
+func (e *Entry) order(action cwdecider.Action) {
 	if action.Task.Durable {
 		e.jobs.Action(action)
 		return
--- a/internal/app/cwentry/front.go
+++ b/internal/app/cwentry/front.go
@@ -10,13 +10,9 @@
 	"currantward/internal/adapter/cwcodec"
 	"currantward/internal/adapter/cwfront"
 	"currantward/internal/base/cwhttp"
-	"currantward/internal/core/cwdecider"
 	"currantward/internal/core/cwmodel"
 )
 
-// actionOf shortens the name of the decider's action in this package.
-type actionOf = cwdecider.Action
-
 // startFronts starts the listeners for callers and operators.
 func (e *Entry) startFronts() (err error) {
 	o := e.opts
