--- a/internal/bench/cwcapacity/fleet.go
+++ b/internal/bench/cwcapacity/fleet.go
@@ -43,14 +43,14 @@
 }
 
 // startFleet starts everything that a point asks for and returns the function that stops it.
-func startFleet(point Point) (f *fleet, stop func(), err error) {
+func startFleet(point Point) (started *fleet, stop func(), err error) {
 	var cleanup cwduty.Cleanup
 	defer func() {
 		if err != nil {
 			cleanup.Run()
 		}
 	}()
-	f = &fleet{}
+	f := &fleet{}
 	f.timer, stop = cwtimer.New()
 	cleanup.Add(stop)
 	if f.store, f.platform, stop, err = cwstore.New(cwstore.Options{Listen: anyPort, Timer: f.timer, Log: cwlog.Discard()}); err != nil {
--- a/internal/proof/cwprocess/cluster.go
+++ b/internal/proof/cwprocess/cluster.go
@@ -65,9 +65,9 @@
 }
 
 // New starts a cluster, waits until it serves and returns the function that ends it.
-func New(ctx context.Context, opts Options) (c *Cluster, stop func(), err error) {
+func New(ctx context.Context, opts Options) (started *Cluster, stop func(), err error) {
 	defer func() { err = eris.Wrap(err, "start cluster") }()
-	c = &Cluster{opts: opts}
+	c := &Cluster{opts: opts}
 	defer func() {
 		if err != nil {
 			c.cleanup.Run()
