Give job's subcommands the default address of the callers' listener

Found by running the README's commands from a fresh clone. Ruled out: a default in code, which the help would not show. Change: the option stands in each subcommand, as that of operators does.

--- a/internal/app/cwcommand/job.go
+++ b/internal/app/cwcommand/job.go
@@ -15,41 +15,48 @@
 
 // jobArgs are the subcommands of job.
 type jobArgs struct {
-	Submit  *jobSubmitArgs `arg:"subcommand:submit" help:"submit one job"`
-	Get     *jobIDArgs     `arg:"subcommand:get" help:"print one job"`
-	List    *jobListArgs   `arg:"subcommand:list" help:"print the jobs of a team"`
-	Cancel  *jobIDArgs     `arg:"subcommand:cancel" help:"cancel one job"`
+	Submit *jobSubmitArgs `arg:"subcommand:submit" help:"submit one job"`
+	Get    *jobIDArgs     `arg:"subcommand:get" help:"print one job"`
+	List   *jobListArgs   `arg:"subcommand:list" help:"print the jobs of a team"`
+	Cancel *jobIDArgs     `arg:"subcommand:cancel" help:"cancel one job"`
+}
+
+// callerArgs name the listener for callers.
+type callerArgs struct {
 	Callers netip.AddrPort `arg:"--callers" default:"127.0.0.1:8080" help:"address of an entry host's listener for callers"`
 }
 
 type jobSubmitArgs struct {
 	File string `arg:"positional,required" help:"file with one JSON job, or - for standard input"`
+	callerArgs
 }
 
 type jobIDArgs struct {
 	ID string `arg:"positional,required" help:"identifier of the job"`
+	callerArgs
 }
 
 type jobListArgs struct {
 	Team string `arg:"positional,required" help:"name of the team"`
+	callerArgs
 }
 
 func (r *runtime) job(a *jobArgs) error {
 	switch {
 	case a.Submit != nil:
-		return r.submitJob(a)
+		return r.submitJob(a.Submit)
 	case a.Get != nil:
-		return r.callJobs(a.Callers, fasthttp.MethodGet, jobPath(a.Get.ID), nil)
+		return r.callJobs(a.Get.Callers, fasthttp.MethodGet, jobPath(a.Get.ID), nil)
 	case a.Cancel != nil:
-		return r.callJobs(a.Callers, fasthttp.MethodDelete, jobPath(a.Cancel.ID), nil)
+		return r.callJobs(a.Cancel.Callers, fasthttp.MethodDelete, jobPath(a.Cancel.ID), nil)
 	case a.List != nil:
-		return r.callJobs(a.Callers, fasthttp.MethodGet, cwfront.PathJobs+"?team="+url.QueryEscape(a.List.Team), nil)
+		return r.callJobs(a.List.Callers, fasthttp.MethodGet, cwfront.PathJobs+"?team="+url.QueryEscape(a.List.Team), nil)
 	}
 	return cwfault.New(cwfault.Invalid, "job needs one of submit, get, list and cancel")
 }
 
-func (r *runtime) submitJob(a *jobArgs) error {
-	data, err := readFile(a.Submit.File)
+func (r *runtime) submitJob(a *jobSubmitArgs) error {
+	data, err := readFile(a.File)
 	if err != nil {
 		return err
 	}
