--- a/internal/app/cwjobs/fuzz_test.go
+++ b/internal/app/cwjobs/fuzz_test.go
@@ -51,6 +51,18 @@
 	})
 }
 
+// orderFirst claims a worker and commits the first attempt of the only job, whose start order is then ready to be sent.
+func (h *simHost) orderFirst(w *simWorker) {
+	h.claim(w)
+	h.pump()
+	h.write("") // the job is accepted
+	h.pump()
+	h.place(0)
+	h.pump()
+	h.write("") // the attempt is committed
+	h.pump()
+}
+
 // TestJobsEndAfter holds failures that the fuzz test has found.
 func TestJobsEndAfter(t *testing.T) {
 	cases := []struct {
@@ -61,14 +73,7 @@
 		{"a home without workers", "filings", func(f *fuzz) { f.hosts[1].claim(f.workers[0]) }},
 		{"an adoption while the start order of the former home is lost", "filings", func(f *fuzz) {
 			former, next := f.hosts[0], f.hosts[1]
-			former.claim(f.workers[0])
-			former.pump()
-			former.write("") // the job is accepted
-			former.pump()
-			former.place(0)
-			former.pump()
-			former.write("") // the attempt is committed
-			former.pump()
+			former.orderFirst(f.workers[0])
 			next.view(nil)
 			f.advance(5 * time.Second)
 			next.drain() // the job is adopted, as the former home is not seen
@@ -77,14 +82,7 @@
 		}},
 		{"a home that dies before the result is written", "filings", func(f *fuzz) {
 			former := f.hosts[0]
-			former.claim(f.workers[0])
-			former.pump()
-			former.write("")
-			former.pump()
-			former.place(0)
-			former.pump()
-			former.write("")
-			former.pump()
+			former.orderFirst(f.workers[0])
 			former.send(0, "")
 			for range 25 {
 				f.advance(time.Second)
@@ -96,14 +94,7 @@
 		}},
 		{"a worker that has restarted and is claimed again", "filings", func(f *fuzz) {
 			former := f.hosts[0]
-			former.claim(f.workers[0])
-			former.pump()
-			former.write("")
-			former.pump()
-			former.place(0)
-			former.pump()
-			former.write("")
-			former.pump()
+			former.orderFirst(f.workers[0])
 			former.send(0, "") // the attempt begins
 			f.advance(time.Second)
 			f.restart(f.workers[0])
@@ -113,14 +104,7 @@
 		{"a cancellation of what runs since the moment in which its worker restarted", "portal", func(f *fuzz) {
 			former := f.hosts[0]
 			f.restart(f.workers[0])
-			former.claim(f.workers[0])
-			former.pump()
-			former.write("")
-			former.pump()
-			former.place(0)
-			former.pump()
-			former.write("")
-			former.pump()
+			former.orderFirst(f.workers[0])
 			former.send(0, "")
 			former.die()
 			f.advance(3 * time.Second)
