--- /dev/null
+++ b/internal/adapter/cwcellcodec/codec.go
@@ -0,0 +1,210 @@
+// Package cwcellcodec encodes what a cell keeps in the platform's store.
+package cwcellcodec
+
+import (
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+)
+
+// submission is the stored form of an accepted job.
+type submission struct {
+	Queue    cwwork.QueueName `json:"queue"`
+	Payload  string           `json:"payload,omitempty"`
+	Steps    []step           `json:"steps"`
+	Repeats  int              `json:"repeats,omitempty"`
+	First    int64            `json:"first,omitempty"`
+	Interval duration         `json:"interval,omitempty"`
+	Accepted int64            `json:"accepted"`
+	Policy   policy           `json:"policy"`
+}
+
+// duration is stored in whole milliseconds, which is the precision of the users' protocol.
+type duration int64
+
+func toDuration(d time.Duration) duration { return duration(d / time.Millisecond) }
+
+func (d duration) std() time.Duration { return time.Duration(d) * time.Millisecond }
+
+type policy struct {
+	Service     string  `json:"service"`
+	Priority    int     `json:"priority,omitempty"`
+	MaxAttempts int     `json:"max-attempts"`
+	Stretch     float64 `json:"stretch,omitempty"`
+	Target      int64   `json:"target,omitempty"`
+	AdviceBase  int64   `json:"advice-base,omitempty"` // microseconds
+	AdviceEach  int64   `json:"advice-each,omitempty"` // microseconds
+	AdviceValid int64   `json:"advice-valid,omitempty"`
+}
+
+type step struct {
+	Count        int      `json:"count"`
+	Processors   int64    `json:"processors,omitempty"` // thousandths
+	Memory       int64    `json:"memory,omitempty"`     // bytes
+	Accelerators int64    `json:"accelerators,omitempty"`
+	Estimate     duration `json:"estimate,omitempty"`
+	After        []int    `json:"after,omitempty"`
+	Gang         bool     `json:"gang,omitempty"`
+	SameRack     bool     `json:"same-rack,omitempty"`
+	Requires     string   `json:"requires,omitempty"`
+	Affinity     string   `json:"affinity,omitempty"`
+	AntiAffinity int      `json:"anti-affinity,omitempty"`
+	Speculative  bool     `json:"speculative,omitempty"`
+	LongRunning  bool     `json:"long-running,omitempty"`
+	Image        string   `json:"image,omitempty"`
+	Saves        bool     `json:"saves,omitempty"`
+}
+
+// EncodeSubmission returns the stored form of a job.
+func EncodeSubmission(s *cwwork.Submission) ([]byte, error) {
+	w := submission{
+		Queue: s.Queue, Payload: s.Payload, Repeats: s.Repeats, Interval: toDuration(s.Interval), Accepted: s.Accepted.UnixMilli(),
+		Policy: policy{
+			Service: s.Policy.Service, Priority: s.Policy.Priority, MaxAttempts: s.Policy.MaxAttempts, Stretch: s.Policy.Stretch,
+			Target: s.Policy.Target.Milliseconds(), AdviceBase: s.Policy.Advice.Base.Microseconds(),
+			AdviceEach: s.Policy.Advice.PerWorker.Microseconds(), AdviceValid: s.Policy.Advice.Validity.Milliseconds(),
+		},
+	}
+	if !s.First.IsZero() {
+		w.First = s.First.UnixMilli()
+	}
+	for n := range s.Steps {
+		t := &s.Steps[n]
+		w.Steps = append(w.Steps, step{
+			Count: t.Count, Processors: t.Need.MilliProcessors, Memory: t.Need.MemoryBytes, Accelerators: t.Need.Accelerators,
+			Estimate: toDuration(t.Estimate), After: t.After, Gang: t.Gang, SameRack: t.SameRack, Requires: t.Requires,
+			Affinity: t.Affinity, AntiAffinity: t.AntiAffinity, Speculative: t.Speculative, LongRunning: t.LongRunning,
+			Image: t.Image, Saves: t.Saves,
+		})
+	}
+	return json.Marshal(w)
+}
+
+// DecodeSubmission reads the stored form of a job.
+func DecodeSubmission(id cwmodel.JobID, data []byte) (s *cwwork.Submission, err error) {
+	defer func() { err = eris.Wrapf(err, "decode job %s", id) }()
+	var w submission
+	if err = json.Unmarshal(data, &w); err != nil {
+		return nil, err
+	}
+	s = &cwwork.Submission{
+		ID: id, Queue: w.Queue, Payload: w.Payload, Repeats: w.Repeats, Interval: w.Interval.std(), Accepted: time.UnixMilli(w.Accepted),
+		Policy: cwwork.Policy{
+			Service: w.Policy.Service, Priority: w.Policy.Priority, MaxAttempts: w.Policy.MaxAttempts, Stretch: w.Policy.Stretch,
+			Target: time.Duration(w.Policy.Target) * time.Millisecond,
+			Advice: cwwork.Advice{
+				Base:      time.Duration(w.Policy.AdviceBase) * time.Microsecond,
+				PerWorker: time.Duration(w.Policy.AdviceEach) * time.Microsecond,
+				Validity:  time.Duration(w.Policy.AdviceValid) * time.Millisecond,
+			},
+		},
+	}
+	if w.First != 0 {
+		s.First = time.UnixMilli(w.First)
+	}
+	for _, t := range w.Steps {
+		s.Steps = append(s.Steps, cwwork.Step{
+			Count:    t.Count,
+			Need:     cwmodel.Resources{MilliProcessors: t.Processors, MemoryBytes: t.Memory, Accelerators: t.Accelerators},
+			Estimate: t.Estimate.std(), After: t.After, Gang: t.Gang, SameRack: t.SameRack, Requires: t.Requires,
+			Affinity: t.Affinity, AntiAffinity: t.AntiAffinity, Speculative: t.Speculative, LongRunning: t.LongRunning,
+			Image: t.Image, Saves: t.Saves,
+		})
+	}
+	return s, s.Validate()
+}
+
+// progress is the stored form of a job's progress; a run is a pair of index and number.
+type progress struct {
+	Steps []stepProgress `json:"steps"`
+}
+
+type stepProgress struct {
+	Occurrence int      `json:"occurrence,omitempty"`
+	Step       int      `json:"step,omitempty"`
+	Done       []int    `json:"done,omitempty"`
+	Failed     [][2]int `json:"failed,omitempty"`
+}
+
+// EncodeProgress returns the stored form of a job's progress.
+func EncodeProgress(p *cwwork.Progress) ([]byte, error) {
+	var w progress
+	for _, s := range p.Steps {
+		out := stepProgress{Occurrence: s.Occurrence, Step: s.Step, Done: s.Done}
+		for _, f := range s.Failed {
+			out.Failed = append(out.Failed, [2]int{f.Index, f.Run})
+		}
+		w.Steps = append(w.Steps, out)
+	}
+	return json.Marshal(w)
+}
+
+// DecodeProgress reads the stored form of a job's progress.
+func DecodeProgress(data []byte) (p *cwwork.Progress, err error) {
+	var w progress
+	if err = json.Unmarshal(data, &w); err != nil {
+		return nil, eris.Wrap(err, "decode progress")
+	}
+	p = &cwwork.Progress{}
+	for _, s := range w.Steps {
+		out := cwwork.StepProgress{Occurrence: s.Occurrence, Step: s.Step, Done: s.Done}
+		for _, f := range s.Failed {
+			out.Failed = append(out.Failed, cwwork.TaskRun{Index: f[0], Run: f[1]})
+		}
+		p.Steps = append(p.Steps, out)
+	}
+	return p, nil
+}
+
+// Lease is the row by which one entry host owns the cell.
+type Lease struct {
+	Holder     cwmodel.HostID     `json:"holder"`
+	DataCentre cwmodel.DataCentre `json:"data-centre"`
+	Address    netip.AddrPort     `json:"address"`
+	Fence      uint64             `json:"fence,omitempty"` // 0 in the row of the taking itself, whose version is the fence
+	Term       int                `json:"term"`
+	Renewal    int                `json:"renewal,omitempty"`
+	Released   bool               `json:"released,omitempty"`
+}
+
+// EncodeLease returns the stored form of a lease.
+func EncodeLease(l Lease) ([]byte, error) { return json.Marshal(l) }
+
+// DecodeLease reads the stored form of a lease.
+func DecodeLease(data []byte) (l Lease, err error) {
+	err = eris.Wrap(json.Unmarshal(data, &l), "decode lease")
+	return l, err
+}
+
+// Ending is the final state of a job.
+type Ending struct {
+	State cwwork.State
+	At    time.Time // time of day
+}
+
+type ending struct {
+	State string `json:"state"`
+	At    int64  `json:"at"`
+}
+
+// EncodeEnding returns the stored form of a job's final state.
+func EncodeEnding(e Ending) ([]byte, error) {
+	return json.Marshal(ending{State: string(e.State), At: e.At.UnixMilli()})
+}
+
+// DecodeEnding reads the stored form of a job's final state.
+func DecodeEnding(data []byte) (e Ending, err error) {
+	defer func() { err = eris.Wrap(err, "decode ending") }()
+	var w ending
+	if err = json.Unmarshal(data, &w); err != nil {
+		return e, err
+	}
+	e.At = time.UnixMilli(w.At)
+	e.State, err = cwwork.ParseState(w.State)
+	return e, err
+}
--- /dev/null
+++ b/internal/adapter/cwcellpeer/client.go
@@ -0,0 +1,249 @@
+// Package cwcellpeer joins the entry hosts of a cell by twirp.
+package cwcellpeer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"currantward/internal/adapter/cwcellcodec"
+	"currantward/internal/adapter/cwcellwire"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/core/cwcell"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+	"currantward/internal/port/cwcellport"
+)
+
+// ClientOptions bound the calls to peers.
+type ClientOptions struct {
+	Timeout         time.Duration // of a call that only asks
+	StoreTimeout    time.Duration // of a call that waits for the store
+	MaxConnsPerPeer int
+	// Control prepares each connection, for example with a limit on unacknowledged bytes; it may be nil.
+	Control func(conn *net.TCPConn) error
+}
+
+// DefaultClientOptions returns limits that suit entry hosts of one region.
+func DefaultClientOptions() ClientOptions {
+	return ClientOptions{Timeout: 400 * time.Millisecond, StoreTimeout: 1500 * time.Millisecond, MaxConnsPerPeer: 32}
+}
+
+type client struct {
+	opts    ClientOptions
+	http    *http.Client
+	mu      sync.Mutex
+	clients map[netip.AddrPort]cwcellwire.Cell
+}
+
+// New returns the port to peers and the function that closes its connections.
+func New(opts ClientOptions) (port cwcellport.Peers, stop func()) {
+	transport := &http.Transport{
+		DialContext:         opts.dial,
+		MaxConnsPerHost:     opts.MaxConnsPerPeer,
+		MaxIdleConnsPerHost: opts.MaxConnsPerPeer,
+		IdleConnTimeout:     time.Minute,
+		WriteBufferSize:     2 << 10,
+		ReadBufferSize:      2 << 10,
+	}
+	c := &client{opts: opts, http: &http.Client{Transport: transport}, clients: map[netip.AddrPort]cwcellwire.Cell{}}
+	return cwcellport.Peers{
+		Pulse:    c.pulse,
+		Offer:    c.offer,
+		Look:     c.look,
+		Cancel:   c.cancel,
+		Ask:      c.ask,
+		Store:    c.store,
+		TakeOver: c.takeOver,
+	}, transport.CloseIdleConnections
+}
+
+func (o ClientOptions) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: o.Timeout}
+	conn, err := dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok && o.Control != nil {
+		if err := o.Control(tcp); err != nil {
+			return nil, errors.Join(err, conn.Close())
+		}
+	}
+	return conn, nil
+}
+
+func (c *client) peer(addr netip.AddrPort) cwcellwire.Cell {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	peer, ok := c.clients[addr]
+	if !ok {
+		peer = cwcellwire.NewCellProtobufClient("http://"+addr.String(), c.http)
+		c.clients[addr] = peer
+	}
+	return peer
+}
+
+// within returns a context for a call that may take d.
+func within(d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), d)
+}
+
+func (c *client) pulse(addr netip.AddrPort, p cwcellport.Pulse) (answer cwcellport.PulseAnswer, err error) {
+	defer func() { err = eris.Wrap(err, "send pulse") }()
+	ctx, cancel := within(c.opts.Timeout)
+	defer cancel()
+	reply, err := c.peer(addr).Pulse(ctx, &cwcellwire.PulseRequest{
+		From: hostToWire(p.From), Leaving: p.Leaving, StoreOk: p.StoreOK, Capacity: p.Capacity,
+	})
+	if err != nil {
+		return answer, typed(err)
+	}
+	answer = cwcellport.PulseAnswer{
+		IsOwner: reply.GetIsOwner(), Unwell: reply.GetUnwell(), LeaseVersion: reply.GetLeaseVersion(), Configuration: reply.GetConfiguration(),
+	}
+	for _, q := range reply.GetQueues() {
+		answer.Queues = append(answer.Queues, cwcellport.QueueLength{Queue: cwwork.QueueName(q.GetQueue()), Waiting: int(q.GetWaiting())})
+	}
+	for _, p := range reply.GetPeers() {
+		host, err := hostFromWire(p)
+		if err != nil {
+			return answer, err
+		}
+		answer.Peers = append(answer.Peers, host)
+	}
+	return answer, nil
+}
+
+func (c *client) offer(addr netip.AddrPort, s *cwwork.Submission, version uint64) (err error) {
+	defer func() { err = eris.Wrap(err, "offer job") }()
+	data, err := cwcellcodec.EncodeSubmission(s)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := within(c.opts.Timeout)
+	defer cancel()
+	_, err = c.peer(addr).Offer(ctx, &cwcellwire.OfferRequest{Id: string(s.ID), Submission: data, Version: version})
+	return typed(err)
+}
+
+func (c *client) look(addr netip.AddrPort, id cwmodel.JobID) (state cwwork.State, known bool, err error) {
+	defer func() { err = eris.Wrap(err, "look up job") }()
+	ctx, cancel := within(c.opts.Timeout)
+	defer cancel()
+	reply, err := c.peer(addr).Look(ctx, &cwcellwire.LookRequest{Id: string(id)})
+	if err != nil {
+		return "", false, typed(err)
+	}
+	if !reply.GetKnown() {
+		return "", false, nil
+	}
+	state, err = cwwork.ParseState(reply.GetState())
+	return state, err == nil, err
+}
+
+func (c *client) cancel(addr netip.AddrPort, id cwmodel.JobID) (known bool, err error) {
+	defer func() { err = eris.Wrap(err, "cancel job") }()
+	ctx, cancel := within(c.opts.StoreTimeout)
+	defer cancel()
+	reply, err := c.peer(addr).Cancel(ctx, &cwcellwire.CancelRequest{Id: string(id)})
+	return reply.GetKnown(), typed(err)
+}
+
+func (c *client) ask(addr netip.AddrPort, q *cwcell.Question) (good []cwcell.GoodWorker, validity time.Duration, err error) {
+	defer func() { err = eris.Wrap(err, "ask for advice") }()
+	request := &cwcellwire.AskRequest{
+		Job: string(q.Step.Job), Occurrence: int32(q.Step.Occurrence), Step: int32(q.Step.Step), Cost: durationpb.New(q.Cost),
+	}
+	for _, id := range q.Workers {
+		request.Workers = append(request.Workers, string(id))
+	}
+	ctx, cancel := within(c.opts.Timeout + AskTimeout(q.Cost))
+	defer cancel()
+	reply, err := c.peer(addr).Ask(ctx, request)
+	if err != nil {
+		return nil, 0, typed(err)
+	}
+	for _, g := range reply.GetGood() {
+		good = append(good, cwcell.GoodWorker{ID: cwmodel.HostID(g.GetId()), Ticket: g.GetTicket()})
+	}
+	return good, reply.GetValidity().AsDuration(), nil
+}
+
+// AskTimeout returns how long a question of the given cost may take; the service may be somewhat busy.
+func AskTimeout(cost time.Duration) time.Duration { return 2*cost + 500*time.Millisecond }
+
+func (c *client) store(addr netip.AddrPort, s *cwwork.Submission) (verdict cwcellport.Verdict, err error) {
+	defer func() { err = eris.Wrap(err, "store job through a peer") }()
+	data, err := cwcellcodec.EncodeSubmission(s)
+	if err != nil {
+		return cwcellport.VerdictRefused, err
+	}
+	ctx, cancel := within(c.opts.StoreTimeout)
+	defer cancel()
+	reply, err := c.peer(addr).Store(ctx, &cwcellwire.StoreRequest{Id: string(s.ID), Submission: data})
+	if err != nil {
+		if err = typed(err); cwfault.CodeOf(err) == cwfault.Unavailable {
+			return cwcellport.VerdictRefused, err
+		}
+		return cwcellport.VerdictUnknown, err
+	}
+	return parseVerdict(reply.GetVerdict()), nil
+}
+
+func parseVerdict(text string) cwcellport.Verdict {
+	switch v := cwcellport.Verdict(text); v {
+	case cwcellport.VerdictAccepted, cwcellport.VerdictRefused:
+		return v
+	case cwcellport.VerdictUnknown:
+	}
+	return cwcellport.VerdictUnknown
+}
+
+func (c *client) takeOver(addr netip.AddrPort) (err error) {
+	defer func() { err = eris.Wrap(err, "hand the cell over") }()
+	ctx, cancel := within(c.opts.Timeout)
+	defer cancel()
+	_, err = c.peer(addr).TakeOver(ctx, &cwcellwire.TakeOverRequest{})
+	return typed(err)
+}
+
+func hostToWire(h cwcellport.EntryHost) *cwcellwire.EntryHost {
+	return &cwcellwire.EntryHost{Id: string(h.ID), DataCentre: string(h.DataCentre), Address: h.Address.String()}
+}
+
+func hostFromWire(h *cwcellwire.EntryHost) (host cwcellport.EntryHost, err error) {
+	addr, err := netip.ParseAddrPort(h.GetAddress())
+	if err != nil {
+		return host, cwfault.New(cwfault.Invalid, "address of entry host %q: %v", h.GetId(), err)
+	}
+	return cwcellport.EntryHost{ID: cwmodel.HostID(h.GetId()), DataCentre: cwmodel.DataCentre(h.GetDataCentre()), Address: addr}, nil
+}
+
+// typed maps an error of the transport: only a failure to connect, or a refusal by the peer itself, is certain to have done nothing.
+func typed(err error) error {
+	if err == nil {
+		return nil
+	}
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return cwfault.New(cwfault.Unavailable, "%v", err)
+	}
+	var remote twirp.Error
+	if eris.As(err, &remote) {
+		switch remote.Code() {
+		case twirp.FailedPrecondition:
+			return cwfault.New(cwfault.NotSupported, "%s", remote.Msg())
+		case twirp.Unavailable:
+			return cwfault.New(cwfault.Unavailable, "%s", remote.Msg())
+		}
+	}
+	return cwfault.New(cwfault.Indefinite, "%v", err)
+}
--- /dev/null
+++ b/internal/adapter/cwcellpeer/server.go
@@ -0,0 +1,167 @@
+package cwcellpeer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"currantward/internal/adapter/cwcellcodec"
+	"currantward/internal/adapter/cwcellwire"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwhttp"
+	"currantward/internal/core/cwcell"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+	"currantward/internal/port/cwcellport"
+)
+
+// ServerOptions hold what answers the peers. An error with code NotSupported says that this host is not the owner.
+type ServerOptions struct {
+	Listen          netip.AddrPort
+	Log             *logrus.Logger
+	ShutdownTimeout time.Duration
+
+	Pulse    func(p cwcellport.Pulse) cwcellport.PulseAnswer
+	Offer    func(s *cwwork.Submission, version uint64) error
+	Look     func(id cwmodel.JobID) (state cwwork.State, known bool, err error)
+	Cancel   func(id cwmodel.JobID) (known bool, err error)
+	Ask      func(q *cwcell.Question) (good []cwcell.GoodWorker, validity time.Duration, err error)
+	Store    func(s *cwwork.Submission) cwcellport.Verdict
+	TakeOver func()
+}
+
+// server answers peers.
+type server struct{ opts ServerOptions }
+
+// Serve listens for peers and returns the function that ends the listener gracefully.
+func Serve(opts ServerOptions) (bound netip.AddrPort, stop func(), err error) {
+	defer func() { err = eris.Wrap(err, "serve peers of the cell") }()
+	listener, err := net.Listen("tcp", opts.Listen.String())
+	if err != nil {
+		return bound, nil, err
+	}
+	web := &http.Server{
+		Handler:           cwcellwire.NewCellServer(&server{opts: opts}),
+		ReadHeaderTimeout: 5 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := web.Serve(listener); !eris.Is(err, http.ErrServerClosed) {
+			opts.Log.WithFields(logrus.Fields{"listener": "peers", "error": err.Error()}).Error("listener-failed")
+		}
+	}()
+	stop = func() {
+		ctx, cancel := context.WithTimeout(context.Background(), opts.ShutdownTimeout)
+		defer cancel()
+		_ = web.Shutdown(ctx)
+		_ = web.Close()
+		<-ended
+	}
+	return cwhttp.BoundAddress(listener), stop, nil
+}
+
+// Pulse implements the twirp service.
+func (s *server) Pulse(_ context.Context, r *cwcellwire.PulseRequest) (*cwcellwire.PulseReply, error) {
+	from, err := hostFromWire(r.GetFrom())
+	if err != nil {
+		return nil, failure(err)
+	}
+	answer := s.opts.Pulse(cwcellport.Pulse{From: from, Leaving: r.GetLeaving(), StoreOK: r.GetStoreOk(), Capacity: r.GetCapacity()})
+	reply := &cwcellwire.PulseReply{
+		IsOwner: answer.IsOwner, Unwell: answer.Unwell, LeaseVersion: answer.LeaseVersion, Configuration: answer.Configuration,
+	}
+	for _, q := range answer.Queues {
+		reply.Queues = append(reply.Queues, &cwcellwire.QueueLength{Queue: string(q.Queue), Waiting: int32(q.Waiting)})
+	}
+	for _, p := range answer.Peers {
+		reply.Peers = append(reply.Peers, hostToWire(p))
+	}
+	return reply, nil
+}
+
+// Offer implements the twirp service.
+func (s *server) Offer(_ context.Context, r *cwcellwire.OfferRequest) (*cwcellwire.OfferReply, error) {
+	submission, err := cwcellcodec.DecodeSubmission(cwmodel.JobID(r.GetId()), r.GetSubmission())
+	if err != nil {
+		return nil, failure(cwfault.New(cwfault.Invalid, "%v", err))
+	}
+	if err := s.opts.Offer(submission, r.GetVersion()); err != nil {
+		return nil, failure(err)
+	}
+	return &cwcellwire.OfferReply{}, nil
+}
+
+// Look implements the twirp service.
+func (s *server) Look(_ context.Context, r *cwcellwire.LookRequest) (*cwcellwire.LookReply, error) {
+	state, known, err := s.opts.Look(cwmodel.JobID(r.GetId()))
+	if err != nil {
+		return nil, failure(err)
+	}
+	return &cwcellwire.LookReply{Known: known, State: string(state)}, nil
+}
+
+// Cancel implements the twirp service.
+func (s *server) Cancel(_ context.Context, r *cwcellwire.CancelRequest) (*cwcellwire.CancelReply, error) {
+	known, err := s.opts.Cancel(cwmodel.JobID(r.GetId()))
+	if err != nil {
+		return nil, failure(err)
+	}
+	return &cwcellwire.CancelReply{Known: known}, nil
+}
+
+// Ask implements the twirp service.
+func (s *server) Ask(_ context.Context, r *cwcellwire.AskRequest) (*cwcellwire.AskReply, error) {
+	q := &cwcell.Question{
+		Step: cwwork.StepKey{Job: cwmodel.JobID(r.GetJob()), Occurrence: int(r.GetOccurrence()), Step: int(r.GetStep())},
+		Cost: r.GetCost().AsDuration(),
+	}
+	for _, id := range r.GetWorkers() {
+		q.Workers = append(q.Workers, cwmodel.HostID(id))
+	}
+	good, validity, err := s.opts.Ask(q)
+	if err != nil {
+		return nil, failure(err)
+	}
+	reply := &cwcellwire.AskReply{Validity: durationpb.New(validity)}
+	for _, g := range good {
+		reply.Good = append(reply.Good, &cwcellwire.GoodWorker{Id: string(g.ID), Ticket: g.Ticket})
+	}
+	return reply, nil
+}
+
+// Store implements the twirp service.
+func (s *server) Store(_ context.Context, r *cwcellwire.StoreRequest) (*cwcellwire.StoreReply, error) {
+	submission, err := cwcellcodec.DecodeSubmission(cwmodel.JobID(r.GetId()), r.GetSubmission())
+	if err != nil {
+		return nil, failure(cwfault.New(cwfault.Invalid, "%v", err))
+	}
+	return &cwcellwire.StoreReply{Verdict: string(s.opts.Store(submission))}, nil
+}
+
+// TakeOver implements the twirp service.
+func (s *server) TakeOver(context.Context, *cwcellwire.TakeOverRequest) (*cwcellwire.TakeOverReply, error) {
+	s.opts.TakeOver()
+	return &cwcellwire.TakeOverReply{}, nil
+}
+
+// failure maps a typed error to twirp's codes.
+func failure(err error) error {
+	switch cwfault.CodeOf(err) {
+	case cwfault.NotSupported:
+		return twirp.NewError(twirp.FailedPrecondition, cwfault.MessageOf(err))
+	case cwfault.Unavailable:
+		return twirp.NewError(twirp.Unavailable, cwfault.MessageOf(err))
+	case cwfault.Invalid:
+		return twirp.NewError(twirp.InvalidArgument, cwfault.MessageOf(err))
+	}
+	return twirp.NewError(twirp.Internal, cwfault.MessageOf(err))
+}
--- /dev/null
+++ b/internal/app/cwcellowner/link.go
@@ -0,0 +1,167 @@
+package cwcellowner
+
+import (
+	"context"
+	"time"
+
+	"currantward/internal/base/cwduty"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwring"
+	"currantward/internal/core/cwcell"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwcellport"
+)
+
+// link is the one call at a time by which the owner holds a worker's leases and hears of its ends.
+type link struct {
+	entry   cwcellport.WorkerEntry
+	calls   *cwring.Ring[call]
+	stop    func()
+	due     time.Time // when the next call leaves at the latest
+	failing int       // calls in a row without an answer
+}
+
+// call is one hold with the worker's present entry.
+type call struct {
+	entry cwcellport.WorkerEntry
+	hold  cwcellport.Hold
+}
+
+// Paces of the calls to one worker.
+const (
+	// holdWait is how long a worker waits for an end before it answers.
+	holdWait = time.Second
+	// commitWait is how long the next call waits for the ends of the last one to become durable.
+	commitWait = 300 * time.Millisecond
+	// shortestBackoff and longestBackoff bound the pause after a call without an answer.
+	shortestBackoff = 100 * time.Millisecond
+	longestBackoff  = 800 * time.Millisecond
+)
+
+// setWorker takes an entry of the platform's list.
+func (s *session) setWorker(w cwcellport.WorkerEntry, now time.Time) {
+	s.cell.SetWorker(w.WorkerInfo, now)
+	l, ok := s.links[w.ID]
+	if !ok {
+		l = &link{calls: cwring.New[call](1)}
+		l.stop = cwduty.Start("worker-link", func(ctx context.Context) { s.runLink(ctx, l) })
+		s.links[w.ID] = l
+		s.ready = append(s.ready, l)
+		l.due = now
+	}
+	l.entry = w
+}
+
+func (s *session) dropLink(id cwmodel.HostID) {
+	if l, ok := s.links[id]; ok {
+		delete(s.links, id)
+		// The duty may be in a call, whose answer it posts to this duty's inbox.
+		go l.stop()
+		s.owner.opts.Workers.Forget(id)
+	}
+}
+
+// runLink carries out the calls of one link.
+func (s *session) runLink(ctx context.Context, l *link) {
+	for {
+		c, ok := l.calls.Take(ctx)
+		if !ok {
+			return
+		}
+		report, err := s.owner.opts.Workers.Hold(c.entry, c.hold)
+		s.post(func(now time.Time) { s.reported(l, report, err, now) })
+	}
+}
+
+// reported takes the answer of one call.
+func (s *session) reported(l *link, report *cwcell.Report, err error, now time.Time) {
+	s.ready = append(s.ready, l)
+	l.due = now.Add(commitWait)
+	switch {
+	case err == nil:
+		l.failing = 0
+		s.cell.Report(report, now)
+		s.cell.RepeatStops(l.entry.ID, now)
+		return
+	case cwfault.CodeOf(err) == cwfault.StaleEpoch:
+		s.owner.opts.Deposed()
+	default:
+		s.cell.Silent(l.entry.ID, now)
+	}
+	l.failing++
+	l.due = now.Add(min(shortestBackoff<<min(l.failing-1, 3), longestBackoff))
+}
+
+// poll sends the next call of each link whose ends are durable or whose time has come.
+func (s *session) poll(now time.Time, holds bool) {
+	waiting := s.ready[:0]
+	for _, l := range s.ready {
+		number, all := s.cell.Acknowledged(l.entry.ID)
+		if s.links[l.entry.ID] != l {
+			continue
+		}
+		if now.Before(l.due) && (!all || l.failing > 0) {
+			waiting = append(waiting, l)
+			continue
+		}
+		h := cwcellport.Hold{Fence: s.tenure.Fence, Acknowledged: number}
+		if holds {
+			h.Lease = s.owner.opts.HoldLease
+		}
+		if all && l.failing == 0 {
+			h.Wait = holdWait
+		}
+		l.calls.Offer(call{entry: l.entry, hold: h})
+	}
+	clear(s.ready[len(waiting):])
+	s.ready = waiting
+}
+
+// sendStart sends one start order. An order without an answer is repeated once: the worker starts a run only once.
+func (s *session) sendStart(o *cwcell.StartOrder) {
+	l, ok := s.links[o.Worker]
+	if !ok {
+		s.cell.Started(o, cwcell.StartNotSent, s.owner.opts.Timer.Now())
+		return
+	}
+	entry, order := l.entry, *o
+	sent := s.submit("start", func() {
+		result := cwcell.StartUnanswered
+		for range startTries {
+			result = s.owner.opts.Workers.Start(entry, &order, s.tenure.Fence, s.owner.opts.StartWindow)
+			if result != cwcell.StartUnanswered {
+				break
+			}
+		}
+		s.post(func(now time.Time) {
+			if result == cwcell.StartStaleFence {
+				s.owner.opts.Deposed()
+			}
+			s.cell.Started(&order, result, now)
+		})
+	})
+	if !sent {
+		s.cell.Started(o, cwcell.StartNotSent, s.owner.opts.Timer.Now())
+	}
+}
+
+// startTries is how often an order is sent; a repeated one finds the run there.
+const startTries = 2
+
+// sendStop sends one stop order; one without an answer is repeated once the worker answers again.
+func (s *session) sendStop(o *cwcell.StopOrder) {
+	l, ok := s.links[o.Worker]
+	if !ok {
+		return
+	}
+	entry, order := l.entry, *o
+	s.submit("stop", func() {
+		err := s.owner.opts.Workers.Stop(entry, &order, s.tenure.Fence)
+		s.post(func(now time.Time) {
+			if cwfault.CodeOf(err) == cwfault.StaleEpoch {
+				s.owner.opts.Deposed()
+			}
+			s.cell.Stopped(&order, err == nil, now)
+		})
+	})
+}
--- /dev/null
+++ b/internal/app/cwcellowner/load.go
@@ -0,0 +1,271 @@
+package cwcellowner
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"currantward/internal/adapter/cwcellcodec"
+	"currantward/internal/base/cwduty"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+	"currantward/internal/port/cwcellport"
+)
+
+// Tables of the cell in the platform's store. A job's rows are in the part that its identifier leads to.
+const (
+	TableJobs     = "jobs"     // accepted jobs that have not ended
+	TableProgress = "progress" // finished tasks and failed runs of live jobs
+	TableEnded    = "ended"    // final states
+)
+
+// CancelSuffix marks the row by which an entry host cancels a job while it cannot reach the owner.
+const CancelSuffix = "~cancel"
+
+// PartOf returns the part that holds the rows of a job.
+func PartOf(id cwmodel.JobID, parts int) string {
+	sum := uint32(2166136261) // FNV-1a
+	for n := range len(id) {
+		sum = (sum ^ uint32(id[n])) * 16777619
+	}
+	return partName(int(sum % uint32(max(parts, 1))))
+}
+
+func partName(n int) string { return fmt.Sprintf("p%02d", n) }
+
+func wallClock() time.Time { return cwtimer.Wall() }
+
+// image is what the store says at a takeover.
+type image struct {
+	jobs     []cwcellport.Row
+	progress []cwcellport.Row
+	workers  []cwcellport.WorkerEntry
+	listed   uint64 // version of the list of workers
+	followed uint64 // version that changes of the jobs follow
+}
+
+// load reads the store until that succeeds or the session has ended.
+func (s *session) load() {
+	for attempt := 0; ; attempt++ {
+		img, err := s.readImage()
+		if err == nil {
+			s.post(func(now time.Time) { s.begin(img, now) })
+			return
+		}
+		s.owner.opts.Log.WithFields(cwlog.Fields{"attempt": attempt, "error": err.Error()}).Warn("cell-not-read")
+		if !s.owner.opts.Timer.Sleep(nil, loadRetry) || !s.owner.opts.Holds(s.owner.opts.Timer.Now()) && attempt > loadAttempts {
+			return
+		}
+	}
+}
+
+// Retries of the reads of a takeover. A host that has lost its lease meanwhile stops to try.
+const (
+	loadRetry    = 200 * time.Millisecond
+	loadAttempts = 50
+)
+
+// readImage reads the workers and the rows of all parts.
+func (s *session) readImage() (img *image, err error) {
+	img = &image{followed: s.tenure.Fence}
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	fail := func(e error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if err == nil {
+			err = e
+		}
+	}
+	read := func(table, part string, into *[]cwcellport.Row) {
+		rows, _, e := s.owner.opts.Store.Read(table, part, "", "", loadTimeout)
+		if e != nil {
+			fail(e)
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		*into = append(*into, rows...)
+	}
+	for n := range s.owner.opts.Store.Parts {
+		calls.Go(func() { read(TableJobs, partName(n), &img.jobs) })
+		calls.Go(func() { read(TableProgress, partName(n), &img.progress) })
+	}
+	calls.Go(func() {
+		list, version, e := s.owner.opts.Registry.List(loadTimeout)
+		if e != nil {
+			fail(e)
+			return
+		}
+		img.workers, img.listed = list, version
+	})
+	calls.Wait()
+	return img, err
+}
+
+// begin takes what the store says and starts to call the workers.
+func (s *session) begin(img *image, now time.Time) {
+	s.loaded = true
+	progress := make(map[cwmodel.JobID]*cwwork.Progress, len(img.progress))
+	for _, row := range img.progress {
+		p, err := cwcellcodec.DecodeProgress(row.Value)
+		if err != nil {
+			s.unreadable(row, err)
+			continue
+		}
+		id := cwmodel.JobID(row.Key)
+		progress[id] = p
+		s.commits.written[id] = struct{}{}
+	}
+	s.readJobs(img.jobs, progress, now)
+	for _, j := range s.early {
+		s.admit(j.submission, j.version, now)
+	}
+	s.early = nil
+	for _, w := range img.workers {
+		s.setWorker(w, now)
+	}
+	jobs, _, _ := s.cell.Counts(now)
+	s.owner.opts.Log.WithFields(cwlog.Fields{
+		"fence": s.tenure.Fence, "term": s.tenure.Term, "jobs": jobs, "workers": len(img.workers), "took": now.Sub(s.began),
+	}).Info("cell-loaded")
+	s.cleanup.Add(cwduty.Start("jobs-feed", func(ctx context.Context) { s.followJobs(ctx, img.followed) }))
+	s.cleanup.Add(cwduty.Start("worker-feed", func(ctx context.Context) { s.followWorkers(ctx, img.listed) }))
+}
+
+// readJobs admits jobs from their rows and carries out cancellations.
+func (s *session) readJobs(rows []cwcellport.Row, progress map[cwmodel.JobID]*cwwork.Progress, now time.Time) {
+	var cancelled []cwmodel.JobID
+	for _, row := range rows {
+		if row.Deleted {
+			continue
+		}
+		if id, ok := cancelledJob(row.Key); ok {
+			cancelled = append(cancelled, id)
+			continue
+		}
+		id := cwmodel.JobID(row.Key)
+		submission, err := cwcellcodec.DecodeSubmission(id, row.Value)
+		if err != nil {
+			s.unreadable(row, err)
+			continue
+		}
+		if p := progress[id]; p != nil || row.Version <= s.tenure.Fence {
+			s.cell.Admit(submission, p, true, now, s.wall())
+			continue
+		}
+		s.admit(submission, row.Version, now)
+	}
+	for _, id := range cancelled {
+		s.commits.cancelled[id] = struct{}{}
+		s.cell.Cancel(id)
+	}
+}
+
+// cancelledJob returns the job that a row cancels, false for other rows.
+func cancelledJob(key string) (cwmodel.JobID, bool) {
+	if n := len(key) - len(CancelSuffix); n > 0 && key[n:] == CancelSuffix {
+		return cwmodel.JobID(key[:n]), true
+	}
+	return "", false
+}
+
+func (s *session) unreadable(row cwcellport.Row, err error) {
+	s.owner.opts.Log.WithFields(cwlog.Fields{"table": row.Table, "key": row.Key, "version": row.Version, "error": err.Error()}).Error("row-unreadable")
+}
+
+// Paces of the feeds. Peers offer jobs at once; the feed finds those whose offer was lost.
+const (
+	jobsPause    = 500 * time.Millisecond
+	workersPause = 400 * time.Millisecond
+	feedWait     = time.Second
+)
+
+// followJobs reads the changes of the jobs' rows until ctx ends.
+func (s *session) followJobs(ctx context.Context, after uint64) {
+	for {
+		rows, version, err := s.owner.opts.Store.Follow(TableJobs, after, feedWait)
+		switch {
+		case err == nil:
+			after = max(after, version)
+			if len(rows) > 0 {
+				s.post(func(now time.Time) { s.readJobs(rows, nil, now) })
+			}
+		case cwfault.CodeOf(err) == cwfault.NotFound:
+			after = s.rereadJobs(after)
+		}
+		if !s.owner.opts.Timer.Sleep(ctx.Done(), jobsPause) {
+			return
+		}
+	}
+}
+
+// rereadJobs reads all jobs where the history of their changes was dropped.
+func (s *session) rereadJobs(after uint64) uint64 {
+	next := uint64(0)
+	for n := range s.owner.opts.Store.Parts {
+		rows, version, err := s.owner.opts.Store.Read(TableJobs, partName(n), "", "", loadTimeout)
+		if err != nil {
+			return after
+		}
+		if next == 0 || version < next {
+			next = version
+		}
+		s.post(func(now time.Time) { s.readJobs(rows, nil, now) })
+	}
+	s.owner.opts.Log.WithFields(cwlog.Fields{"feed": "jobs", "after": after, "version": next}).Info("feed-reread")
+	return next
+}
+
+// followWorkers reads the changes of the platform's list until ctx ends.
+func (s *session) followWorkers(ctx context.Context, after uint64) {
+	for {
+		list, version, err := s.owner.opts.Registry.Changes(after, feedWait)
+		switch {
+		case err == nil:
+			after = max(after, version)
+			s.post(func(now time.Time) { s.changeWorkers(list, now) })
+		case cwfault.CodeOf(err) == cwfault.NotFound:
+			after = s.relistWorkers(after)
+		}
+		if !s.owner.opts.Timer.Sleep(ctx.Done(), workersPause) {
+			return
+		}
+	}
+}
+
+// relistWorkers reads the whole list where the history of its changes was dropped.
+func (s *session) relistWorkers(after uint64) uint64 {
+	list, version, err := s.owner.opts.Registry.List(loadTimeout)
+	if err != nil {
+		return after
+	}
+	s.owner.opts.Log.WithFields(cwlog.Fields{"feed": "workers", "after": after, "version": version}).Info("feed-reread")
+	s.post(func(now time.Time) {
+		present := make(map[cwmodel.HostID]struct{}, len(list))
+		for _, w := range list {
+			present[w.ID] = struct{}{}
+			s.setWorker(w, now)
+		}
+		for id := range s.links {
+			if _, ok := present[id]; !ok {
+				s.cell.RemoveWorker(id, now)
+			}
+		}
+	})
+	return version
+}
+
+func (s *session) changeWorkers(list []cwcellport.WorkerEntry, now time.Time) {
+	for _, w := range list {
+		if w.Gone {
+			s.cell.RemoveWorker(w.ID, now)
+			continue
+		}
+		s.setWorker(w, now)
+	}
+}
--- /dev/null
+++ b/internal/app/cwcellowner/owner.go
@@ -0,0 +1,201 @@
+// Package cwcellowner carries out the decisions of the cell while this host holds the cell's lease.
+package cwcellowner
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/sirupsen/logrus"
+
+	"currantward/internal/app/cwtenure"
+	"currantward/internal/base/cwduty"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwring"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwcell"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+	"currantward/internal/port/cwcellport"
+)
+
+// Options configure an owner.
+type Options struct {
+	Store    cwcellport.Store
+	Registry cwcellport.Registry
+	Workers  cwcellport.Workers
+	Timer    *cwtimer.Service
+	Pool     *ants.Pool
+	Log      *logrus.Logger
+	Seed     uint64
+
+	StatusKept time.Duration
+	StopTime   time.Duration
+	FarFactor  float64
+	// HoldLease is how long tasks go on without a renewal.
+	HoldLease time.Duration
+	// StartWindow is how long a start order may travel.
+	StartWindow time.Duration
+
+	// Policy returns the present policy of a queue.
+	Policy func(cwwork.QueueName) (cwwork.Policy, bool)
+	// Holds reports whether the lease of the cell is in force.
+	Holds func(now time.Time) bool
+	// Deposed is called when a later owner was noticed.
+	Deposed func()
+	// Advisers returns the entry hosts through which advice can be asked; the zero address stands for this host.
+	Advisers func() []netip.AddrPort
+	// Ask asks for advice through an entry host.
+	Ask func(through netip.AddrPort, q *cwcell.Question) (good []cwcell.GoodWorker, validity time.Duration, err error)
+	// Observed is called with each event that metrics count; it must not block.
+	Observed func(Observation)
+}
+
+// Observation is one event for the metrics.
+type Observation struct {
+	Event string
+	Queue cwwork.QueueName
+	Took  time.Duration
+}
+
+// Limits of the owner.
+const (
+	inboxSlots   = 8192
+	tickPeriod   = 50 * time.Millisecond
+	callerWait   = 1200 * time.Millisecond // for the owner's answer to a question of a caller
+	loadTimeout  = 2 * time.Second         // of one read of the takeover
+	statusPeriod = 250 * time.Millisecond  // between two publications of the numbers of waiting jobs
+)
+
+// Owner is the duty that owns the cell's state.
+type Owner struct {
+	opts    Options
+	inbox   *cwring.Ring[func(now time.Time)]
+	session *session
+	waiting atomic.Pointer[[]cwcellport.QueueLength]
+}
+
+// Start runs an owner and returns the function that stops it.
+func Start(opts Options) (o *Owner, stop func()) {
+	o = &Owner{opts: opts, inbox: cwring.New[func(time.Time)](inboxSlots)}
+	o.waiting.Store(&[]cwcellport.QueueLength{})
+	end := cwduty.Start("cell-owner", o.run)
+	return o, end
+}
+
+func (o *Owner) run(ctx context.Context) {
+	var buf []func(time.Time)
+	for {
+		if buf = o.inbox.Drain(ctx, buf[:0]); len(buf) == 0 {
+			o.end()
+			return
+		}
+		now := o.opts.Timer.Now()
+		for _, handle := range buf {
+			handle(now)
+		}
+		if o.session != nil {
+			o.session.step(now)
+		}
+	}
+}
+
+// post hands an event to the duty; it blocks while the ring is full.
+func (o *Owner) post(handle func(now time.Time)) {
+	// The ring is drained until the process ends, so that a wait is short.
+	_ = o.inbox.Put(context.Background(), handle)
+}
+
+// Gained begins to act as the owner under a new lease.
+func (o *Owner) Gained(t cwtenure.Tenure) {
+	o.post(func(now time.Time) {
+		o.end()
+		o.session = newSession(o, t, now)
+	})
+}
+
+// Lost stops to act as the owner.
+func (o *Owner) Lost() { o.post(func(time.Time) { o.end() }) }
+
+func (o *Owner) end() {
+	if o.session != nil {
+		o.session.close()
+		o.session = nil
+		o.waiting.Store(&[]cwcellport.QueueLength{})
+	}
+}
+
+// Waiting returns the numbers of jobs that have not begun, as of a moment ago.
+func (o *Owner) Waiting() []cwcellport.QueueLength { return *o.waiting.Load() }
+
+// ask runs a question on the duty and waits for its answer.
+func ask[T any](o *Owner, wait time.Duration, question func(s *session, now time.Time, answer func(T))) (result T, err error) {
+	answers := make(chan T, 1)
+	refused := make(chan struct{}, 1)
+	posted := o.inbox.Offer(func(now time.Time) {
+		if o.session == nil {
+			refused <- struct{}{}
+			return
+		}
+		question(o.session, now, func(v T) { answers <- v })
+	})
+	if !posted {
+		return result, cwfault.New(cwfault.Unavailable, "the owner's inbox is full")
+	}
+	expired := make(chan struct{})
+	cancel := o.opts.Timer.After(wait, func(time.Time) { close(expired) })
+	defer cancel()
+	select {
+	case result = <-answers:
+		return result, nil
+	case <-refused:
+		return result, cwfault.New(cwfault.NotSupported, "this host does not own the cell")
+	case <-expired:
+		return result, cwfault.New(cwfault.Indefinite, "the owner did not answer within %s", wait)
+	}
+}
+
+// Offer takes a job whose row is durable.
+func (o *Owner) Offer(s *cwwork.Submission, version uint64) error {
+	_, err := ask(o, callerWait, func(e *session, now time.Time, answer func(struct{})) {
+		e.admit(s, version, now)
+		answer(struct{}{})
+	})
+	return err
+}
+
+// jobState is the answer to a question about one job.
+type jobState struct {
+	state cwwork.State
+	known bool
+}
+
+// Look returns the state of a job, false if the owner does not know it.
+func (o *Owner) Look(id cwmodel.JobID) (state cwwork.State, known bool, err error) {
+	found, err := ask(o, callerWait, func(e *session, _ time.Time, answer func(jobState)) {
+		var s jobState
+		if e.loaded {
+			s.state, s.known = e.cell.State(id)
+		}
+		answer(s)
+	})
+	return found.state, found.known, err
+}
+
+// Cancel ends a job and returns once its end is durable, false if the owner does not know it.
+func (o *Owner) Cancel(id cwmodel.JobID) (known bool, err error) {
+	return ask(o, callerWait, func(e *session, _ time.Time, answer func(bool)) {
+		if !e.loaded {
+			answer(false)
+			return
+		}
+		known, durable := e.cell.Cancel(id)
+		if !known || durable {
+			answer(known)
+			return
+		}
+		e.cancels[id] = append(e.cancels[id], func() { answer(true) })
+	})
+}
--- /dev/null
+++ b/internal/app/cwcellowner/session.go
@@ -0,0 +1,184 @@
+package cwcellowner
+
+import (
+	"time"
+
+	"currantward/internal/app/cwtenure"
+	"currantward/internal/base/cwduty"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/core/cwcell"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+	"currantward/internal/port/cwcellport"
+)
+
+// session is the state of one tenure. All of it belongs to the owner's duty.
+type session struct {
+	owner   *Owner
+	tenure  cwtenure.Tenure
+	cell    *cwcell.Cell
+	loaded  bool
+	early   []offered // jobs that were offered before the store was read
+	links   map[cwmodel.HostID]*link
+	ready   []*link // links that wait for their next call
+	advice  advisers
+	commits commits
+	cancels map[cwmodel.JobID][]func()
+	cleanup cwduty.Cleanup
+	closed  bool
+	status  time.Time
+	began   time.Time
+}
+
+// offered is one job with the version of its row.
+type offered struct {
+	submission *cwwork.Submission
+	version    uint64
+}
+
+// newSession begins a tenure: it reads the store, then calls the workers.
+func newSession(o *Owner, t cwtenure.Tenure, now time.Time) *session {
+	s := &session{
+		owner:   o,
+		tenure:  t,
+		links:   map[cwmodel.HostID]*link{},
+		cancels: map[cwmodel.JobID][]func(){},
+		commits: commits{
+			chain: t.ChainVersion, written: map[cwmodel.JobID]struct{}{}, cancelled: map[cwmodel.JobID]struct{}{},
+		},
+		began: now,
+	}
+	s.cell = cwcell.New(cwcell.Options{
+		Seed:       o.opts.Seed ^ t.Fence,
+		RunFloor:   (t.Term - 1) * runsPerTerm,
+		Inherited:  t.Inherited,
+		Superseded: t.Superseded,
+		StatusKept: o.opts.StatusKept,
+		StopTime:   o.opts.StopTime,
+		FarFactor:  o.opts.FarFactor,
+		Policy:     o.opts.Policy,
+		LeaseBound: o.opts.Workers.LeaseBound,
+	})
+	s.advice.session = s
+	s.cleanup.Add(o.opts.Timer.Every(tickPeriod, func(time.Time) { o.inbox.Offer(func(time.Time) {}) }))
+	s.submit("load", s.load)
+	return s
+}
+
+// runsPerTerm separates the run numbers of one owner from those of the next; no task is started as often by one owner.
+const runsPerTerm = 1000
+
+// close ends the tenure. Calls that are under way end by themselves; what they bring is dropped.
+func (s *session) close() {
+	s.closed = true
+	s.owner.opts.Log.WithFields(cwlog.Fields{"fence": s.tenure.Fence, "after": s.owner.opts.Timer.Now().Sub(s.began)}).Info("cell-left")
+	for id := range s.links {
+		s.dropLink(id)
+	}
+	// Duties of the session may wait for the inbox, which this duty drains.
+	go s.cleanup.Run()
+}
+
+// post hands an event of this session to the owner's duty; it is dropped once the session has ended.
+func (s *session) post(handle func(now time.Time)) {
+	s.owner.post(func(now time.Time) {
+		if !s.closed {
+			handle(now)
+		}
+	})
+}
+
+// submit runs a call that may block on the pool.
+func (s *session) submit(what string, call func()) bool {
+	if err := s.owner.opts.Pool.Submit(call); err != nil {
+		s.owner.opts.Log.WithFields(cwlog.Fields{"call": what, "error": err.Error()}).Warn("pool-full")
+		return false
+	}
+	return true
+}
+
+// step carries out what the events since the last step have led to.
+func (s *session) step(now time.Time) {
+	if !s.loaded {
+		return
+	}
+	holds := s.owner.opts.Holds(now)
+	if holds {
+		effects := s.cell.Decide(now, s.wall())
+		s.carryOut(effects, now)
+	}
+	s.commit(now)
+	s.advice.dispatch(now)
+	s.poll(now, holds)
+	s.publish(now)
+}
+
+func (s *session) wall() time.Time { return wallClock() }
+
+// carryOut sends the orders of a decision.
+func (s *session) carryOut(e cwcell.Effects, now time.Time) {
+	for n := range e.Notes {
+		s.logNote(&e.Notes[n])
+	}
+	for n := range e.Stops {
+		s.sendStop(&e.Stops[n])
+	}
+	for n := range e.Starts {
+		s.sendStart(&e.Starts[n])
+	}
+	for n := range e.Questions {
+		s.advice.add(&e.Questions[n], now)
+	}
+}
+
+// logNote writes one decision to the log.
+func (s *session) logNote(n *cwcell.Note) {
+	fields := cwlog.Fields{"fence": s.tenure.Fence}
+	if n.Job != "" {
+		fields["job"] = n.Job
+	}
+	if n.Task.Job != "" {
+		fields["task"] = n.Task.String()
+	}
+	if n.Worker != "" {
+		fields["worker"] = n.Worker
+	}
+	if n.Run != 0 {
+		fields["run"] = n.Run
+	}
+	if n.Detail != "" {
+		fields["detail"] = n.Detail
+	}
+	s.owner.opts.Log.WithFields(fields).Info(n.Event)
+	s.owner.opts.Observed(Observation{Event: n.Event})
+}
+
+// publish tells the peers how many jobs wait.
+func (s *session) publish(now time.Time) {
+	if now.Sub(s.status) < statusPeriod {
+		return
+	}
+	s.status = now
+	var list []cwcellport.QueueLength
+	for queue, n := range s.cell.Waiting() {
+		list = append(list, cwcellport.QueueLength{Queue: queue, Waiting: n})
+	}
+	s.owner.waiting.Store(&list)
+	for _, id := range s.cell.Forgettable(now) {
+		s.dropLink(id)
+		s.cell.Forget(id)
+	}
+}
+
+// admit adds a job whose row has the given version.
+func (s *session) admit(j *cwwork.Submission, version uint64, now time.Time) {
+	if !s.loaded {
+		s.early = append(s.early, offered{j, version})
+		return
+	}
+	if s.cell.Admit(j, nil, version <= s.tenure.Fence, now, s.wall()) {
+		s.owner.opts.Log.WithFields(cwlog.Fields{
+			"job": j.ID, "queue": j.Queue, "version": version, "age": s.wall().Sub(j.Accepted),
+		}).Info("job-admitted")
+	}
+}
--- a/internal/app/cwcommand/command.go
+++ b/internal/app/cwcommand/command.go
@@ -23,6 +23,8 @@
 	"currantward/internal/base/cwhttp"
 	"currantward/internal/base/cwlog"
 	"currantward/internal/base/cwtimer"
+	"currantward/platform/cwboot"
+	"currantward/platform/cwhost"
 )
 
 // Version is the version of this program.
@@ -41,6 +43,7 @@
 // arguments is the command line.
 type arguments struct {
 	Serve    *serveArgs         `arg:"subcommand:serve" help:"run one entry host"`
+	Node     *nodeArgs          `arg:"subcommand:node" help:"run one entry host on the users' platform"`
 	Dev      *devArgs           `arg:"subcommand:dev" help:"run a whole deployment in this process and serve a file of requests"`
 	Submit   *submitArgs        `arg:"subcommand:submit" help:"submit one request or a file of requests"`
 	Job      *jobArgs           `arg:"subcommand:job" help:"submit, get, list or cancel jobs"`
@@ -66,6 +69,10 @@
 	Settings string `arg:"positional,required" help:"JSON settings file"`
 }
 
+type nodeArgs struct {
+	Settings string `arg:"positional" help:"settings file of the platform; by default the one that the environment names"`
+}
+
 type checkArgs struct {
 	Settings string `arg:"positional,required" help:"JSON settings file"`
 }
@@ -118,6 +125,8 @@
 	switch {
 	case a.Serve != nil:
 		return r.serve(a.Serve)
+	case a.Node != nil:
+		return r.node(a.Node)
 	case a.Dev != nil:
 		return r.dev(a.Dev)
 	case a.Submit != nil:
@@ -190,6 +199,15 @@
 	return nil
 }
 
+// node runs an entry host on the users' platform.
+func (r *runtime) node(a *nodeArgs) error {
+	path := a.Settings
+	if path == "" {
+		path = cwboot.Path()
+	}
+	return cwhost.Run(path, r.out)
+}
+
 // signalContext ends at the first interrupt or termination signal.
 func signalContext() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- /dev/null
+++ b/internal/app/cwgateway/gateway.go
@@ -0,0 +1,282 @@
+// Package cwgateway carries out what callers ask of an entry host: submit, look up and cancel jobs.
+package cwgateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"currantward/internal/adapter/cwcellcodec"
+	"currantward/internal/app/cwcellowner"
+	"currantward/internal/app/cwtenure"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+	"currantward/internal/port/cwcellport"
+)
+
+// Options configure a gateway.
+type Options struct {
+	Store cwcellport.Store
+	Peers cwcellport.Peers
+	Owner *cwcellowner.Owner
+	Timer *cwtimer.Service
+	Log   *logrus.Logger
+
+	// View returns what the host believes about the lease of the cell.
+	View func() cwtenure.View
+	// Relays returns peers that reach the store, the nearest first.
+	Relays func() []cwcellport.EntryHost
+	// Submit runs a call on the pool; it reports false if the pool is full.
+	Submit func(call func()) bool
+}
+
+// Bounds of the gateway's calls to the store.
+const (
+	// storeTimeout bounds one call; a slow store takes 50 times its 4 ms.
+	storeTimeout = 700 * time.Millisecond
+	// storeTries is how often a write without an answer is repeated before the caller is told that nobody knows.
+	storeTries = 2
+	// brokenAfter is how many calls in a row must fail before submissions are refused without a try.
+	brokenAfter = 2
+	// probePeriod is how often a submission is tried all the same.
+	probePeriod = 250 * time.Millisecond
+	// offerTries is how often the owner is told of an accepted job; the owner's feed finds it too.
+	offerTries = 2
+)
+
+// Gateway serves callers; it is safe for concurrent use.
+type Gateway struct {
+	opts    Options
+	failing atomic.Int32 // writes in a row that the store did not answer
+	probed  atomic.Int64 // time of the last try while failing
+}
+
+// New returns a gateway.
+func New(opts Options) *Gateway { return &Gateway{opts: opts} }
+
+// Submit makes a job durable and tells the owner of it.
+func (g *Gateway) Submit(s *cwwork.Submission) cwcellport.Verdict {
+	verdict, version := g.write(s)
+	if verdict != cwcellport.VerdictAccepted && g.relay(s, &verdict) {
+		return verdict
+	}
+	if verdict == cwcellport.VerdictAccepted && version > 0 {
+		g.announce(s, version)
+	}
+	return verdict
+}
+
+// Relayed makes a job durable for a peer that the store refuses.
+func (g *Gateway) Relayed(s *cwwork.Submission) cwcellport.Verdict {
+	verdict, version := g.write(s)
+	if verdict == cwcellport.VerdictAccepted && version > 0 {
+		g.announce(s, version)
+	}
+	return verdict
+}
+
+// write commits the row of a job; the version is 0 if the job was there before.
+func (g *Gateway) write(s *cwwork.Submission) (verdict cwcellport.Verdict, version uint64) {
+	verdict = cwcellport.VerdictRefused
+	if !g.mayTry() {
+		return verdict, 0
+	}
+	value, err := cwcellcodec.EncodeSubmission(s)
+	if err != nil {
+		g.opts.Log.WithFields(cwlog.Fields{"job": s.ID, "error": err.Error()}).Error("job-not-encoded")
+		return verdict, 0
+	}
+	key := g.row(cwcellowner.TableJobs, s.ID)
+	t := cwcellport.Transaction{
+		Expected: []cwcellport.Expectation{{RowKey: key}, {RowKey: g.row(cwcellowner.TableEnded, s.ID)}},
+		Put:      []cwcellport.Row{{RowKey: key, Value: value}},
+	}
+	for try := range storeTries {
+		version, _, err = g.opts.Store.Commit(t, storeTimeout)
+		g.count(err)
+		switch cwfault.CodeOf(err) {
+		case "":
+			return cwcellport.VerdictAccepted, version
+		case cwfault.Conflict:
+			return cwcellport.VerdictAccepted, 0
+		case cwfault.Indefinite:
+			verdict = cwcellport.VerdictUnknown
+		}
+		g.opts.Log.WithFields(cwlog.Fields{"job": s.ID, "try": try, "error": err.Error()}).Warn("job-not-written")
+		if verdict != cwcellport.VerdictUnknown {
+			return verdict, 0
+		}
+	}
+	return verdict, 0
+}
+
+// mayTry reports whether a write to the store is worth a try.
+func (g *Gateway) mayTry() bool {
+	if g.failing.Load() < brokenAfter {
+		return true
+	}
+	now, last := g.opts.Timer.Now().UnixNano(), g.probed.Load()
+	return time.Duration(now-last) >= probePeriod && g.probed.CompareAndSwap(last, now)
+}
+
+func (g *Gateway) count(err error) {
+	if err == nil || cwfault.CodeOf(err) == cwfault.Conflict {
+		g.failing.Store(0)
+		return
+	}
+	g.failing.Add(1)
+}
+
+// relay hands a submission to a peer that reaches the store and reports whether that settled it.
+func (g *Gateway) relay(s *cwwork.Submission, verdict *cwcellport.Verdict) bool {
+	for _, peer := range g.opts.Relays() {
+		v, err := g.opts.Peers.Store(peer.Address, s)
+		fields := cwlog.Fields{"job": s.ID, "through": peer.ID, "verdict": v}
+		if err != nil {
+			fields["error"] = err.Error()
+		}
+		g.opts.Log.WithFields(fields).Info("job-relayed")
+		switch v {
+		case cwcellport.VerdictAccepted:
+			*verdict = v
+			return true
+		case cwcellport.VerdictUnknown:
+			*verdict = v
+			return true
+		case cwcellport.VerdictRefused:
+		}
+	}
+	return false
+}
+
+// announce tells the owner of an accepted job without making the caller wait.
+func (g *Gateway) announce(s *cwwork.Submission, version uint64) {
+	if !g.opts.Submit(func() { g.offer(s, version) }) {
+		g.opts.Log.WithField("job", s.ID).Warn("job-not-offered")
+	}
+}
+
+func (g *Gateway) offer(s *cwwork.Submission, version uint64) {
+	var err error
+	for range offerTries {
+		view := g.opts.View()
+		switch {
+		case view.IsOwner:
+			err = g.opts.Owner.Offer(s, version)
+		case view.Known:
+			err = g.opts.Peers.Offer(view.Owner.Address, s, version)
+		default:
+			return
+		}
+		if err == nil {
+			return
+		}
+	}
+	g.opts.Log.WithFields(cwlog.Fields{"job": s.ID, "error": err.Error()}).Warn("job-not-offered")
+}
+
+func (g *Gateway) row(table string, id cwmodel.JobID) cwcellport.RowKey {
+	return cwcellport.RowKey{Table: table, Part: cwcellowner.PartOf(id, g.opts.Store.Parts), Key: string(id)}
+}
+
+// State returns the state of a job; NotFound only on the store's word.
+func (g *Gateway) State(id cwmodel.JobID) (state cwwork.State, err error) {
+	view := g.opts.View()
+	known := false
+	switch {
+	case view.IsOwner:
+		state, known, err = g.opts.Owner.Look(id)
+	case view.Known:
+		state, known, err = g.opts.Peers.Look(view.Owner.Address, id)
+	}
+	if err == nil && known {
+		return state, nil
+	}
+	return g.stored(id)
+}
+
+// stored returns the state of a job as the store knows it. A job moves from one table to the other, so the live one is
+// read first.
+func (g *Gateway) stored(id cwmodel.JobID) (cwwork.State, error) {
+	live, _, err := g.read(cwcellowner.TableJobs, id)
+	if err != nil {
+		return "", err
+	}
+	if live != nil {
+		return cwwork.StateQueued, nil
+	}
+	row, _, err := g.read(cwcellowner.TableEnded, id)
+	if err != nil {
+		return "", err
+	}
+	if row == nil {
+		return "", cwfault.New(cwfault.NotFound, "there is no job %s", id)
+	}
+	ending, err := cwcellcodec.DecodeEnding(row.Value)
+	return ending.State, err
+}
+
+// read returns the row of a job, nil if there is none.
+func (g *Gateway) read(table string, id cwmodel.JobID) (row *cwcellport.Row, version uint64, err error) {
+	key := g.row(table, id)
+	rows, version, err := g.opts.Store.Read(table, key.Part, key.Key, key.Key+"\x00", storeTimeout)
+	if err != nil || len(rows) == 0 {
+		return nil, version, err
+	}
+	return &rows[0], version, nil
+}
+
+// Cancel ends a job durably; NotFound only on the store's word.
+func (g *Gateway) Cancel(id cwmodel.JobID) (err error) {
+	view := g.opts.View()
+	known := false
+	switch {
+	case view.IsOwner:
+		known, err = g.opts.Owner.Cancel(id)
+	case view.Known:
+		known, err = g.opts.Peers.Cancel(view.Owner.Address, id)
+	}
+	if err == nil && known {
+		return nil
+	}
+	return g.markCancelled(id)
+}
+
+// markCancelled writes the wish to cancel where the owner finds it.
+func (g *Gateway) markCancelled(id cwmodel.JobID) error {
+	live, _, err := g.read(cwcellowner.TableJobs, id)
+	if err != nil {
+		return err
+	}
+	if live == nil {
+		_, err = g.stored(id)
+		return err
+	}
+	mark := live.RowKey
+	mark.Key += cwcellowner.CancelSuffix
+	_, _, err = g.opts.Store.Commit(cwcellport.Transaction{
+		Expected: []cwcellport.Expectation{{RowKey: live.RowKey, Version: live.Version}},
+		Put:      []cwcellport.Row{{RowKey: mark, Value: []byte("{}")}},
+	}, storeTimeout)
+	if cwfault.CodeOf(err) == cwfault.Conflict {
+		_, err = g.stored(id) // it has ended meanwhile
+	}
+	return err
+}
+
+// Waiting returns how many jobs of a queue have not begun, from the owner's latest word.
+func (g *Gateway) Waiting(queue cwwork.QueueName, latest []cwcellport.QueueLength) int {
+	if g.opts.View().IsOwner {
+		latest = g.opts.Owner.Waiting()
+	}
+	for _, q := range latest {
+		if q.Queue == queue {
+			return q.Waiting
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/app/cwnode/roster.go
@@ -0,0 +1,70 @@
+package cwnode
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwcellport"
+)
+
+// roster is what the owner knows of the other entry hosts from their pulses.
+type roster struct {
+	timer *cwtimer.Service
+	mu    sync.Mutex
+	seen  map[cwmodel.HostID]sighting
+}
+
+// sighting is the latest pulse of a host.
+type sighting struct {
+	cwcellport.Pulse
+	at time.Time
+}
+
+func (r *roster) note(p cwcellport.Pulse) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.seen == nil {
+		r.seen = map[cwmodel.HostID]sighting{}
+	}
+	r.seen[p.From.ID] = sighting{Pulse: p, at: r.timer.Now()}
+}
+
+// list returns the hosts that were heard of lately and pass the filter, the fastest first.
+func (r *roster) list(pass func(cwcellport.Pulse) bool) (hosts []cwcellport.EntryHost) {
+	now := r.timer.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []cwcellport.Pulse
+	for id, s := range r.seen {
+		switch {
+		case now.Sub(s.at) > rosterAge:
+			delete(r.seen, id)
+		case pass(s.Pulse):
+			found = append(found, s.Pulse)
+		}
+	}
+	slices.SortFunc(found, func(a, b cwcellport.Pulse) int {
+		return cmp.Or(-cmp.Compare(a.Capacity, b.Capacity), cmp.Compare(a.From.ID, b.From.ID))
+	})
+	for _, p := range found {
+		hosts = append(hosts, p.From)
+	}
+	return hosts
+}
+
+// live returns the hosts that were heard of lately.
+func (r *roster) live() []cwcellport.EntryHost {
+	return r.list(func(p cwcellport.Pulse) bool { return !p.Leaving })
+}
+
+// reachable returns the live hosts that reach the store.
+func (r *roster) reachable() []cwcellport.EntryHost {
+	return r.list(func(p cwcellport.Pulse) bool { return !p.Leaving && p.StoreOK })
+}
+
+// successors returns the hosts that may take the cell over.
+func (r *roster) successors() []cwcellport.EntryHost { return r.reachable() }
--- /dev/null
+++ b/internal/app/cwtenure/follow.go
@@ -0,0 +1,145 @@
+package cwtenure
+
+import (
+	"time"
+
+	"currantward/internal/adapter/cwcellcodec"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/port/cwcellport"
+)
+
+// follow looks after the present owner, takes the lease if there is none, and returns when to look again.
+func (k *Keeper) follow() (wait time.Duration) {
+	if k.version == 0 && !k.readLease() {
+		return retryPeriod
+	}
+	switch {
+	case k.leaving.Load():
+		k.pulse()
+		return pulsePeriod
+	case k.version == 0:
+		k.take("no-owner")
+		return retryPeriod
+	case k.lease.Holder == k.opts.Self.ID && k.lease.Address == k.opts.Self.Address:
+		k.take("own-earlier-life")
+		return retryPeriod
+	case k.lease.Released:
+		return k.takeReleased()
+	}
+	if k.pulse() {
+		return pulsePeriod
+	}
+	return k.takeStale()
+}
+
+// pulse reports whether the owner answered and is well.
+func (k *Keeper) pulse() bool {
+	answer, err := k.opts.Peers.Pulse(k.lease.Address, cwcellport.Pulse{
+		From: k.opts.Self, Leaving: k.leaving.Load(), StoreOK: k.storeOK.Load(), Capacity: k.opts.Capacity,
+	})
+	now := k.opts.Timer.Now()
+	if err != nil {
+		if k.failed++; k.failed == 1 {
+			k.opts.Log.WithFields(cwlog.Fields{"owner": k.lease.Holder, "error": err.Error()}).Warn("owner-silent")
+		}
+		return false
+	}
+	if k.failed > 0 {
+		k.opts.Log.WithFields(cwlog.Fields{"owner": k.lease.Holder, "pulses": k.failed}).Info("owner-answers")
+		k.failed = 0
+	}
+	if !answer.IsOwner {
+		k.readLease()
+		return false
+	}
+	if answer.LeaseVersion > k.version {
+		k.version, k.seen = answer.LeaseVersion, now
+	}
+	k.opts.Answered(answer)
+	if answer.Unwell {
+		if k.readLease() {
+			k.take("owner-unwell")
+		}
+		return false
+	}
+	return true
+}
+
+// takeReleased takes a lease that its holder has given up, unless the named successor does so first.
+func (k *Keeper) takeReleased() time.Duration {
+	k.readLease()
+	if k.version > 0 && k.lease.Released && k.opts.Timer.Now().Sub(k.seen) >= retryPeriod {
+		k.take("released")
+	}
+	return retryPeriod
+}
+
+// takeStale takes a lease whose row has stood still for too long.
+func (k *Keeper) takeStale() time.Duration {
+	if !k.readLease() {
+		return retryPeriod
+	}
+	delay := staleAfter + time.Duration(float64(slowestDelay)*max(0, 1-k.opts.Capacity))
+	if k.version > 0 && !k.holding && k.opts.Timer.Now().Sub(k.seen) >= delay {
+		k.take("owner-stale")
+	}
+	return retryPeriod
+}
+
+// readLease reads the lease's row and reports whether the store answered.
+func (k *Keeper) readLease() bool {
+	rows, _, err := k.opts.Store.Read(TableCell, "", KeyLease, KeyLease+"\x00", callTimeout)
+	k.reached(err)
+	if err != nil {
+		return false
+	}
+	if len(rows) == 0 {
+		k.version, k.lease = 0, cwcellcodec.Lease{}
+		return true
+	}
+	return k.seeLease(rows[0])
+}
+
+// seeLease takes the present row and notes if another host holds the lease.
+func (k *Keeper) seeLease(row cwcellport.Row) bool {
+	lease, err := cwcellcodec.DecodeLease(row.Value)
+	if err != nil {
+		k.opts.Log.WithFields(cwlog.Fields{"version": row.Version, "error": err.Error()}).Error("lease-unreadable")
+		return false
+	}
+	if lease.Fence == 0 {
+		lease.Fence = row.Version
+	}
+	now := k.opts.Timer.Now()
+	if row.Version != k.version {
+		k.version, k.seen = row.Version, now
+	}
+	if k.holding && lease.Fence != k.fence {
+		k.lose(lease)
+	}
+	if lease.Holder != k.lease.Holder {
+		k.opts.Log.WithFields(cwlog.Fields{"owner": lease.Holder, "fence": lease.Fence, "version": row.Version}).Info("owner-changed")
+	}
+	k.lease = lease
+	return true
+}
+
+func (k *Keeper) lose(later cwcellcodec.Lease) {
+	k.opts.Log.WithFields(cwlog.Fields{"fence": k.fence, "later-owner": later.Holder, "later-fence": later.Fence}).Warn("lease-lost")
+	k.holding = false
+	k.publish()
+	k.opts.Lost()
+}
+
+// reached notes whether the store can be reached.
+func (k *Keeper) reached(err error) {
+	ok := err == nil || cwfault.CodeOf(err) == cwfault.Conflict
+	if k.storeOK.Swap(ok) != ok {
+		if ok {
+			k.opts.Log.Info("store-regained")
+		} else {
+			k.opts.Log.WithField("error", err.Error()).Warn("store-lost")
+		}
+	}
+}
--- /dev/null
+++ b/internal/app/cwtenure/hold.go
@@ -0,0 +1,110 @@
+package cwtenure
+
+import (
+	"time"
+
+	"currantward/internal/adapter/cwcellcodec"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/port/cwcellport"
+)
+
+// take tries to take the lease from the row that is known. The same transaction moves the chain row, which fences the
+// writes of the former owner.
+func (k *Keeper) take(why string) {
+	if k.holding {
+		return
+	}
+	former, formerVersion := k.lease, k.version
+	lease := cwcellcodec.Lease{
+		Holder: k.opts.Self.ID, DataCentre: k.opts.Self.DataCentre, Address: k.opts.Self.Address, Term: former.Term + 1,
+	}
+	sent := k.opts.Timer.Now()
+	version, present, err := k.commitLease(lease, formerVersion, true)
+	if err != nil {
+		k.opts.Log.WithFields(cwlog.Fields{"why": why, "version": formerVersion, "error": err.Error()}).Info("lease-not-taken")
+		if len(present) > 0 {
+			k.seeLease(present[0])
+		}
+		return
+	}
+	lease.Fence = version
+	k.lease, k.version, k.seen = lease, version, sent
+	k.holding, k.fence, k.until, k.renewed = true, version, sent.Add(TTL), sent
+	k.failed = 0
+	t := Tenure{Fence: version, Term: lease.Term, ChainVersion: version, Superseded: sent, Inherited: sent}
+	if formerVersion > 0 {
+		t.Superseded = k.opts.Timer.Now().Add(k.opts.StartWindow)
+		ownLife := former.Holder == k.opts.Self.ID && former.Address == k.opts.Self.Address
+		if !former.Released && !ownLife {
+			t.Superseded = k.opts.Timer.Now().Add(TTL)
+		}
+		t.Inherited = t.Superseded.Add(time.Duration(float64(k.opts.HoldLease) * (1 + 2*ClockDrift)))
+	}
+	k.opts.Log.WithFields(cwlog.Fields{
+		"why": why, "fence": version, "term": lease.Term, "former-owner": former.Holder, "former-version": formerVersion,
+	}).Info("lease-taken")
+	k.publish()
+	k.opts.Gained(t)
+}
+
+// commitLease writes the lease's row if that still has the given version.
+func (k *Keeper) commitLease(lease cwcellcodec.Lease, expected uint64, taking bool) (uint64, []cwcellport.Row, error) {
+	value, err := cwcellcodec.EncodeLease(lease)
+	if err != nil {
+		return 0, nil, err
+	}
+	key := cwcellport.RowKey{Table: TableCell, Key: KeyLease}
+	t := cwcellport.Transaction{
+		Expected: []cwcellport.Expectation{{RowKey: key, Version: expected}},
+		Put:      []cwcellport.Row{{RowKey: key, Value: value}},
+	}
+	if taking {
+		t.Put = append(t.Put, cwcellport.Row{RowKey: cwcellport.RowKey{Table: TableCell, Key: KeyChain}, Value: []byte(lease.Holder)})
+	}
+	version, present, err := k.opts.Store.Commit(t, callTimeout)
+	k.reached(err)
+	return version, present, err
+}
+
+// renew extends the lease and returns when to do so again.
+func (k *Keeper) renew() (wait time.Duration) {
+	sent := k.opts.Timer.Now()
+	if next := k.renewed.Add(renewPeriod); sent.Before(next) {
+		return next.Sub(sent)
+	}
+	lease := k.lease
+	lease.Fence = k.fence
+	lease.Renewal++
+	version, present, err := k.commitLease(lease, k.version, false)
+	switch {
+	case err == nil:
+		if late := sent.Sub(k.renewed); late > 2*renewPeriod {
+			k.opts.Log.WithFields(cwlog.Fields{"fence": k.fence, "since": late}).Warn("lease-renewed-late")
+		}
+		k.lease, k.version, k.renewed, k.until = lease, version, sent, sent.Add(TTL)
+		return renewPeriod - k.opts.Timer.Now().Sub(sent)
+	case cwfault.CodeOf(err) == cwfault.Conflict && len(present) > 0:
+		// An unanswered renewal may have been done: then the row is still ours, at a later version.
+		k.seeLease(present[0])
+	default:
+		k.opts.Log.WithFields(cwlog.Fields{"fence": k.fence, "error": err.Error()}).Warn("lease-not-renewed")
+	}
+	return retryPeriod
+}
+
+// release gives the lease up, after this host has stopped to act as the owner.
+func (k *Keeper) release() {
+	k.holding = false
+	k.publish()
+	k.opts.Lost()
+	lease := k.lease
+	lease.Fence, lease.Released = k.fence, true
+	version, _, err := k.commitLease(lease, k.version, false)
+	if err != nil {
+		k.opts.Log.WithFields(cwlog.Fields{"fence": k.fence, "error": err.Error()}).Warn("lease-not-released")
+		return
+	}
+	k.lease, k.version = lease, version
+	k.opts.Log.WithField("fence", k.fence).Info("lease-released")
+}
--- /dev/null
+++ b/internal/app/cwtenure/tenure.go
@@ -0,0 +1,198 @@
+// Package cwtenure keeps the lease of the cell: it takes, renews and releases the row that names the cell's owner.
+package cwtenure
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"currantward/internal/adapter/cwcellcodec"
+	"currantward/internal/base/cwduty"
+	"currantward/internal/base/cwring"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/port/cwcellport"
+)
+
+// Options configure a keeper.
+type Options struct {
+	Self  cwcellport.EntryHost
+	Store cwcellport.Store
+	Peers cwcellport.Peers
+	Timer *cwtimer.Service // its clock goes on through suspensions
+	Log   *logrus.Logger
+
+	// Capacity is the host's share of a processor; slower hosts let faster ones take the lease first.
+	Capacity float64
+	// HoldLease is how long the owner lets tasks go on without a renewal of their leases.
+	HoldLease time.Duration
+	// StartWindow is how long a start order of an earlier owner may travel.
+	StartWindow time.Duration
+
+	// Gained is called when this host has become the owner.
+	Gained func(Tenure)
+	// Lost is called when another host has, or when this one has released the lease.
+	Lost func()
+	// Ready is called with the keeper before its duty runs.
+	Ready func(*Keeper)
+	// Answered is called with each answer of the owner to a pulse.
+	Answered func(cwcellport.PulseAnswer)
+}
+
+// Tenure is what an owner knows about its own lease.
+type Tenure struct {
+	Fence        uint64 // larger for each later owner; the version of the row's taking
+	Term         int    // counts the owners
+	ChainVersion uint64 // of the row that every write of the owner moves
+	Superseded   time.Time
+	Inherited    time.Time
+}
+
+// Bounds of the lease.
+const (
+	// TTL is how long an owner acts after its last renewal.
+	TTL = 3 * time.Second
+	// renewPeriod lets several renewals be lost before the lease lapses.
+	renewPeriod = 500 * time.Millisecond
+	// unwellAfter is how long renewals may fail before the owner asks others to take over.
+	unwellAfter = 1100 * time.Millisecond
+	// staleAfter is how long the lease's row must stand still before a host that cannot reach the owner takes it.
+	staleAfter = 1200 * time.Millisecond
+	// pulsePeriod bounds how old the numbers of waiting jobs become, see the users' rule on them (2 s).
+	pulsePeriod = 500 * time.Millisecond
+	// retryPeriod is the pace of a host that looks for an owner.
+	retryPeriod = 150 * time.Millisecond
+	// callTimeout bounds one call to the store; a slow store takes 50 times its 4 ms.
+	callTimeout = 700 * time.Millisecond
+	// slowestDelay is how much longer a host without a share of a processor would wait before it takes a stale lease.
+	slowestDelay = 400 * time.Millisecond
+	// ClockDrift is by how much a worker's clock may be slow; see the users' protocol.
+	ClockDrift = 0.02
+)
+
+// Tables and keys of the cell's own rows.
+const (
+	TableCell = "cell"
+	KeyLease  = "lease"
+	KeyChain  = "chain"
+)
+
+// View is what this host believes about the lease.
+type View struct {
+	Owner   cwcellport.EntryHost
+	Known   bool
+	IsOwner bool
+	Until   time.Time // end of the own lease
+	Unwell  bool
+	Version uint64
+}
+
+// Keeper is the duty that keeps the lease.
+type Keeper struct {
+	opts    Options
+	inbox   *cwring.Ring[event]
+	view    atomic.Pointer[View]
+	storeOK atomic.Bool
+	leaving atomic.Bool
+
+	lease   cwcellcodec.Lease
+	version uint64 // of the lease's row; 0: none is known
+	seen    time.Time
+	holding bool
+	fence   uint64
+	until   time.Time
+	renewed time.Time
+	failed  int // pulses without an answer
+}
+
+// event is what wakes the keeper.
+type event string
+
+const (
+	eventTick     event = "tick"
+	eventTakeOver event = "take-over"
+	eventLeave    event = "leave"
+	eventDeposed  event = "deposed"
+)
+
+// Start runs a keeper and returns the function that stops it without releasing the lease.
+func Start(opts Options) (stop func()) {
+	k := &Keeper{opts: opts, inbox: cwring.New[event](16)}
+	k.view.Store(&View{})
+	opts.Ready(k)
+	return cwduty.Start("tenure", k.run)
+}
+
+// View returns what the host believes about the lease.
+func (k *Keeper) View() View { return *k.view.Load() }
+
+// Holds reports whether this host may act as the owner at now.
+func (k *Keeper) Holds(now time.Time) bool {
+	v := k.view.Load()
+	return v.IsOwner && now.Before(v.Until)
+}
+
+// StoreOK reports whether the last call of the keeper reached the store.
+func (k *Keeper) StoreOK() bool { return k.storeOK.Load() }
+
+// Leaving reports whether the host is shutting down.
+func (k *Keeper) Leaving() bool { return k.leaving.Load() }
+
+// TakeOver has the keeper try to take the lease at once.
+func (k *Keeper) TakeOver() { k.inbox.Offer(eventTakeOver) }
+
+// Leave has the keeper release the lease, and keeps it from taking one again.
+func (k *Keeper) Leave() {
+	k.leaving.Store(true)
+	k.inbox.Offer(eventLeave)
+}
+
+// Deposed tells the keeper that a worker has seen a later owner.
+func (k *Keeper) Deposed() { k.inbox.Offer(eventDeposed) }
+
+func (k *Keeper) run(ctx context.Context) {
+	wait := time.Duration(0)
+	for {
+		cancel := k.opts.Timer.After(wait, func(time.Time) { k.inbox.Offer(eventTick) })
+		e, ok := k.inbox.Take(ctx)
+		cancel()
+		if !ok {
+			return
+		}
+		wait = k.handle(e)
+		k.publish()
+	}
+}
+
+func (k *Keeper) handle(e event) (wait time.Duration) {
+	switch {
+	case e == eventLeave && k.holding:
+		k.release()
+	case e == eventDeposed && k.holding:
+		k.readLease()
+	case e == eventTakeOver && !k.holding && !k.leaving.Load():
+		k.readLease()
+		k.take("hand-over")
+	case k.holding:
+		return k.renew()
+	}
+	if k.holding {
+		return k.renew()
+	}
+	return k.follow()
+}
+
+// publish makes the present view visible to the other duties.
+func (k *Keeper) publish() {
+	now := k.opts.Timer.Now()
+	v := View{
+		Owner:   cwcellport.EntryHost{ID: k.lease.Holder, DataCentre: k.lease.DataCentre, Address: k.lease.Address},
+		Known:   k.version > 0 && !k.lease.Released,
+		IsOwner: k.holding,
+		Until:   k.until,
+		Version: k.version,
+	}
+	v.Unwell = k.holding && now.Sub(k.renewed) > unwellAfter
+	k.view.Store(&v)
+}
--- a/internal/base/cwhttp/client.go
+++ b/internal/base/cwhttp/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/netip"
 	"time"
@@ -22,6 +23,8 @@
 	MaxIdleConnection time.Duration
 	DialTimeout       time.Duration
 	Traffic           *Traffic // nil: not counted
+	// UserTimeout ends connections whose bytes stay unacknowledged for longer; zero leaves that to the kernel.
+	UserTimeout time.Duration
 }
 
 // DefaultClientOptions returns limits that suit calls inside one data centre.
@@ -65,10 +68,40 @@
 		if err != nil {
 			return nil, err
 		}
+		if tcp, ok := conn.(*net.TCPConn); ok && opts.UserTimeout > 0 {
+			if err := LimitUnacknowledged(tcp, opts.UserTimeout); err != nil {
+				return nil, errors.Join(err, conn.Close())
+			}
+		}
 		return opts.Traffic.Conn(conn), nil
 	}
 }
 
+// Header is one header of a request.
+type Header struct{ Name, Value string }
+
+// Exchange sends one request and returns the status and body of the answer, on the caller's goroutine.
+//
+// A failure to connect is Unavailable; any failure after that is Indefinite, since the receiver may have acted.
+func (c *Client) Exchange(method string, addr netip.AddrPort, path string, body []byte, timeout time.Duration, headers ...Header) (status int, answer []byte, err error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + addr.String() + path)
+	for _, h := range headers {
+		request.Header.Set(h.Name, h.Value)
+	}
+	if body != nil {
+		request.Header.SetContentType("application/json")
+		request.SetBodyRaw(body)
+	}
+	if err := c.client.DoTimeout(request, response, timeout); err != nil {
+		return 0, nil, transportError(path, err)
+	}
+	return response.StatusCode(), bytes.Clone(response.Body()), nil
+}
+
 // WithToken returns a client that sends the given bearer token.
 func (c *Client) WithToken(token string) *Client {
 	copied := *c
--- a/internal/base/cwtimer/timer.go
+++ b/internal/base/cwtimer/timer.go
@@ -26,8 +26,11 @@
 }
 
 // New returns a service that runs on the system's clock, and the function that stops it.
-func New() (s *Service, stop func()) {
-	s = newService(time.Now)
+func New() (s *Service, stop func()) { return serve(time.Now) }
+
+// serve runs a service on the given clock.
+func serve(now func() time.Time) (s *Service, stop func()) {
+	s = newService(now)
 	done, ended := make(chan struct{}), make(chan struct{})
 	go s.run(done, ended)
 	var once sync.Once
--- /dev/null
+++ b/internal/core/cwcell/advice.go
@@ -0,0 +1,224 @@
+package cwcell
+
+import (
+	"slices"
+	"time"
+
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+)
+
+// eligibility is what advice has said about the workers of one group. Which workers are good does not change while they
+// live; a ticket expires.
+type eligibility struct {
+	tickets map[cwmodel.HostID]ticket
+	bad     map[cwmodel.HostID]time.Time // start of the life that was meant
+	asking  bool
+	pending int
+}
+
+// ticket allows the tasks of a group on one worker for some time.
+type ticket struct {
+	text  string
+	born  time.Time
+	until time.Time
+}
+
+func (e *eligibility) expire(id cwmodel.HostID) {
+	if t, ok := e.tickets[id]; ok {
+		t.until = time.Time{}
+		e.tickets[id] = t
+	}
+}
+
+// knows reports whether advice has judged the present life of a worker.
+func (e *eligibility) knows(w *worker) bool {
+	if t, ok := e.tickets[w.ID]; ok && t.born.Equal(w.Born) {
+		return true
+	}
+	born, ok := e.bad[w.ID]
+	return ok && born.Equal(w.Born)
+}
+
+// allows reports whether the worker may run the group.
+func (e *eligibility) allows(w *worker) bool {
+	t, ok := e.tickets[w.ID]
+	return ok && t.born.Equal(w.Born)
+}
+
+// valid reports whether a start that is ordered now arrives with a valid ticket.
+func (e *eligibility) valid(w *worker, now time.Time) bool {
+	t, ok := e.tickets[w.ID]
+	return ok && t.born.Equal(w.Born) && t.until.Sub(now) > ticketMargin
+}
+
+// ticketMargin covers the way of a start order to its worker.
+const ticketMargin = 60 * time.Millisecond
+
+// Question asks which workers may run a step.
+type Question struct {
+	ID       uint64
+	Step     cwwork.StepKey
+	Workers  []cwmodel.HostID
+	Cost     time.Duration
+	Priority int
+}
+
+// question is a Question that has not been answered.
+type question struct {
+	Question
+	group *group
+	born  []time.Time
+	sent  bool
+}
+
+// GoodWorker is one row of an answer.
+type GoodWorker struct {
+	ID     cwmodel.HostID
+	Ticket string
+}
+
+// maxQuestion is how many workers one question may name; see the users' protocol.
+const maxQuestion = 100
+
+// sampleSize returns how many workers the first question of a step names: until the workers cost as much as the question.
+func sampleSize(a cwwork.Advice) int {
+	if a.PerWorker <= 0 {
+		return maxQuestion
+	}
+	return min(max(int(a.Base/a.PerWorker), smallestSample), maxQuestion)
+}
+
+// smallestSample is asked about even where each worker is dear.
+const smallestSample = 10
+
+// ask queues a question about workers that have not been judged; it reports false if none is left.
+func (c *Cell) ask(g *group, policy cwwork.Policy, now time.Time) bool {
+	if g.advice.asking {
+		return true
+	}
+	var unknown []*worker
+	for _, w := range c.sortedWorkers() {
+		if c.suits(w, g, policy) && w.usable(now) && !g.advice.knows(w) {
+			unknown = append(unknown, w)
+		}
+	}
+	if len(unknown) == 0 {
+		return false
+	}
+	if limit := sampleSize(policy.Advice); len(unknown) > limit {
+		c.random.Shuffle(len(unknown), func(a, b int) { unknown[a], unknown[b] = unknown[b], unknown[a] })
+		unknown = unknown[:limit]
+	}
+	g.advice.asking = true
+	c.queueQuestion(g, policy, unknown)
+	return true
+}
+
+// renew queues a question for new tickets of workers that are known to be good.
+func (c *Cell) renew(g *group, policy cwwork.Policy, workers []*worker) {
+	for len(workers) > 0 {
+		n := min(len(workers), maxQuestion)
+		c.queueQuestion(g, policy, workers[:n])
+		workers = workers[n:]
+	}
+}
+
+func (c *Cell) queueQuestion(g *group, policy cwwork.Policy, workers []*worker) {
+	c.questionID++
+	q := &question{group: g, Question: Question{ID: c.questionID, Step: g.key, Priority: policy.Priority, Cost: policy.Advice.Cost(len(workers))}}
+	for _, w := range workers {
+		q.Workers = append(q.Workers, w.ID)
+		q.born = append(q.born, w.Born)
+	}
+	g.advice.pending++
+	c.asks = append(c.asks, q)
+}
+
+// dispatchQuestions hands out the questions that have come up.
+func (c *Cell) dispatchQuestions() {
+	for _, q := range c.asks {
+		if !q.sent {
+			q.sent = true
+			c.effects.Questions = append(c.effects.Questions, q.Question)
+		}
+	}
+}
+
+// Wanted reports whether the answer of a question still matters.
+func (c *Cell) Wanted(id uint64) bool {
+	for _, q := range c.asks {
+		if q.ID == id {
+			return q.group.job.final == "" && q.group.left > 0
+		}
+	}
+	return false
+}
+
+// Advised takes the answer of a question; without one the question may be asked again.
+func (c *Cell) Advised(id uint64, good []GoodWorker, ok bool, validUntil, now time.Time) {
+	at := slices.IndexFunc(c.asks, func(q *question) bool { return q.ID == id })
+	if at < 0 {
+		return
+	}
+	q := c.asks[at]
+	c.asks = slices.Delete(c.asks, at, at+1)
+	g, e := q.group, q.group.advice
+	e.asking = false
+	e.pending--
+	c.changed = true
+	if ok {
+		c.judge(q, good, validUntil)
+	}
+	c.resolvePlanned(g, q, now)
+}
+
+// judge notes which of the workers asked about are good.
+func (c *Cell) judge(q *question, good []GoodWorker, validUntil time.Time) {
+	e := q.group.advice
+	for n, id := range q.Workers {
+		e.bad[id] = q.born[n]
+	}
+	fresh := 0
+	for _, row := range good {
+		n := slices.Index(q.Workers, row.ID)
+		if n < 0 {
+			continue
+		}
+		if _, known := e.tickets[row.ID]; !known {
+			fresh++
+		}
+		delete(e.bad, row.ID)
+		e.tickets[row.ID] = ticket{text: row.Ticket, born: q.born[n], until: validUntil}
+	}
+	const weight = 0.1
+	stats := c.queue(q.group.job.Queue)
+	stats.good += weight * (float64(fresh)/float64(len(q.Workers)) - stats.good)
+}
+
+// resolvePlanned orders the planned runs whose tickets have been renewed and gives up the others.
+func (c *Cell) resolvePlanned(g *group, q *question, now time.Time) {
+	complete := true
+	var planned []*run
+	for index := range g.tasks {
+		for _, r := range g.tasks[index].runs {
+			if r.state != runPlanned || (!g.step.Gang && !slices.Contains(q.Workers, r.worker.ID)) {
+				continue
+			}
+			planned = append(planned, r)
+			if !g.advice.valid(r.worker, now) || !r.worker.usable(now) {
+				complete = false
+			}
+		}
+	}
+	if g.step.Gang && g.advice.pending > 0 {
+		return
+	}
+	for _, r := range planned {
+		if (g.step.Gang && !complete) || !g.advice.valid(r.worker, now) || !r.worker.usable(now) {
+			c.release(r, now)
+			continue
+		}
+		c.order(r, now)
+	}
+}
--- /dev/null
+++ b/internal/core/cwcell/cell.go
@@ -0,0 +1,188 @@
+// Package cwcell decides where the tasks of one cell of workers run.
+//
+// A Cell is a state machine without clock, I/O or goroutines: events go in with the present time, orders and writes come
+// out, and the same events lead to the same orders. Its owner is the one entry host that holds the cell's lease.
+package cwcell
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+)
+
+// Options bound the decisions of a cell.
+type Options struct {
+	Seed uint64
+	// RunFloor is below the number of every run that this owner starts of a job that it adopted.
+	RunFloor int
+	// Inherited is when everything that earlier owners may have left on a silent worker is over.
+	Inherited time.Time
+	// Superseded is when an earlier owner that has not noticed the takeover has stopped by itself.
+	Superseded time.Time
+	// StatusKept is how long the final state of a job stays known.
+	StatusKept time.Duration
+	// StopTime is the longest time that a worker takes to stop a task.
+	StopTime time.Duration
+	// FarFactor is how many times as long a task takes away from the rack that it asks for.
+	FarFactor float64
+	// Policy returns the present policy of a queue, false if there is none.
+	Policy func(cwwork.QueueName) (cwwork.Policy, bool)
+	// LeaseBound returns when every lease that this owner has ordered on a worker is over.
+	LeaseBound func(cwmodel.HostID) time.Time
+}
+
+// Cell is the state of one owner.
+type Cell struct {
+	opts       Options
+	random     *rand.Rand
+	jobs       map[cwmodel.JobID]*job
+	ended      map[cwmodel.JobID]ended
+	endings    []cwmodel.JobID // keys of ended, the oldest first
+	workers    map[cwmodel.HostID]*worker
+	open       []*group // groups with tasks that wait
+	timed      []*job   // jobs with occurrences still to come
+	dirty      []*job   // jobs whose progress is not durable yet
+	largest    cwmodel.Resources
+	asks       []*question
+	questionID uint64
+	inOrder    []*worker // workers in a fixed order; nil after a change
+	effects    Effects
+	now        time.Time // of the latest event
+	changed    bool      // something happened that may let a waiting task start
+	retryAt    time.Time
+	queues     map[cwwork.QueueName]*queueStatistics
+}
+
+// ended is the final state of a job whose end is durable.
+type ended struct {
+	state cwwork.State
+	at    time.Time
+}
+
+// queueStatistics is what the cell has learned about one queue.
+type queueStatistics struct {
+	waiting int     // jobs of which no task has started
+	good    float64 // share of the workers that advice allowed, averaged
+	ratio   float64 // run time in proportion to its estimate, averaged
+}
+
+// Effects are the orders that a decision leads to.
+type Effects struct {
+	Starts    []StartOrder
+	Stops     []StopOrder
+	Questions []Question
+	Notes     []Note
+}
+
+// StartOrder asks a worker to start one run.
+type StartOrder struct {
+	Worker     cwmodel.HostID
+	Task       cwwork.TaskKey
+	Run        int
+	Payload    string
+	Checkpoint string
+	Ticket     string
+}
+
+// StopOrder asks a worker to stop one run.
+type StopOrder struct {
+	Worker cwmodel.HostID
+	Task   cwwork.TaskKey
+	Run    int
+}
+
+// Note is one line of the log: a decision and what decided it.
+type Note struct {
+	Event  string
+	Job    cwmodel.JobID
+	Task   cwwork.TaskKey
+	Worker cwmodel.HostID
+	Run    int
+	Detail string
+}
+
+// New returns a cell without jobs and workers.
+func New(opts Options) *Cell {
+	return &Cell{
+		opts:    opts,
+		random:  rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
+		jobs:    map[cwmodel.JobID]*job{},
+		ended:   map[cwmodel.JobID]ended{},
+		workers: map[cwmodel.HostID]*worker{},
+		queues:  map[cwwork.QueueName]*queueStatistics{},
+	}
+}
+
+// Decide places what can be placed and returns the orders that have come up since the last call.
+func (c *Cell) Decide(now, wall time.Time) Effects {
+	c.now = now
+	c.expire(now)
+	c.openOccurrences(now, wall)
+	if c.changed || !now.Before(c.retryAt) {
+		c.changed = false
+		c.retryAt = now.Add(retryPeriod)
+		c.place(now, wall)
+	}
+	c.dispatchQuestions()
+	effects := c.effects
+	c.effects = Effects{}
+	return effects
+}
+
+// retryPeriod is how often waiting tasks are looked at though nothing has changed: objectives pass and quarantines end.
+const retryPeriod = 100 * time.Millisecond
+
+// State returns what callers are told about a job, false if the cell does not know it.
+func (c *Cell) State(id cwmodel.JobID) (state cwwork.State, known bool) {
+	if e, ok := c.ended[id]; ok {
+		return e.state, true
+	}
+	j, ok := c.jobs[id]
+	switch {
+	case !ok:
+		return "", false
+	case j.started:
+		return cwwork.StateRunning, true
+	}
+	return cwwork.StateQueued, true
+}
+
+// Waiting returns how many jobs of each queue have not begun.
+func (c *Cell) Waiting() map[cwwork.QueueName]int {
+	waiting := make(map[cwwork.QueueName]int, len(c.queues))
+	for name, q := range c.queues {
+		waiting[name] = q.waiting
+	}
+	return waiting
+}
+
+// Counts returns the numbers of live jobs, of groups with waiting tasks and of workers that can take tasks.
+func (c *Cell) Counts(now time.Time) (jobs, waiting, workers int) {
+	for _, w := range c.workers {
+		if w.usable(now) {
+			workers++
+		}
+	}
+	return len(c.jobs), len(c.open), workers
+}
+
+func (c *Cell) queue(name cwwork.QueueName) *queueStatistics {
+	q, ok := c.queues[name]
+	if !ok {
+		q = &queueStatistics{good: 0.5, ratio: 1}
+		c.queues[name] = q
+	}
+	return q
+}
+
+func (c *Cell) note(n Note) { c.effects.Notes = append(c.effects.Notes, n) }
+
+// expire forgets the final states that nobody may ask for any more.
+func (c *Cell) expire(now time.Time) {
+	for len(c.endings) > 0 && now.Sub(c.ended[c.endings[0]].at) > c.opts.StatusKept {
+		delete(c.ended, c.endings[0])
+		c.endings = c.endings[1:]
+	}
+}
--- /dev/null
+++ b/internal/core/cwcell/place.go
@@ -0,0 +1,268 @@
+package cwcell
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+)
+
+// rank orders groups: what can still earn its whole worth first, then the queue's priority, then the time that is left.
+type rank struct {
+	lateness int // 0: in time; 1: late; 2: too late to earn anything
+	priority int
+	slack    time.Duration
+}
+
+// lateFactor is how many objectives after its acceptance a job earns nothing any more; see the users' rules on credit.
+const lateFactor = 3
+
+func (c *Cell) rank(g *group, wall time.Time) rank {
+	j := g.job
+	since := j.Accepted
+	if j.Repeats > 0 {
+		since = j.Due(g.key.Occurrence)
+	}
+	remaining := g.remaining()
+	slack := j.objective - wall.Sub(since) - remaining
+	r := rank{priority: c.policy(j).Priority, slack: slack}
+	switch {
+	case g.step.LongRunning:
+		r.slack = 0
+	case slack < -(lateFactor-1)*j.objective:
+		r.lateness = 2
+	case slack < 0:
+		r.lateness = 1
+	}
+	return r
+}
+
+// remaining returns the estimated chain from this group to the end of its occurrence.
+func (g *group) remaining() time.Duration {
+	longest := g.step.Estimate
+	for n := g.key.Step + 1; n < len(g.job.Steps); n++ {
+		if slices.Contains(g.job.Steps[n].After, g.key.Step) {
+			longest = max(longest, g.step.Estimate+g.job.Steps[n].Estimate)
+		}
+	}
+	return longest
+}
+
+func (r rank) compare(o rank) int {
+	return cmp.Or(cmp.Compare(r.lateness, o.lateness), cmp.Compare(r.priority, o.priority), cmp.Compare(r.slack, o.slack))
+}
+
+// place starts what fits, in the order of the ranks.
+func (c *Cell) place(now, wall time.Time) {
+	type ranked struct {
+		group *group
+		rank  rank
+	}
+	order := make([]ranked, 0, len(c.open))
+	for _, g := range c.open {
+		order = append(order, ranked{g, c.rank(g, wall)})
+	}
+	slices.SortStableFunc(order, func(a, b ranked) int { return a.rank.compare(b.rank) })
+	held := newHolds()
+	for _, r := range order {
+		if r.group.isOpen && c.settled(r.group.job, now) {
+			c.placeGroup(r.group, held, now)
+		}
+	}
+}
+
+// placeGroup starts the waiting tasks of one group as far as there is room.
+func (c *Cell) placeGroup(g *group, held *holds, now time.Time) {
+	policy := c.policy(g.job)
+	if policy.Advice.Needed() && g.advice == nil {
+		g.advice = &eligibility{tickets: map[cwmodel.HostID]ticket{}, bad: map[cwmodel.HostID]time.Time{}}
+	}
+	if c.infeasible(g, policy, now) {
+		c.conclude(g.job, cwwork.StateFailed)
+		return
+	}
+	if g.advice != nil && len(g.advice.tickets) == 0 {
+		c.ask(g, policy, now)
+		return
+	}
+	candidates := c.candidates(g, policy, now)
+	if g.step.Gang {
+		c.placeGang(g, policy, candidates, held, now)
+	} else {
+		c.placeTasks(g, policy, candidates, held, now)
+	}
+	if g.waiting == 0 {
+		c.closeGroup(g)
+	}
+}
+
+// infeasible reports whether no worker that was ever seen could hold one task of the group.
+func (c *Cell) infeasible(g *group, _ cwwork.Policy, now time.Time) bool {
+	if g.step.Need.FitsIn(c.largest) || len(c.workers) == 0 || !c.settledAll(now) {
+		return false
+	}
+	c.note(Note{Event: "job-infeasible", Job: g.job.ID, Detail: fmt.Sprintf("need=%+v largest=%+v", g.step.Need, c.largest)})
+	return true
+}
+
+// settledAll reports whether every listed worker has answered or had the time to.
+func (c *Cell) settledAll(now time.Time) bool {
+	if !now.Before(c.opts.Inherited) {
+		return true
+	}
+	for _, w := range c.workers {
+		if !w.known {
+			return false
+		}
+	}
+	return true
+}
+
+// suits reports whether a worker's kind is right for the group.
+func (c *Cell) suits(w *worker, g *group, policy cwwork.Policy) bool {
+	if w.Service != policy.Service || !g.step.Need.FitsIn(w.Capacity) {
+		return false
+	}
+	return g.step.Requires == "" || slices.Contains(w.Labels, g.step.Requires)
+}
+
+// candidates returns the workers on which tasks of the group may start now, whether or not they have room.
+func (c *Cell) candidates(g *group, policy cwwork.Policy, now time.Time) (list []*worker) {
+	for _, w := range c.sortedWorkers() {
+		if c.suits(w, g, policy) && w.usable(now) && (g.advice == nil || g.advice.allows(w)) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// sortedWorkers returns the workers in a fixed order.
+func (c *Cell) sortedWorkers() []*worker {
+	if c.inOrder == nil {
+		for _, w := range c.workers {
+			c.inOrder = append(c.inOrder, w)
+		}
+		slices.SortFunc(c.inOrder, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return c.inOrder
+}
+
+// placeTasks starts the waiting tasks of a group one by one, each where it leaves the least room.
+func (c *Cell) placeTasks(g *group, policy cwwork.Policy, candidates []*worker, held *holds, now time.Time) {
+	renewals := map[*worker]struct{}{}
+	var renew []*worker
+	short := false
+	for index := range g.tasks {
+		t := &g.tasks[index]
+		if t.done || len(t.runs) > 0 {
+			continue
+		}
+		w := c.bestFit(g, t, candidates, held)
+		if w == nil {
+			short = true
+			break
+		}
+		r := c.newRun(g, index, w, t.highest+1, now)
+		if g.advice == nil || g.advice.valid(w, now) {
+			c.order(r, now)
+			continue
+		}
+		if _, ok := renewals[w]; !ok {
+			renewals[w] = struct{}{}
+			renew = append(renew, w)
+		}
+	}
+	c.renew(g, policy, renew)
+	if short && g.advice != nil && len(candidates) > 0 {
+		c.ask(g, policy, now)
+	}
+}
+
+// bestFit returns the worker with the least room left after the task, or nil.
+func (c *Cell) bestFit(g *group, t *task, candidates []*worker, held *holds) (best *worker) {
+	bestScore := 0.0
+	for _, w := range candidates {
+		if !g.step.Need.FitsIn(w.free()) || held.refuses(w, g) || g.crowded(w) {
+			continue
+		}
+		score := w.free().Minus(g.step.Need).DominantShare(w.Capacity)
+		if slices.Contains(t.avoid, w.ID) {
+			score += avoidPenalty
+		}
+		if g.step.Affinity != "" && w.Rack != g.step.Affinity {
+			score += farPenalty
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// Penalties order workers where the share of room that is left, from 0 to 1, must not decide.
+const (
+	avoidPenalty = 4 // the task has failed there
+	farPenalty   = 2 // the task's data is on another rack
+)
+
+// crowded reports whether a worker runs as many tasks of the group as it may.
+func (g *group) crowded(w *worker) bool {
+	if g.step.AntiAffinity == 0 {
+		return false
+	}
+	n := 0
+	for index := range g.tasks {
+		for _, r := range g.tasks[index].runs {
+			if r.worker == w {
+				n++
+			}
+		}
+	}
+	return n >= g.step.AntiAffinity
+}
+
+// newRun holds room on a worker for a run.
+func (c *Cell) newRun(g *group, index int, w *worker, number int, now time.Time) *run {
+	r := &run{group: g, index: index, number: max(number, g.job.floor+1), worker: w, state: runPlanned, ordered: now}
+	g.tasks[index].highest = max(g.tasks[index].highest, r.number)
+	w.hold(r)
+	return r
+}
+
+// order sends the start order of a planned run.
+func (c *Cell) order(r *run, now time.Time) {
+	g := r.group
+	r.state, r.ordered = runOrdered, now
+	o := StartOrder{
+		Worker:     r.worker.ID,
+		Task:       r.key(),
+		Run:        r.number,
+		Payload:    g.job.Payload,
+		Checkpoint: g.checkpoint(r.index),
+	}
+	if g.advice != nil {
+		o.Ticket = g.advice.tickets[r.worker.ID].text
+	}
+	c.begin(g.job)
+	c.effects.Starts = append(c.effects.Starts, o)
+	c.note(Note{Event: "run-ordered", Job: g.job.ID, Task: o.Task, Worker: o.Worker, Run: o.Run, Detail: r.worker.free().String()})
+}
+
+// checkpoint returns what a run of the task resumes from; the members of a gang share one.
+func (g *group) checkpoint(index int) string {
+	if !g.step.Saves {
+		return ""
+	}
+	if !g.step.Gang {
+		return g.tasks[index].saved
+	}
+	for n := range g.tasks {
+		if g.tasks[n].saved != "" {
+			return g.tasks[n].saved
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/core/cwcell/worker.go
@@ -0,0 +1,270 @@
+package cwcell
+
+import (
+	"slices"
+	"time"
+
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+)
+
+// WorkerInfo is what a worker says of itself in the platform's list.
+type WorkerInfo struct {
+	ID         cwmodel.HostID
+	Service    string
+	DataCentre cwmodel.DataCentre
+	Rack       string
+	Labels     []string
+	Capacity   cwmodel.Resources
+	Draining   bool
+	Born       time.Time // start of its present life
+}
+
+// worker is one worker as the cell sees it.
+type worker struct {
+	WorkerInfo
+	used      cwmodel.Resources
+	runs      map[cwwork.TaskKey]*run
+	listed    bool
+	unlisted  time.Time
+	known     bool // has answered under this owner's fencing token
+	silent    bool // did not answer the last call
+	contact   time.Time
+	seen      uint64 // number of the latest end that was processed
+	ack       uint64 // number of the latest end whose effect is durable
+	ends      []pendingEnd
+	breaker   breaker
+	strangers []Running // runs of jobs that this owner has not read yet
+}
+
+// pendingEnd is an end that may be acknowledged once the state of its job is durable.
+type pendingEnd struct {
+	number  uint64
+	job     *job // nil: nothing has to be written
+	version int
+}
+
+// advanceAck moves the acknowledged number past the ends whose effect is durable.
+func (w *worker) advanceAck() {
+	for len(w.ends) > 0 {
+		e := w.ends[0]
+		if e.job != nil && e.job.written < e.version {
+			return
+		}
+		w.ack = e.number
+		w.ends = w.ends[1:]
+	}
+}
+
+// usable reports whether new tasks may be started on the worker.
+func (w *worker) usable(now time.Time) bool {
+	if !w.listed && now.Sub(w.unlisted) > unlistedGrace {
+		return false
+	}
+	return !w.Draining && w.known && !w.silent && !w.breaker.open(now)
+}
+
+func (w *worker) free() cwmodel.Resources { return w.Capacity.Minus(w.used) }
+
+// hold reserves room for a run.
+func (w *worker) hold(r *run) {
+	w.used = w.used.Plus(r.group.step.Need)
+	w.runs[r.key()] = r
+	t := &r.group.tasks[r.index]
+	if len(t.runs) == 0 && !t.done {
+		r.group.waiting--
+	}
+	t.runs = append(t.runs, r)
+}
+
+// SetWorkers replaces the list of workers.
+func (c *Cell) SetWorkers(list []WorkerInfo, now time.Time) {
+	present := make(map[cwmodel.HostID]struct{}, len(list))
+	for _, info := range list {
+		present[info.ID] = struct{}{}
+		c.SetWorker(info, now)
+	}
+	for id := range c.workers {
+		if _, ok := present[id]; !ok {
+			c.RemoveWorker(id, now)
+		}
+	}
+}
+
+// SetWorker adds a worker or takes what is new about it.
+func (c *Cell) SetWorker(info WorkerInfo, now time.Time) {
+	w, ok := c.workers[info.ID]
+	if !ok {
+		w = &worker{runs: map[cwwork.TaskKey]*run{}, contact: now}
+		c.workers[info.ID] = w
+		c.inOrder = nil
+	}
+	if ok && info.Born.After(w.Born) {
+		c.reborn(w, info.Born, now)
+	}
+	born := w.Born
+	if !ok {
+		born = info.Born
+	}
+	draining := w.Draining
+	w.WorkerInfo = info
+	w.Born = born
+	w.listed = true
+	c.largest = larger(c.largest, info.Capacity)
+	c.changed = true
+	if info.Draining && !draining {
+		c.note(Note{Event: "worker-draining", Worker: w.ID})
+	}
+}
+
+// RemoveWorker notes that the platform no longer lists a worker; what runs there goes on while it answers.
+func (c *Cell) RemoveWorker(id cwmodel.HostID, now time.Time) {
+	if w, ok := c.workers[id]; ok && w.listed {
+		w.listed = false
+		w.unlisted = now
+		c.note(Note{Event: "worker-unlisted", Worker: id})
+	}
+}
+
+// Forgettable returns the workers that are not listed, hold nothing and are silent.
+func (c *Cell) Forgettable(now time.Time) (ids []cwmodel.HostID) {
+	for id, w := range c.workers {
+		if !w.listed && w.silent && len(w.runs) == 0 && now.Sub(w.unlisted) > forgetAfter {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Forget drops a worker.
+func (c *Cell) Forget(id cwmodel.HostID) {
+	delete(c.workers, id)
+	c.inOrder = nil
+}
+
+// unlistedGrace is how long the platform may take to list a live worker again after an outage of its store.
+const unlistedGrace = 2500 * time.Millisecond
+
+// forgetAfter is longer than the platform takes to list a live worker again after an outage.
+const forgetAfter = 5 * time.Second
+
+// reborn notes that a worker has started anew: nothing of its former life runs.
+func (c *Cell) reborn(w *worker, born, now time.Time) {
+	c.note(Note{Event: "worker-restarted", Worker: w.ID})
+	w.Born = born
+	w.seen, w.ack, w.ends = 0, 0, nil
+	w.known = false
+	w.breaker = breaker{}
+	for _, r := range w.sorted() {
+		c.lose(r, now)
+	}
+}
+
+// sorted returns the runs of a worker in a fixed order.
+func (w *worker) sorted() []*run {
+	runs := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int { return compareKeys(a.key(), b.key()) })
+	return runs
+}
+
+func compareKeys(a, b cwwork.TaskKey) int {
+	switch {
+	case a.Job != b.Job:
+		if a.Job < b.Job {
+			return -1
+		}
+		return 1
+	case a.Occurrence != b.Occurrence:
+		return a.Occurrence - b.Occurrence
+	case a.Step != b.Step:
+		return a.Step - b.Step
+	}
+	return a.Index - b.Index
+}
+
+func larger(a, b cwmodel.Resources) cwmodel.Resources {
+	return cwmodel.Resources{
+		MilliProcessors: max(a.MilliProcessors, b.MilliProcessors),
+		MemoryBytes:     max(a.MemoryBytes, b.MemoryBytes),
+		Accelerators:    max(a.Accelerators, b.Accelerators),
+	}
+}
+
+// release frees the room of a run that is certainly over; its task waits again unless it is done.
+func (c *Cell) release(r *run, now time.Time) {
+	w, g := r.worker, r.group
+	if w.runs[r.key()] != r {
+		return
+	}
+	delete(w.runs, r.key())
+	w.used = w.used.Minus(g.step.Need)
+	t := &g.tasks[r.index]
+	if at := slices.Index(t.runs, r); at >= 0 {
+		t.runs = slices.Delete(t.runs, at, at+1)
+	}
+	c.changed = true
+	if !t.done && len(t.runs) == 0 {
+		g.waiting++
+		t.percent = 0
+		if g.job.final == "" {
+			c.openGroup(g, now)
+		}
+	}
+	c.evict(g.job)
+}
+
+// Silent notes that a worker did not answer; its runs count as over once their leases are.
+func (c *Cell) Silent(id cwmodel.HostID, now time.Time) {
+	w, ok := c.workers[id]
+	if !ok {
+		return
+	}
+	if !w.silent {
+		w.silent = true
+		c.note(Note{Event: "worker-silent", Worker: id})
+	}
+	c.lapse(w, now)
+}
+
+// lapse releases the runs of a silent worker whose leases are over.
+func (c *Cell) lapse(w *worker, now time.Time) {
+	if !w.silent || len(w.runs) == 0 || now.Before(c.opts.LeaseBound(w.ID)) {
+		return
+	}
+	if !w.known && now.Before(c.opts.Inherited) {
+		return
+	}
+	c.note(Note{Event: "worker-leases-over", Worker: w.ID})
+	for _, r := range w.sorted() {
+		if r.state == runOrdered {
+			continue // its order may still be under way; the answer decides
+		}
+		c.lose(r, now)
+	}
+}
+
+// Acknowledged returns the number up to which a worker may forget its ends, and whether all that were seen are.
+func (c *Cell) Acknowledged(id cwmodel.HostID) (number uint64, all bool) {
+	w, ok := c.workers[id]
+	if !ok {
+		return 0, true
+	}
+	return w.ack, len(w.ends) == 0
+}
+
+// settled reports whether what earlier owners left of a job is known.
+func (c *Cell) settled(j *job, now time.Time) bool {
+	if !now.Before(c.opts.Inherited) || (!j.adopted && !now.Before(c.opts.Superseded)) {
+		return true
+	}
+	for _, w := range c.workers {
+		if !w.known {
+			return false
+		}
+	}
+	return len(c.workers) > 0
+}
--- /dev/null
+++ b/internal/core/cwcell/write.go
@@ -0,0 +1,122 @@
+package cwcell
+
+import (
+	"slices"
+	"time"
+
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+)
+
+// Write is what the store has to hold about one job.
+type Write struct {
+	Job      cwmodel.JobID
+	State    cwwork.State     // final state, or empty
+	Progress *cwwork.Progress // nil for a final state
+	version  int
+}
+
+// NextWrites returns the writes of at most limit jobs whose state is not durable; each stays due until Committed.
+func (c *Cell) NextWrites(limit int) (writes []Write) {
+	n := min(limit, len(c.dirty))
+	for _, j := range c.dirty[:n] {
+		j.queued = false
+		w := Write{Job: j.ID, State: j.final, version: j.changed}
+		if j.final == "" {
+			w.Progress = j.snapshot()
+		}
+		writes = append(writes, w)
+	}
+	c.dirty = slices.Delete(c.dirty, 0, n)
+	return writes
+}
+
+// WritesDue reports whether a job waits for a write.
+func (c *Cell) WritesDue() bool { return len(c.dirty) > 0 }
+
+// Committed notes the outcome of a write and returns the jobs that have ended durably; failed writes are due again.
+func (c *Cell) Committed(writes []Write, ok bool, now time.Time) (concluded []Write) {
+	for _, w := range writes {
+		j, known := c.jobs[w.Job]
+		switch {
+		case !known:
+		case !ok:
+			if !j.queued {
+				j.queued = true
+				c.dirty = append(c.dirty, j)
+			}
+		default:
+			j.written = w.version
+			if w.State != "" {
+				c.conclusion(j, now)
+				concluded = append(concluded, w)
+			}
+		}
+	}
+	for _, w := range c.workers {
+		w.advanceAck()
+	}
+	return concluded
+}
+
+// conclusion forgets a job whose final state is durable, once nothing of it runs.
+func (c *Cell) conclusion(j *job, now time.Time) {
+	c.ended[j.ID] = ended{state: j.final, at: now}
+	c.endings = append(c.endings, j.ID)
+	c.stopAll(j)
+	j.evict = true
+	c.evict(j)
+}
+
+// evict removes an ended job that has no runs left.
+func (c *Cell) evict(j *job) {
+	if !j.evict {
+		return
+	}
+	for _, o := range j.occs {
+		for _, g := range o.groups {
+			for n := range g.tasks {
+				if len(g.tasks[n].runs) > 0 {
+					return
+				}
+			}
+		}
+	}
+	delete(c.jobs, j.ID)
+}
+
+// snapshot returns the durable part of the job's state.
+func (j *job) snapshot() *cwwork.Progress {
+	p := &cwwork.Progress{}
+	for _, o := range j.occs {
+		for _, g := range o.groups {
+			if s := g.snapshot(); len(s.Done) > 0 || len(s.Failed) > 0 {
+				p.Steps = append(p.Steps, s)
+			}
+		}
+	}
+	return p
+}
+
+func (g *group) snapshot() cwwork.StepProgress {
+	s := cwwork.StepProgress{Occurrence: g.key.Occurrence, Step: g.key.Step}
+	for n := range g.tasks {
+		if g.tasks[n].done {
+			s.Done = append(s.Done, n)
+		}
+	}
+	for id := range g.seen {
+		f := cwwork.TaskRun{Run: id}
+		if !g.step.Gang {
+			f = cwwork.TaskRun{Index: id & 0xffff, Run: id >> 16}
+		}
+		s.Failed = append(s.Failed, f)
+	}
+	slices.SortFunc(s.Failed, func(a, b cwwork.TaskRun) int {
+		if a.Index != b.Index {
+			return a.Index - b.Index
+		}
+		return a.Run - b.Run
+	})
+	return s
+}
--- a/internal/core/cwmodel/resources.go
+++ b/internal/core/cwmodel/resources.go
@@ -1,5 +1,7 @@
 package cwmodel
 
+import "fmt"
+
 // Resources is a vector of capacity or demand.
 type Resources struct {
 	MilliProcessors int64 // thousandths of a processor
@@ -77,3 +79,8 @@
 	}
 	return float64(part) / float64(whole)
 }
+
+// String returns the parts that tasks ask for, for logs.
+func (r Resources) String() string {
+	return fmt.Sprintf("%dm/%dMiB/%d", r.MilliProcessors, r.MemoryBytes>>20, r.Accelerators)
+}
--- /dev/null
+++ b/internal/core/cwwork/validate.go
@@ -0,0 +1,53 @@
+package cwwork
+
+import (
+	"currantward/internal/base/cwfault"
+)
+
+// Limits of a submission. A step's tasks and a job's occurrences are bounded so that one job cannot exhaust an owner's memory.
+const (
+	MaxPayloadBytes = 4000  // of the users' protocol
+	MaxSteps        = 256   // steps of a job
+	MaxTasks        = 20000 // tasks of all steps together
+)
+
+// Validate reports the first fault of a submission.
+func (s *Submission) Validate() error {
+	if len(s.Payload) > MaxPayloadBytes {
+		return cwfault.New(cwfault.Invalid, "the payload has %d bytes, above the limit of %d", len(s.Payload), MaxPayloadBytes)
+	}
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return cwfault.New(cwfault.Invalid, "a job has 1 to %d steps, not %d", MaxSteps, len(s.Steps))
+	}
+	if s.Repeats < 0 || (s.Repeats > 1 && s.Interval <= 0) {
+		return cwfault.New(cwfault.Invalid, "a repeated job needs a positive interval")
+	}
+	tasks := 0
+	for n := range s.Steps {
+		if err := s.Steps[n].validate(n); err != nil {
+			return err
+		}
+		tasks += s.Steps[n].Count
+	}
+	if tasks > MaxTasks {
+		return cwfault.New(cwfault.Invalid, "the job has %d tasks, above the limit of %d", tasks, MaxTasks)
+	}
+	return nil
+}
+
+func (s *Step) validate(number int) error {
+	switch {
+	case s.Count < 1:
+		return cwfault.New(cwfault.Invalid, "step %d has %d tasks", number, s.Count)
+	case !s.Need.IsNonNegative():
+		return cwfault.New(cwfault.Invalid, "step %d asks for negative resources", number)
+	case s.AntiAffinity < 0 || s.Estimate < 0:
+		return cwfault.New(cwfault.Invalid, "step %d has a negative limit or estimate", number)
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= number {
+			return cwfault.New(cwfault.Invalid, "step %d comes after step %d, which is not an earlier one", number, before)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/port/cwcellport/peers.go
@@ -0,0 +1,68 @@
+package cwcellport
+
+import (
+	"net/netip"
+	"time"
+
+	"currantward/internal/core/cwcell"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+)
+
+// EntryHost is one host of ours.
+type EntryHost struct {
+	ID         cwmodel.HostID
+	DataCentre cwmodel.DataCentre
+	Address    netip.AddrPort // of its listener for peers
+}
+
+// Pulse is what an entry host tells the owner twice a second.
+type Pulse struct {
+	From     EntryHost
+	Leaving  bool
+	StoreOK  bool // it reaches the platform's store
+	Capacity float64
+}
+
+// QueueLength is how many jobs of a queue have not begun.
+type QueueLength struct {
+	Queue   cwwork.QueueName
+	Waiting int
+}
+
+// PulseAnswer is what the owner tells the entry hosts.
+type PulseAnswer struct {
+	IsOwner       bool
+	Unwell        bool // it cannot renew its lease; whoever reaches the store should take over
+	LeaseVersion  uint64
+	Configuration uint64
+	Queues        []QueueLength
+	Peers         []EntryHost
+}
+
+// Verdict is what became of a submission.
+type Verdict string
+
+// The closed set of verdicts.
+const (
+	VerdictAccepted Verdict = "accepted" // its row is durable
+	VerdictRefused  Verdict = "refused"  // it is not stored and never will be
+	VerdictUnknown  Verdict = "unknown"  // it may be stored
+)
+
+// Peers calls other entry hosts; errors carry cwfault codes. NotSupported means that the callee is not the owner.
+type Peers struct {
+	Pulse func(addr netip.AddrPort, p Pulse) (PulseAnswer, error)
+	// Offer tells the owner of an accepted job.
+	Offer func(addr netip.AddrPort, s *cwwork.Submission, version uint64) error
+	// Look asks the owner for the state of a job; it reports false if the owner does not know the job.
+	Look func(addr netip.AddrPort, id cwmodel.JobID) (state cwwork.State, known bool, err error)
+	// Cancel asks the owner to cancel a job; it reports false if the owner does not know the job.
+	Cancel func(addr netip.AddrPort, id cwmodel.JobID) (known bool, err error)
+	// Ask has a peer ask for advice from its own address.
+	Ask func(addr netip.AddrPort, q *cwcell.Question) (good []cwcell.GoodWorker, validity time.Duration, err error)
+	// Store has a peer write a submission, for a host that the store refuses.
+	Store func(addr netip.AddrPort, s *cwwork.Submission) (Verdict, error)
+	// TakeOver asks a peer to become the owner.
+	TakeOver func(addr netip.AddrPort) error
+}
