Settle takeover races, repeated starts and the progress of gangs

Cause: a host that heard 'unwell' from the former owner took the lease from its successor; a repeated start order whose second try was not sent hid that the first may have been carried out; restoring a gang counted its step once a member. Change: take only the lease that was pulsed; an unanswered try stays unanswered unless a later one is accepted; a step is counted as done once. A host that the store refuses learns of the owner from its peers.

--- a/internal/adapter/cwcellpeer/client.go
+++ b/internal/adapter/cwcellpeer/client.go
@@ -109,6 +109,12 @@
 	answer = cwcellport.PulseAnswer{
 		IsOwner: reply.GetIsOwner(), Unwell: reply.GetUnwell(), LeaseVersion: reply.GetLeaseVersion(), Configuration: reply.GetConfiguration(),
 	}
+	if reply.GetOwner() != nil {
+		if answer.Owner, err = hostFromWire(reply.GetOwner()); err != nil {
+			return answer, err
+		}
+		answer.Fence = reply.GetFence()
+	}
 	for _, q := range reply.GetQueues() {
 		answer.Queues = append(answer.Queues, cwcellport.QueueLength{Queue: cwwork.QueueName(q.GetQueue()), Waiting: int(q.GetWaiting())})
 	}
--- a/internal/adapter/cwcellpeer/server.go
+++ b/internal/adapter/cwcellpeer/server.go
@@ -79,6 +79,9 @@
 	reply := &cwcellwire.PulseReply{
 		IsOwner: answer.IsOwner, Unwell: answer.Unwell, LeaseVersion: answer.LeaseVersion, Configuration: answer.Configuration,
 	}
+	if answer.Owner.ID != "" {
+		reply.Owner, reply.Fence = hostToWire(answer.Owner), answer.Fence
+	}
 	for _, q := range answer.Queues {
 		reply.Queues = append(reply.Queues, &cwcellwire.QueueLength{Queue: string(q.Queue), Waiting: int32(q.Waiting)})
 	}
--- a/internal/app/cwcellowner/link.go
+++ b/internal/app/cwcellowner/link.go
@@ -126,13 +126,7 @@
 	}
 	entry, order := l.entry, *o
 	sent := s.submit("start", func() {
-		result := cwcell.StartUnanswered
-		for range startTries {
-			result = s.owner.opts.Workers.Start(entry, &order, s.tenure.Fence, s.owner.opts.StartWindow)
-			if result != cwcell.StartUnanswered {
-				break
-			}
-		}
+		result := s.start(entry, &order)
 		s.post(func(now time.Time) {
 			if result == cwcell.StartStaleFence {
 				s.owner.opts.Deposed()
@@ -145,6 +139,21 @@
 	}
 }
 
+// start sends one order. Once a try has gone without an answer, only an acceptance tells what became of it: a refusal of a
+// repeated order says nothing about the first one.
+func (s *session) start(w cwcellport.WorkerEntry, o *cwcell.StartOrder) cwcell.StartResult {
+	unanswered := false
+	for range startTries {
+		switch result := s.owner.opts.Workers.Start(w, o, s.tenure.Fence, s.owner.opts.StartWindow); {
+		case result == cwcell.StartUnanswered:
+			unanswered = true
+		case result == cwcell.StartAccepted || !unanswered:
+			return result
+		}
+	}
+	return cwcell.StartUnanswered
+}
+
 // startTries is how often an order is sent; a repeated one finds the run there.
 const startTries = 2
 
--- a/internal/app/cwnode/node.go
+++ b/internal/app/cwnode/node.go
@@ -100,6 +100,7 @@
 		HoldLease: n.holdLease(), StartWindow: startWindow,
 		Gained: owner.Gained, Lost: owner.Lost, Answered: n.answered,
 		Ready: func(k *cwtenure.Keeper) { n.tenure = k },
+		Known: func() []cwcellport.EntryHost { return n.latest.Load().Peers },
 	})
 	cleanup.Add(stopTenure)
 	_, stopPeers, err := cwcellpeer.Serve(n.peerOptions())
@@ -146,7 +147,12 @@
 func (n *Node) pulse(p cwcellport.Pulse) cwcellport.PulseAnswer {
 	n.roster.note(p)
 	view := n.tenure.View()
+	known := cwcellport.EntryHost{}
+	if view.Known {
+		known = view.Owner
+	}
 	return cwcellport.PulseAnswer{
+		Owner: known, Fence: view.Fence,
 		IsOwner: view.IsOwner, Unwell: view.Unwell, LeaseVersion: view.Version, Configuration: n.config.Version(),
 		Queues: n.owner.Waiting(), Peers: n.roster.reachable(),
 	}
@@ -193,7 +199,9 @@
 }
 
 // Route returns the queue that a request addresses; ready is false before the first configuration.
-func (n *Node) Route(host, path string) (q *cwcellport.Queue, ready bool) { return n.config.Route(host, path) }
+func (n *Node) Route(host, path string) (q *cwcellport.Queue, ready bool) {
+	return n.config.Route(host, path)
+}
 
 // MaxBodyBytes returns the largest body that the configuration allows.
 func (n *Node) MaxBodyBytes() int { return n.config.MaxBodyBytes() }
--- a/internal/app/cwtenure/follow.go
+++ b/internal/app/cwtenure/follow.go
@@ -35,9 +35,7 @@
 
 // pulse reports whether the owner answered and is well.
 func (k *Keeper) pulse() bool {
-	answer, err := k.opts.Peers.Pulse(k.lease.Address, cwcellport.Pulse{
-		From: k.opts.Self, Leaving: k.leaving.Load(), StoreOK: k.storeOK.Load(), Capacity: k.opts.Capacity,
-	})
+	answer, err := k.opts.Peers.Pulse(k.lease.Address, k.ownPulse())
 	now := k.opts.Timer.Now()
 	if err != nil {
 		if k.failed++; k.failed == 1 {
@@ -50,7 +48,9 @@
 		k.failed = 0
 	}
 	if !answer.IsOwner {
-		k.readLease()
+		if !k.readLease() {
+			k.learnOwner(answer)
+		}
 		return false
 	}
 	if answer.LeaseVersion > k.version {
@@ -58,7 +58,7 @@
 	}
 	k.opts.Answered(answer)
 	if answer.Unwell {
-		if k.readLease() {
+		if fence := k.lease.Fence; k.readLease() && k.lease.Fence == fence {
 			k.take("owner-unwell")
 		}
 		return false
@@ -75,16 +75,49 @@
 	return retryPeriod
 }
 
-// takeStale takes a lease whose row has stood still for too long.
+// takeStale takes a lease whose row has stood still for too long, and returns when to look again.
 func (k *Keeper) takeStale() time.Duration {
 	if !k.readLease() {
+		k.askPeers()
 		return retryPeriod
 	}
 	delay := staleAfter + time.Duration(float64(slowestDelay)*max(0, 1-k.opts.Capacity))
-	if k.version > 0 && !k.holding && k.opts.Timer.Now().Sub(k.seen) >= delay {
+	left := delay - k.opts.Timer.Now().Sub(k.seen)
+	if left <= 0 && k.version > 0 && !k.holding {
 		k.take("owner-stale")
 	}
-	return retryPeriod
+	return max(shortestWait, min(left, retryPeriod))
+}
+
+// askPeers looks for the owner through another entry host, for a host that the store refuses.
+func (k *Keeper) askPeers() {
+	peers := k.opts.Known()
+	if len(peers) == 0 {
+		return
+	}
+	k.asked++
+	answer, err := k.opts.Peers.Pulse(peers[k.asked%len(peers)].Address, k.ownPulse())
+	if err != nil {
+		k.opts.Log.WithField("error", err.Error()).Debug("peer-silent")
+		return
+	}
+	k.learnOwner(answer)
+}
+
+// learnOwner takes a peer's word on who owns the cell if that is newer than what is known here.
+func (k *Keeper) learnOwner(answer cwcellport.PulseAnswer) {
+	if answer.Owner.ID == "" || answer.LeaseVersion <= k.version {
+		return
+	}
+	k.lease = cwcellcodec.Lease{
+		Holder: answer.Owner.ID, DataCentre: answer.Owner.DataCentre, Address: answer.Owner.Address, Fence: answer.Fence, Term: k.lease.Term,
+	}
+	k.version, k.seen = answer.LeaseVersion, k.opts.Timer.Now()
+	k.opts.Log.WithFields(cwlog.Fields{"owner": answer.Owner.ID, "fence": answer.Fence}).Info("owner-learned")
+}
+
+func (k *Keeper) ownPulse() cwcellport.Pulse {
+	return cwcellport.Pulse{From: k.opts.Self, Leaving: k.leaving.Load(), StoreOK: k.storeOK.Load(), Capacity: k.opts.Capacity}
 }
 
 // readLease reads the lease's row and reports whether the store answered.
--- a/internal/app/cwtenure/hold.go
+++ b/internal/app/cwtenure/hold.go
@@ -31,7 +31,7 @@
 	lease.Fence = version
 	k.lease, k.version, k.seen = lease, version, sent
 	k.holding, k.fence, k.until, k.renewed = true, version, sent.Add(TTL), sent
-	k.failed = 0
+	k.failed, k.nextRenewal = 0, sent.Add(renewPeriod)
 	t := Tenure{Fence: version, Term: lease.Term, ChainVersion: version, Superseded: sent, Inherited: sent}
 	if formerVersion > 0 {
 		t.Superseded = k.opts.Timer.Now().Add(k.opts.StartWindow)
@@ -70,9 +70,10 @@
 // renew extends the lease and returns when to do so again.
 func (k *Keeper) renew() (wait time.Duration) {
 	sent := k.opts.Timer.Now()
-	if next := k.renewed.Add(renewPeriod); sent.Before(next) {
-		return next.Sub(sent)
+	if sent.Before(k.nextRenewal) {
+		return k.nextRenewal.Sub(sent)
 	}
+	k.nextRenewal = sent.Add(retryPeriod)
 	lease := k.lease
 	lease.Fence = k.fence
 	lease.Renewal++
@@ -83,7 +84,8 @@
 			k.opts.Log.WithFields(cwlog.Fields{"fence": k.fence, "since": late}).Warn("lease-renewed-late")
 		}
 		k.lease, k.version, k.renewed, k.until = lease, version, sent, sent.Add(TTL)
-		return renewPeriod - k.opts.Timer.Now().Sub(sent)
+		k.nextRenewal = sent.Add(renewPeriod)
+		return max(0, k.nextRenewal.Sub(k.opts.Timer.Now()))
 	case cwfault.CodeOf(err) == cwfault.Conflict && len(present) > 0:
 		// An unanswered renewal may have been done: then the row is still ours, at a later version.
 		k.seeLease(present[0])
--- a/internal/app/cwtenure/tenure.go
+++ b/internal/app/cwtenure/tenure.go
@@ -36,6 +36,8 @@
 	Lost func()
 	// Ready is called with the keeper before its duty runs.
 	Ready func(*Keeper)
+	// Known returns other entry hosts that were heard of.
+	Known func() []cwcellport.EntryHost
 	// Answered is called with each answer of the owner to a pulse.
 	Answered func(cwcellport.PulseAnswer)
 }
@@ -58,11 +60,13 @@
 	// unwellAfter is how long renewals may fail before the owner asks others to take over.
 	unwellAfter = 1100 * time.Millisecond
 	// staleAfter is how long the lease's row must stand still before a host that cannot reach the owner takes it.
-	staleAfter = 1200 * time.Millisecond
+	staleAfter = 950 * time.Millisecond
 	// pulsePeriod bounds how old the numbers of waiting jobs become, see the users' rule on them (2 s).
 	pulsePeriod = 500 * time.Millisecond
 	// retryPeriod is the pace of a host that looks for an owner.
 	retryPeriod = 150 * time.Millisecond
+	// shortestWait keeps a host that waits for a lease to become stale from asking without a pause.
+	shortestWait = 20 * time.Millisecond
 	// callTimeout bounds one call to the store; a slow store takes 50 times its 4 ms.
 	callTimeout = 700 * time.Millisecond
 	// slowestDelay is how much longer a host without a share of a processor would wait before it takes a stale lease.
@@ -86,6 +90,7 @@
 	Until   time.Time // end of the own lease
 	Unwell  bool
 	Version uint64
+	Fence   uint64
 }
 
 // Keeper is the duty that keeps the lease.
@@ -96,14 +101,16 @@
 	storeOK atomic.Bool
 	leaving atomic.Bool
 
-	lease   cwcellcodec.Lease
-	version uint64 // of the lease's row; 0: none is known
-	seen    time.Time
-	holding bool
-	fence   uint64
-	until   time.Time
-	renewed time.Time
-	failed  int // pulses without an answer
+	lease       cwcellcodec.Lease
+	version     uint64 // of the lease's row; 0: none is known
+	seen        time.Time
+	holding     bool
+	fence       uint64
+	until       time.Time
+	renewed     time.Time
+	nextRenewal time.Time
+	failed      int // pulses without an answer
+	asked       int // questions to peers about the owner
 }
 
 // event is what wakes the keeper.
@@ -170,10 +177,11 @@
 	case e == eventLeave && k.holding:
 		k.release()
 	case e == eventDeposed && k.holding:
-		k.readLease()
+		k.depose()
 	case e == eventTakeOver && !k.holding && !k.leaving.Load():
-		k.readLease()
-		k.take("hand-over")
+		if k.readLease() && k.lease.Released {
+			k.take("hand-over")
+		}
 	case k.holding:
 		return k.renew()
 	}
@@ -183,6 +191,13 @@
 	return k.follow()
 }
 
+// depose ends the tenure on the word of a worker or of the store that a later owner has come.
+func (k *Keeper) depose() {
+	if !k.readLease() && k.holding {
+		k.lose(cwcellcodec.Lease{})
+	}
+}
+
 // publish makes the present view visible to the other duties.
 func (k *Keeper) publish() {
 	now := k.opts.Timer.Now()
@@ -192,6 +207,7 @@
 		IsOwner: k.holding,
 		Until:   k.until,
 		Version: k.version,
+		Fence:   k.lease.Fence,
 	}
 	v.Unwell = k.holding && now.Sub(k.renewed) > unwellAfter
 	k.view.Store(&v)
--- a/internal/core/cwcell/job.go
+++ b/internal/core/cwcell/job.go
@@ -36,19 +36,20 @@
 
 // group is the tasks of one step of one occurrence.
 type group struct {
-	key     cwwork.StepKey
-	job     *job
-	step    *cwwork.Step
-	tasks   []task
-	waiting int // tasks that have neither a run nor an end
-	left    int // tasks that are not done
-	depends int // groups before it that are not done
-	isOpen  bool
-	since   time.Time
-	advice  *eligibility
-	failed  int // failed runs of a gang
-	seen    map[int]struct{}
-	room    time.Time // a gang found too little room since then
+	key      cwwork.StepKey
+	job      *job
+	step     *cwwork.Step
+	tasks    []task
+	waiting  int  // tasks that have neither a run nor an end
+	left     int  // tasks that are not done
+	depends  int  // groups before it that are not done
+	finished bool // counted as done
+	isOpen   bool
+	since    time.Time
+	advice   *eligibility
+	failed   int // failed runs of a gang
+	seen     map[int]struct{}
+	room     time.Time // a gang found too little room since then
 }
 
 // task is one task of a group.
@@ -251,10 +252,10 @@
 	} else {
 		g.finishOne(index)
 	}
-	if g.left > 0 || g.step.LongRunning {
+	if g.left > 0 || g.finished || g.step.LongRunning {
 		return
 	}
-	g.left = -1 // counted once
+	g.finished = true
 	o.left--
 	for n, after := range g.job.Steps {
 		if slices.Contains(after.After, g.key.Step) {
--- a/internal/port/cwcellport/peers.go
+++ b/internal/port/cwcellport/peers.go
@@ -33,7 +33,9 @@
 // PulseAnswer is what the owner tells the entry hosts.
 type PulseAnswer struct {
 	IsOwner       bool
-	Unwell        bool // it cannot renew its lease; whoever reaches the store should take over
+	Unwell        bool      // it cannot renew its lease; whoever reaches the store should take over
+	Owner         EntryHost // as far as the callee knows; its ID is empty otherwise
+	Fence         uint64
 	LeaseVersion  uint64
 	Configuration uint64
 	Queues        []QueueLength
