Count what a worker runs of unknown jobs, and keep their ends until the jobs are known

Cause: after a takeover a worker may run tasks of jobs that the new owner has not read yet. Ruled out: the fence of the workers, which refuses the former owner's orders. Change: a worker that lists runs that are not known takes nothing new; ends of unknown jobs wait until the feed of jobs has caught up with the takeover.

--- a/internal/app/cwcellowner/load.go
+++ b/internal/app/cwcellowner/load.go
@@ -187,7 +187,9 @@
 
 // followJobs reads the changes of the jobs' rows until ctx ends.
 func (s *session) followJobs(ctx context.Context, after uint64) {
+	caughtUp := false
 	for {
+		began := s.owner.opts.Timer.Now()
 		rows, version, err := s.owner.opts.Store.Follow(TableJobs, after, feedWait)
 		switch {
 		case err == nil:
@@ -195,6 +197,10 @@
 			if len(rows) > 0 {
 				s.post(func(now time.Time) { s.readJobs(rows, nil, now) })
 			}
+			if !caughtUp && began.After(s.tenure.Superseded) {
+				caughtUp = true
+				s.post(func(time.Time) { s.cell.CaughtUp() })
+			}
 		case cwfault.CodeOf(err) == cwfault.NotFound:
 			after = s.rereadJobs(after)
 		}
--- a/internal/core/cwcell/cell.go
+++ b/internal/core/cwcell/cell.go
@@ -50,6 +50,7 @@
 	inOrder    []*worker // workers in a fixed order; nil after a change
 	effects    Effects
 	now        time.Time // of the latest event
+	caughtUp   bool      // every job that an earlier owner may have started is known
 	changed    bool      // something happened that may let a waiting task start
 	retryAt    time.Time
 	queues     map[cwwork.QueueName]*queueStatistics
--- a/internal/core/cwcell/gang.go
+++ b/internal/core/cwcell/gang.go
@@ -36,8 +36,10 @@
 // placeGang starts all tasks of a group at once, or none.
 func (c *Cell) placeGang(g *group, policy cwwork.Policy, candidates []*worker, held *holds, now time.Time) {
 	if g.waiting != len(g.tasks) {
-		return // members of an earlier run are still there
+		c.endPartial(g, now)
+		return
 	}
+	g.partial = time.Time{}
 	seats := c.seats(g, candidates, held)
 	if len(seats) < len(g.tasks) {
 		c.lackRoom(g, policy, candidates, held, now)
@@ -66,6 +68,24 @@
 	}
 }
 
+// endPartial stops the members of a run whose others have gone. Mostly they end by themselves: the worker breaks a gang
+// that has lost a member, but not one that was never whole.
+func (c *Cell) endPartial(g *group, now time.Time) {
+	switch {
+	case g.partial.IsZero():
+		g.partial = now
+	case now.Sub(g.partial) > partialGrace:
+		for n := range g.tasks {
+			for _, r := range slices.Clone(g.tasks[n].runs) {
+				c.stop(r)
+			}
+		}
+	}
+}
+
+// partialGrace lets the ends of a gang's members arrive.
+const partialGrace = time.Second
+
 // seats returns a worker for each member that finds room now, on one rack if the gang asks for it and one has the room.
 func (c *Cell) seats(g *group, candidates []*worker, held *holds) []*worker {
 	if !g.step.SameRack {
--- a/internal/core/cwcell/job.go
+++ b/internal/core/cwcell/job.go
@@ -50,6 +50,7 @@
 	failed   int // failed runs of a gang
 	seen     map[int]struct{}
 	room     time.Time // a gang found too little room since then
+	partial  time.Time // a run of the gang has lacked members since then
 }
 
 // task is one task of a group.
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -82,7 +82,7 @@
 	}
 	w.advanceAck()
 	listed := make(map[cwwork.TaskKey]int, len(rep.Running))
-	w.strangers = w.strangers[:0]
+	w.strangers, w.foreign = w.strangers[:0], 0
 	for n := range rep.Running {
 		r := &rep.Running[n]
 		listed[r.Task] = r.Run
@@ -98,7 +98,8 @@
 	g := c.group(rep.Task.StepKey)
 	if g == nil || rep.Task.Index >= len(g.tasks) {
 		// No job of ours: it has ended, or it was accepted after this owner has read the store.
-		if !now.Before(c.opts.Superseded) {
+		w.foreign++
+		if c.caughtUp {
 			c.orderStop(w, rep.Task, rep.Run)
 		} else {
 			w.strangers = append(w.strangers, *rep)
@@ -116,6 +117,7 @@
 		return
 	}
 	if r.number != rep.Run {
+		w.foreign++
 		c.orderStop(w, rep.Task, rep.Run)
 		return
 	}
@@ -145,9 +147,38 @@
 	}
 }
 
-// adoptRuns takes over the runs of a job that workers listed before the job was known.
-func (c *Cell) adoptRuns(j *job, now time.Time) {
+// isStrange reports whether a job is not known, though it may have been accepted before the store was read.
+func (c *Cell) isStrange(id cwmodel.JobID) bool {
+	if _, ok := c.jobs[id]; ok {
+		return false
+	}
+	_, ok := c.ended[id]
+	return !ok
+}
+
+// CaughtUp tells the cell that it knows every job of which an earlier owner can have started a task. What workers list of
+// others belongs to jobs that have ended.
+func (c *Cell) CaughtUp() {
+	c.caughtUp = true
 	for _, w := range c.workers {
+		for n := range w.ends {
+			w.ends[n].stranger = nil
+		}
+		w.advanceAck()
+	}
+}
+
+// adoptRuns takes over the runs and ends of a job that workers listed before the job was known.
+func (c *Cell) adoptRuns(j *job, now time.Time) {
+	for _, w := range c.sortedWorkers() {
+		for n := range w.ends {
+			if e := w.ends[n].stranger; e != nil && e.Task.Job == j.ID {
+				w.ends[n].stranger = nil
+				if c.applyEnd(w, e, now) != nil && j.written < j.changed {
+					w.ends[n].job, w.ends[n].version = j, j.changed
+				}
+			}
+		}
 		for n := range w.strangers {
 			if s := &w.strangers[n]; s.Task.Job == j.ID {
 				c.running(w, s, now)
@@ -179,6 +210,11 @@
 	}
 	w.seen = e.Number
 	pending := pendingEnd{number: e.Number}
+	if !c.caughtUp && c.isStrange(e.Task.Job) {
+		pending.stranger = e
+		w.ends = append(w.ends, pending)
+		return
+	}
 	if j := c.applyEnd(w, e, now); j != nil && j.written < j.changed {
 		pending.job, pending.version = j, j.changed
 	}
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -34,6 +34,7 @@
 	ack       uint64 // number of the latest end whose effect is durable
 	ends      []pendingEnd
 	breaker   breaker
+	foreign   int       // listed runs that are not ours; their room is not known
 	strangers []Running // runs of jobs that this owner has not read yet
 }
 
@@ -42,13 +43,15 @@
 	number  uint64
 	job     *job // nil: nothing has to be written
 	version int
+	// stranger is the end itself where its job is not known yet.
+	stranger *Ended
 }
 
 // advanceAck moves the acknowledged number past the ends whose effect is durable.
 func (w *worker) advanceAck() {
 	for len(w.ends) > 0 {
 		e := w.ends[0]
-		if e.job != nil && e.job.written < e.version {
+		if e.stranger != nil || (e.job != nil && e.job.written < e.version) {
 			return
 		}
 		w.ack = e.number
@@ -61,7 +64,7 @@
 	if !w.listed && now.Sub(w.unlisted) > unlistedGrace {
 		return false
 	}
-	return !w.Draining && w.known && !w.silent && !w.breaker.open(now)
+	return w.foreign == 0 && !w.Draining && w.known && !w.silent && !w.breaker.open(now)
 }
 
 func (w *worker) free() cwmodel.Resources { return w.Capacity.Minus(w.used) }
