Call every worker that the former owner may have used after a takeover

Cause: entries of workers lapse while the store is down. Change: the owner keeps the list of its workers in a row of the cell and starts nothing on a worker before that names it; a new owner calls all of them.

--- a/internal/adapter/cwcellcodec/codec.go
+++ b/internal/adapter/cwcellcodec/codec.go
@@ -2,8 +2,10 @@
 package cwcellcodec
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -208,3 +210,31 @@
 	e.State, err = cwwork.ParseState(w.State)
 	return e, err
 }
+
+// Member is a worker that may run tasks of the cell.
+type Member struct {
+	ID      cwmodel.HostID
+	Address netip.AddrPort
+}
+
+// EncodeMembers returns the stored form of a list of workers.
+func EncodeMembers(list []Member) ([]byte, error) {
+	w := make(map[cwmodel.HostID]netip.AddrPort, len(list))
+	for _, m := range list {
+		w[m.ID] = m.Address
+	}
+	return json.Marshal(w)
+}
+
+// DecodeMembers reads the stored form of a list of workers.
+func DecodeMembers(data []byte) (list []Member, err error) {
+	var w map[cwmodel.HostID]netip.AddrPort
+	if err = json.Unmarshal(data, &w); err != nil {
+		return nil, eris.Wrap(err, "decode members")
+	}
+	for id, addr := range w {
+		list = append(list, Member{ID: id, Address: addr})
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return list, nil
+}
--- a/internal/app/cwcellowner/commit.go
+++ b/internal/app/cwcellowner/commit.go
@@ -30,6 +30,7 @@
 // flight is a write that has not been answered for certain.
 type flight struct {
 	writes []cwcell.Write
+	enrols []cwmodel.HostID // workers that the write makes known to later owners
 	tx     cwcellport.Transaction
 	mark   string // value of the chain row
 	sent   bool
@@ -49,7 +50,7 @@
 func (s *session) commit(now time.Time) {
 	c := &s.commits
 	if c.flying == nil {
-		if !s.cell.WritesDue() {
+		if !s.cell.EnrolmentDue() && !s.cell.WritesDue() {
 			return
 		}
 		c.flying = s.build(now)
@@ -70,19 +71,43 @@
 	c := &s.commits
 	c.number++
 	f := &flight{
-		writes: s.cell.NextWrites((cwcellport.MaxTransactionRows - 1) / rowsPerEnd),
+		writes: s.cell.NextWrites((cwcellport.MaxTransactionRows - 2) / rowsPerEnd),
 		mark:   fmt.Sprintf("%d/%d", s.tenure.Fence, c.number),
 		began:  now,
 	}
 	chain := cwcellport.RowKey{Table: cwtenure.TableCell, Key: cwtenure.KeyChain}
 	f.tx.Expected = []cwcellport.Expectation{{RowKey: chain, Version: c.chain}}
 	f.tx.Put = []cwcellport.Row{{RowKey: chain, Value: []byte(f.mark)}}
+	if s.cell.EnrolmentDue() {
+		s.addMembers(f, s.cell.Members())
+	}
 	for _, w := range f.writes {
 		s.addWrite(&f.tx, w)
 	}
 	return f
 }
 
+// addMembers writes which workers may run tasks. A later owner calls them though their entries in the platform's list may
+// have lapsed.
+func (s *session) addMembers(f *flight, ids []cwmodel.HostID) {
+	members := make([]cwcellcodec.Member, 0, len(ids))
+	for _, id := range ids {
+		if l, ok := s.links[id]; ok {
+			members = append(members, cwcellcodec.Member{ID: id, Address: l.entry.Address})
+		}
+	}
+	value, err := cwcellcodec.EncodeMembers(members)
+	if err != nil {
+		s.owner.opts.Log.WithField("error", err.Error()).Error("members-not-encoded")
+		return
+	}
+	f.enrols = ids
+	f.tx.Put = append(f.tx.Put, cwcellport.Row{RowKey: membersKey, Value: value})
+}
+
+// membersKey names the row of the workers that may run tasks.
+var membersKey = cwcellport.RowKey{Table: cwtenure.TableCell, Key: "members"}
+
 func (s *session) addWrite(tx *cwcellport.Transaction, w cwcell.Write) {
 	part := PartOf(w.Job, s.owner.opts.Store.Parts)
 	row := func(table string) cwcellport.RowKey {
@@ -133,6 +158,7 @@
 		return
 	}
 	c.chain, c.flying = version, nil
+	s.cell.Enrolled(f.enrols)
 	for _, w := range s.cell.Committed(f.writes, true, now) {
 		s.concluded(w)
 	}
--- a/internal/app/cwcellowner/link.go
+++ b/internal/app/cwcellowner/link.go
@@ -41,15 +41,19 @@
 // setWorker takes an entry of the platform's list.
 func (s *session) setWorker(w cwcellport.WorkerEntry, now time.Time) {
 	s.cell.SetWorker(w.WorkerInfo, now)
-	l, ok := s.links[w.ID]
-	if !ok {
-		l = &link{calls: cwring.New[call](1)}
-		l.stop = cwduty.Start("worker-link", func(ctx context.Context) { s.runLink(ctx, l) })
-		s.links[w.ID] = l
-		s.ready = append(s.ready, l)
-		l.due = now
+	if l, ok := s.links[w.ID]; ok {
+		l.entry = w
+		return
 	}
-	l.entry = w
+	s.addLink(w, now)
+}
+
+// addLink starts the duty that calls a worker.
+func (s *session) addLink(w cwcellport.WorkerEntry, now time.Time) {
+	l := &link{entry: w, calls: cwring.New[call](1), due: now}
+	l.stop = cwduty.Start("worker-link", func(ctx context.Context) { s.runLink(ctx, l) })
+	s.links[w.ID] = l
+	s.ready = append(s.ready, l)
 }
 
 func (s *session) dropLink(id cwmodel.HostID) {
--- a/internal/app/cwcellowner/load.go
+++ b/internal/app/cwcellowner/load.go
@@ -11,6 +11,7 @@
 	"currantward/internal/base/cwfault"
 	"currantward/internal/base/cwlog"
 	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwcell"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwwork"
 	"currantward/internal/port/cwcellport"
@@ -43,6 +44,7 @@
 type image struct {
 	jobs     []cwcellport.Row
 	progress []cwcellport.Row
+	members  []cwcellport.Row // at most one
 	workers  []cwcellport.WorkerEntry
 	listed   uint64 // version of the list of workers
 	followed uint64 // version that changes of the jobs follow
@@ -95,6 +97,14 @@
 		calls.Go(func() { read(TableJobs, partName(n), &img.jobs) })
 		calls.Go(func() { read(TableProgress, partName(n), &img.progress) })
 	}
+	calls.Go(func() {
+		rows, _, e := s.owner.opts.Store.Read(membersKey.Table, membersKey.Part, membersKey.Key, "", loadTimeout)
+		if e != nil {
+			fail(e)
+			return
+		}
+		img.members = rows
+	})
 	calls.Go(func() {
 		list, version, e := s.owner.opts.Registry.List(loadTimeout)
 		if e != nil {
@@ -129,6 +139,7 @@
 	for _, w := range img.workers {
 		s.setWorker(w, now)
 	}
+	s.addFormerMembers(img.members, now)
 	jobs, _, _ := s.cell.Counts(now)
 	s.owner.opts.Log.WithFields(cwlog.Fields{
 		"fence": s.tenure.Fence, "term": s.tenure.Term, "jobs": jobs, "workers": len(img.workers), "took": now.Sub(s.began),
@@ -137,6 +148,26 @@
 	s.cleanup.Add(cwduty.Start("worker-feed", func(ctx context.Context) { s.followWorkers(ctx, img.listed) }))
 }
 
+// addFormerMembers calls the workers that the former owner may have used, also those that the platform does not list.
+func (s *session) addFormerMembers(rows []cwcellport.Row, now time.Time) {
+	for _, row := range rows {
+		if row.Key != membersKey.Key {
+			continue
+		}
+		members, err := cwcellcodec.DecodeMembers(row.Value)
+		if err != nil {
+			s.unreadable(row, err)
+			continue
+		}
+		for _, m := range members {
+			s.cell.AddMember(m.ID, now)
+			if _, ok := s.links[m.ID]; !ok {
+				s.addLink(cwcellport.WorkerEntry{WorkerInfo: cwcell.WorkerInfo{ID: m.ID}, Address: m.Address}, now)
+			}
+		}
+	}
+}
+
 // readJobs admits jobs from their rows and carries out cancellations.
 func (s *session) readJobs(rows []cwcellport.Row, progress map[cwmodel.JobID]*cwwork.Progress, now time.Time) {
 	var cancelled []cwmodel.JobID
--- a/internal/core/cwcell/cell.go
+++ b/internal/core/cwcell/cell.go
@@ -51,6 +51,7 @@
 	effects    Effects
 	now        time.Time // of the latest event
 	caughtUp   bool      // every job that an earlier owner may have started is known
+	departed   bool      // a worker was dropped since the members were listed
 	changed    bool      // something happened that may let a waiting task start
 	retryAt    time.Time
 	queues     map[cwwork.QueueName]*queueStatistics
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -34,6 +34,7 @@
 	ack       uint64 // number of the latest end whose effect is durable
 	ends      []pendingEnd
 	breaker   breaker
+	enrolled  bool      // a later owner will know of the worker
 	foreign   int       // listed runs that are not ours; their room is not known
 	strangers []Running // runs of jobs that this owner has not read yet
 }
@@ -64,7 +65,7 @@
 	if !w.listed && now.Sub(w.unlisted) > unlistedGrace {
 		return false
 	}
-	return w.foreign == 0 && !w.Draining && w.known && !w.silent && !w.breaker.open(now)
+	return w.enrolled && w.foreign == 0 && !w.Draining && w.known && !w.silent && !w.breaker.open(now)
 }
 
 func (w *worker) free() cwmodel.Resources { return w.Capacity.Minus(w.used) }
@@ -120,6 +121,51 @@
 	}
 }
 
+// AddMember adds a worker that an earlier owner has used, though the platform may not list it: entries lapse while the
+// store is away.
+func (c *Cell) AddMember(id cwmodel.HostID, now time.Time) {
+	if _, ok := c.workers[id]; ok {
+		c.workers[id].enrolled = true
+		return
+	}
+	c.workers[id] = &worker{
+		WorkerInfo: WorkerInfo{ID: id}, runs: map[cwwork.TaskKey]*run{}, contact: now, unlisted: now, enrolled: true,
+	}
+	c.inOrder = nil
+}
+
+// EnrolmentDue reports whether the list of workers differs from the one that a later owner would read.
+func (c *Cell) EnrolmentDue() bool {
+	if c.departed {
+		return true
+	}
+	for _, w := range c.workers {
+		if !w.enrolled {
+			return true
+		}
+	}
+	return false
+}
+
+// Members returns the workers that may run tasks.
+func (c *Cell) Members() (ids []cwmodel.HostID) {
+	c.departed = false
+	for _, w := range c.sortedWorkers() {
+		ids = append(ids, w.ID)
+	}
+	return ids
+}
+
+// Enrolled notes that a later owner will know of the workers, so that tasks may be started there.
+func (c *Cell) Enrolled(ids []cwmodel.HostID) {
+	for _, id := range ids {
+		if w, ok := c.workers[id]; ok {
+			w.enrolled = true
+		}
+	}
+	c.changed = true
+}
+
 // RemoveWorker notes that the platform no longer lists a worker; what runs there goes on while it answers.
 func (c *Cell) RemoveWorker(id cwmodel.HostID, now time.Time) {
 	if w, ok := c.workers[id]; ok && w.listed {
@@ -143,7 +189,7 @@
 // Forget drops a worker.
 func (c *Cell) Forget(id cwmodel.HostID) {
 	delete(c.workers, id)
-	c.inOrder = nil
+	c.inOrder, c.departed = nil, true
 }
 
 // unlistedGrace is how long the platform may take to list a live worker again after an outage of its store.
--- a/internal/core/cwcell/world_test.go
+++ b/internal/core/cwcell/world_test.go
@@ -138,11 +138,15 @@
 		}
 	}
 	o.caught = superseded.Add(1500 * time.Millisecond)
-	var list []WorkerInfo
 	for _, m := range w.workers {
-		list = append(list, m.info)
+		o.cell.AddMember(m.info.ID, w.now)
+		if w.term == 1 || w.draw(3) > 0 {
+			o.cell.SetWorker(m.info, w.now)
+			continue
+		}
+		// The entry has lapsed with the store and comes back a moment later.
+		w.late = append(w.late, delayed{w.now.Add(time.Duration(w.draw(2000)) * time.Millisecond), func() { o.cell.SetWorker(m.info, w.now) }})
 	}
-	o.cell.SetWorkers(list, w.now)
 	w.owners = append(w.owners, o)
 }
 
