--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -279,9 +279,12 @@
 	c.lapse(w, now)
 }
 
+// lapseSlack is how long after the end of a lease its worker may take to end the task.
+const lapseSlack = 100 * time.Millisecond
+
 // lapse releases the runs of a silent worker whose leases are over.
 func (c *Cell) lapse(w *worker, now time.Time) {
-	if !w.silent || len(w.runs) == 0 || now.Before(c.opts.LeaseBound(w.ID)) {
+	if !w.silent || len(w.runs) == 0 || now.Before(c.opts.LeaseBound(w.ID).Add(lapseSlack)) {
 		return
 	}
 	if !w.known && now.Before(c.opts.Inherited) {
--- a/internal/core/cwcell/world_test.go
+++ b/internal/core/cwcell/world_test.go
@@ -87,6 +87,7 @@
 	draw     func(n int) int // chooses one of n
 	faults   bool
 	broken   []string
+	history  []string // what happened, for the report of a failure
 }
 
 func newWorld(workers int, policy cwwork.Policy, draw func(int) int) *world {
@@ -115,6 +116,7 @@
 // takeOver makes a new owner; the former ones act until their leases are over or a worker refuses them.
 func (w *world) takeOver() {
 	w.term++
+	w.record("owner %d takes over", w.term*100)
 	o := &modelOwner{
 		fence: uint64(w.term * 100), until: w.now.Add(worldTTL),
 		bounds: map[cwmodel.HostID]time.Time{}, polls: map[cwmodel.HostID]time.Time{},
@@ -263,6 +265,7 @@
 }
 
 func (w *world) finish(m *modelWorker, key cwwork.TaskKey, kind EndKind) {
+	w.record("%s: %s run %d ends %s", m.info.ID, key, m.runs[key].number, kind)
 	r := m.runs[key]
 	delete(m.runs, key)
 	m.number++
@@ -289,6 +292,7 @@
 
 // crash restarts a worker under its name.
 func (w *world) crash(m *modelWorker) {
+	w.record("%s: crashes", m.info.ID)
 	m.runs, m.ended, m.stopped = map[cwwork.TaskKey]*modelRun{}, nil, map[cwwork.TaskKey]int{}
 	m.number, m.acked, m.fence, m.lease = 0, 0, 0, time.Time{}
 	m.info.Born = w.now
@@ -318,6 +322,9 @@
 	}
 	w.commit(o)
 	e := o.cell.Decide(w.now, w.now)
+	for _, n := range e.Notes {
+		w.record("owner %d: %s %s %s run %d %s", o.fence, n.Event, n.Task, n.Worker, n.Run, n.Detail)
+	}
 	for n := range e.Stops {
 		w.sendStop(o, &e.Stops[n])
 	}
@@ -483,6 +490,7 @@
 	if order.Run <= m.stopped[order.Task] {
 		return StartOldRun
 	}
+	w.record("%s: starts %s run %d of owner %d", m.info.ID, order.Task, order.Run, o.fence)
 	w.check(o, m, order)
 	step := w.jobs[order.Task.Job].Steps[order.Task.Step]
 	r := &modelRun{number: order.Run, ends: w.now.Add(step.Estimate), fails: w.draw(20) == 0}
@@ -560,6 +568,10 @@
 	return false
 }
 
+func (w *world) record(format string, args ...any) {
+	w.history = append(w.history, w.now.Format("05.000 ")+fmt.Sprintf(format, args...))
+}
+
 func (w *world) fail(format string, args ...any) {
 	w.broken = append(w.broken, fmt.Sprintf("%s: ", w.now.Format("05.000"))+fmt.Sprintf(format, args...))
 }
