Send the callers of a host that is cut off elsewhere; outlast the store's outages

Cause: an entry host behind a partition answers 503 while its callers could be served by the next data centre; the owner's lease lapsed in each outage of the store that is longer than 3 s, and nothing was started for its rest.

--- a/internal/app/cwconfigwatch/watch.go
+++ b/internal/app/cwconfigwatch/watch.go
@@ -46,12 +46,14 @@
 	byHost map[string][]*cwcellport.Queue
 }
 
-// Start runs a watcher and returns the function that stops it.
-func Start(opts Options) (w *Watcher, stop func()) {
-	w = &Watcher{opts: opts, hints: cwring.New[uint64](4)}
+// New returns a watcher that has read nothing yet.
+func New(opts Options) *Watcher { return &Watcher{opts: opts, hints: cwring.New[uint64](4)} }
+
+// Start runs the watcher and returns the function that stops it.
+func (w *Watcher) Start() (stop func()) {
 	stopWatch := cwduty.Start("configuration-watch", w.watch)
 	stopHints := cwduty.Start("configuration-hints", w.followHints)
-	return w, cwduty.Together([]func(){stopWatch, stopHints})
+	return cwduty.Together([]func(){stopWatch, stopHints})
 }
 
 // Version returns the version in force; 0 before the first one was read.
--- a/internal/app/cwnode/node.go
+++ b/internal/app/cwnode/node.go
@@ -83,9 +83,7 @@
 	cleanup.Add(pool.Release)
 	n = &Node{opts: opts, roster: &roster{timer: opts.Timer}}
 	n.latest.Store(&cwcellport.PulseAnswer{})
-	config, stopConfig := cwconfigwatch.Start(cwconfigwatch.Options{Source: opts.Source, Timer: opts.Timer, Log: opts.Log})
-	cleanup.Add(stopConfig)
-	n.config = config
+	n.config = cwconfigwatch.New(cwconfigwatch.Options{Source: n.observedSource(), Timer: opts.Timer, Log: opts.Log})
 	owner, stopOwner := cwcellowner.Start(n.ownerOptions(pool))
 	cleanup.Add(stopOwner)
 	n.owner = owner
@@ -103,6 +101,7 @@
 		Known: func() []cwcellport.EntryHost { return n.latest.Load().Peers },
 	})
 	cleanup.Add(stopTenure)
+	cleanup.Add(n.config.Start())
 	_, stopPeers, err := cwcellpeer.Serve(n.peerOptions())
 	if err != nil {
 		cleanup.Run()
@@ -114,6 +113,23 @@
 
 func (n *Node) holdLease() time.Duration { return min(holdLease, n.opts.HoldMax) }
 
+// observedSource returns the source of the configuration; its calls tell whether the store is reached.
+func (n *Node) observedSource() cwcellport.ConfigurationSource {
+	observe := func(cfg *cwcellport.Configuration, version uint64, err error) (*cwcellport.Configuration, uint64, error) {
+		n.tenure.Reached(err)
+		return cfg, version, err
+	}
+	source := n.opts.Source
+	return cwcellport.ConfigurationSource{
+		Read: func(timeout time.Duration) (*cwcellport.Configuration, uint64, error) {
+			return observe(source.Read(timeout))
+		},
+		Changes: func(after uint64, wait time.Duration) (*cwcellport.Configuration, uint64, error) {
+			return observe(source.Changes(after, wait))
+		},
+	}
+}
+
 func (n *Node) ownerOptions(pool *ants.Pool) cwcellowner.Options {
 	return cwcellowner.Options{
 		Store: n.opts.Store, Registry: n.opts.Registry, Workers: n.opts.Workers, Timer: n.opts.Timer, Pool: pool, Log: n.opts.Log,
@@ -146,6 +162,7 @@
 // pulse answers a peer that looks after its owner.
 func (n *Node) pulse(p cwcellport.Pulse) cwcellport.PulseAnswer {
 	n.roster.note(p)
+	n.tenure.Met()
 	view := n.tenure.View()
 	known := cwcellport.EntryHost{}
 	if view.Known {
@@ -209,8 +226,9 @@
 // Pending returns how many jobs of a queue have not begun.
 func (n *Node) Pending(queue cwwork.QueueName) int { return n.Waiting(queue, n.latest.Load().Queues) }
 
-// Configured reports whether a configuration is in force.
-func (n *Node) Configured() bool { return n.config.Version() > 0 }
+// Serves reports whether the host can serve callers: it holds a configuration and reaches the store or a peer. One that is
+// cut off from both sends its callers to other hosts.
+func (n *Node) Serves() bool { return n.config.Version() > 0 && !n.tenure.Isolated() }
 
 // Leave hands the cell over to a live peer. The node goes on serving callers.
 func (n *Node) Leave() {
--- a/internal/app/cwtenure/follow.go
+++ b/internal/app/cwtenure/follow.go
@@ -43,6 +43,7 @@
 		}
 		return false
 	}
+	k.Met()
 	if k.failed > 0 {
 		k.opts.Log.WithFields(cwlog.Fields{"owner": k.lease.Holder, "pulses": k.failed}).Info("owner-answers")
 		k.failed = 0
@@ -101,6 +102,7 @@
 		k.opts.Log.WithField("error", err.Error()).Debug("peer-silent")
 		return
 	}
+	k.Met()
 	k.learnOwner(answer)
 }
 
@@ -123,7 +125,7 @@
 // readLease reads the lease's row and reports whether the store answered.
 func (k *Keeper) readLease() bool {
 	rows, _, err := k.opts.Store.Read(TableCell, "", KeyLease, KeyLease+"\x00", callTimeout)
-	k.reached(err)
+	k.Reached(err)
 	if err != nil {
 		return false
 	}
@@ -165,9 +167,10 @@
 	k.opts.Lost()
 }
 
-// reached notes whether the store can be reached.
-func (k *Keeper) reached(err error) {
-	ok := err == nil || cwfault.CodeOf(err) == cwfault.Conflict
+// Reached takes the outcome of a call to the store.
+func (k *Keeper) Reached(err error) {
+	code := cwfault.CodeOf(err)
+	ok := err == nil || code == cwfault.Conflict || code == cwfault.NotFound
 	if k.storeOK.Swap(ok) != ok {
 		if ok {
 			k.opts.Log.Info("store-regained")
--- a/internal/app/cwtenure/hold.go
+++ b/internal/app/cwtenure/hold.go
@@ -63,7 +63,7 @@
 		t.Put = append(t.Put, cwcellport.Row{RowKey: cwcellport.RowKey{Table: TableCell, Key: KeyChain}, Value: []byte(lease.Holder)})
 	}
 	version, present, err := k.opts.Store.Commit(t, callTimeout)
-	k.reached(err)
+	k.Reached(err)
 	return version, present, err
 }
 
--- a/internal/app/cwtenure/tenure.go
+++ b/internal/app/cwtenure/tenure.go
@@ -53,8 +53,9 @@
 
 // Bounds of the lease.
 const (
-	// TTL is how long an owner acts after its last renewal.
-	TTL = 3 * time.Second
+	// TTL is how long an owner acts after its last renewal. It outlasts the store's usual outages; that a successor may come
+	// earlier does no harm, as workers refuse the former owner's fencing token.
+	TTL = 6500 * time.Millisecond
 	// renewPeriod lets several renewals be lost before the lease lapses.
 	renewPeriod = 500 * time.Millisecond
 	// unwellAfter is how long renewals may fail before the owner asks others to take over.
@@ -67,6 +68,8 @@
 	retryPeriod = 150 * time.Millisecond
 	// shortestWait keeps a host that waits for a lease to become stale from asking without a pause.
 	shortestWait = 20 * time.Millisecond
+	// isolatedAfter is how long a host that cannot reach the store has to hear nothing from its peers to count as isolated.
+	isolatedAfter = 800 * time.Millisecond
 	// callTimeout bounds one call to the store; a slow store takes 50 times its 4 ms.
 	callTimeout = 700 * time.Millisecond
 	// slowestDelay is how much longer a host without a share of a processor would wait before it takes a stale lease.
@@ -99,6 +102,7 @@
 	inbox   *cwring.Ring[event]
 	view    atomic.Pointer[View]
 	storeOK atomic.Bool
+	met     atomic.Int64 // when another entry host last answered or called, in Unix nanoseconds
 	leaving atomic.Bool
 
 	lease       cwcellcodec.Lease
@@ -143,6 +147,14 @@
 // StoreOK reports whether the last call of the keeper reached the store.
 func (k *Keeper) StoreOK() bool { return k.storeOK.Load() }
 
+// Met notes that another entry host has called.
+func (k *Keeper) Met() { k.met.Store(k.opts.Timer.Now().UnixNano()) }
+
+// Isolated reports whether the host reaches neither the store nor any other entry host.
+func (k *Keeper) Isolated() bool {
+	return !k.storeOK.Load() && k.opts.Timer.Now().Sub(time.Unix(0, k.met.Load())) > isolatedAfter
+}
+
 // Leaving reports whether the host is shutting down.
 func (k *Keeper) Leaving() bool { return k.leaving.Load() }
 
