Fence acceptances and write each failing part by itself

Cause: after a takeover with a silent worker, nothing could start for seconds, since the former owner might have started jobs accepted since; a part of the store that fails held up the writes of all others, and a takeover needed all. Change: every acceptance expects the fence row of its part, which a takeover moves: what was accepted later is the new owner's alone and starts at once. Parts have chain rows of their own; a part that fails is written by itself and is taken over by itself.

--- a/internal/adapter/cwcellpeer/client.go
+++ b/internal/adapter/cwcellpeer/client.go
@@ -128,7 +128,7 @@
 	return answer, nil
 }
 
-func (c *client) offer(addr netip.AddrPort, s *cwwork.Submission, version uint64) (err error) {
+func (c *client) offer(addr netip.AddrPort, s *cwwork.Submission, version, fence uint64) (err error) {
 	defer func() { err = eris.Wrap(err, "offer job") }()
 	data, err := cwcellcodec.EncodeSubmission(s)
 	if err != nil {
@@ -136,7 +136,7 @@
 	}
 	ctx, cancel := within(c.opts.Timeout)
 	defer cancel()
-	_, err = c.peer(addr).Offer(ctx, &cwcellwire.OfferRequest{Id: string(s.ID), Submission: data, Version: version})
+	_, err = c.peer(addr).Offer(ctx, &cwcellwire.OfferRequest{Id: string(s.ID), Submission: data, Version: version, Fence: fence})
 	return typed(err)
 }
 
--- a/internal/adapter/cwcellpeer/server.go
+++ b/internal/adapter/cwcellpeer/server.go
@@ -29,7 +29,7 @@
 	ShutdownTimeout time.Duration
 
 	Pulse    func(p cwcellport.Pulse) cwcellport.PulseAnswer
-	Offer    func(s *cwwork.Submission, version uint64) error
+	Offer    func(s *cwwork.Submission, version, fence uint64) error
 	Look     func(id cwmodel.JobID) (state cwwork.State, known bool, err error)
 	Cancel   func(id cwmodel.JobID) (known bool, err error)
 	Ask      func(q *cwcell.Question) (good []cwcell.GoodWorker, validity time.Duration, err error)
@@ -97,7 +97,7 @@
 	if err != nil {
 		return nil, failure(cwfault.New(cwfault.Invalid, "%v", err))
 	}
-	if err := s.opts.Offer(submission, r.GetVersion()); err != nil {
+	if err := s.opts.Offer(submission, r.GetVersion(), r.GetFence()); err != nil {
 		return nil, failure(err)
 	}
 	return &cwcellwire.OfferReply{}, nil
--- a/internal/app/cwcellowner/commit.go
+++ b/internal/app/cwcellowner/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"currantward/internal/adapter/cwcellcodec"
@@ -14,84 +15,117 @@
 	"currantward/internal/port/cwcellport"
 )
 
-// commits is the one write at a time that makes the cell's state durable. What comes up meanwhile makes the next one.
-//
-// Every write moves the chain row by one version, so that a write of a former owner, or an unanswered one that the store
-// carries out late, finds the row changed and does nothing.
+// commits makes the cell's state durable. One write at a time goes to all parts that are well; what comes up meanwhile makes
+// the next one. A part that fails is written by itself, so that it holds up no other.
 type commits struct {
-	chain     uint64 // version of the chain row
+	cell      part // the part of the cell's own rows
 	number    int
-	flying    *flight
-	retryAt   time.Time
+	shared    bool // a write to all parts that are well is under way
+	doubtful  []*flight
 	written   map[cwmodel.JobID]struct{} // jobs that have a row of progress
 	cancelled map[cwmodel.JobID]struct{} // jobs that have a row of cancellation
 }
 
-// flight is a write that has not been answered for certain.
+// flight is one write that is under way, or whose answer was lost.
 type flight struct {
 	writes []cwcell.Write
 	enrols []cwmodel.HostID // workers that the write makes known to later owners
+	parts  []*part
 	tx     cwcellport.Transaction
-	mark   string // value of the chain row
-	sent   bool
+	mark   string // value of the chain rows
+	shared bool
 	began  time.Time
 }
 
 const (
 	// commitTimeout bounds one write; a slow store takes 50 times its 8 ms.
 	commitTimeout = 900 * time.Millisecond
-	// commitRetry is the pause after a write that failed.
-	commitRetry = 150 * time.Millisecond
+	// shortestCommitPause and longestCommitPause bound the pause of a part after a write that failed.
+	shortestCommitPause = 100 * time.Millisecond
+	longestCommitPause  = 800 * time.Millisecond
+	// aloneFor is how long a part is written by itself after a failure.
+	aloneFor = 2 * time.Second
 	// rowsPerEnd is how many rows the end of a job changes.
 	rowsPerEnd = 4
+	// mostJobs leaves room for the chain rows of all parts.
+	mostJobs = (cwcellport.MaxTransactionRows - 2 - 16) / rowsPerEnd
+	// mostDoubtful bounds the writes that are remembered because their answers were lost.
+	mostDoubtful = 64
 )
 
-// commit sends the next write if none is under way.
+// commit sends the writes that are due.
 func (s *session) commit(now time.Time) {
-	c := &s.commits
-	if c.flying == nil {
-		if !s.cell.EnrolmentDue() && !s.cell.WritesDue() {
-			return
-		}
-		c.flying = s.build(now)
+	if s.cell.EnrolmentDue() && !s.commits.cell.busy && !now.Before(s.commits.cell.retryAt) {
+		s.fly(s.membersFlight(now))
 	}
-	if c.flying.sent || now.Before(c.retryAt) {
+	if !s.cell.WritesDue() {
 		return
 	}
-	f := c.flying
-	f.sent = true
-	s.submit("commit", func() {
+	alone := map[*part]struct{}{}
+	together := false
+	s.cell.DueWrites(func(id cwmodel.JobID) {
+		switch p := s.partOf(id); {
+		case !p.loaded || p.busy || now.Before(p.retryAt):
+		case now.Before(p.alone):
+			alone[p] = struct{}{}
+		default:
+			together = true
+		}
+	})
+	if together && !s.commits.shared {
+		s.commits.shared = true
+		f := s.build(now, func(p *part) bool { return p.loaded && !p.busy && !now.Before(p.retryAt) && !now.Before(p.alone) })
+		f.shared = true
+		s.fly(f)
+	}
+	for p := range alone {
+		s.fly(s.build(now, func(other *part) bool { return other == p }))
+	}
+}
+
+// fly sends one write.
+func (s *session) fly(f *flight) {
+	for _, p := range f.parts {
+		p.busy = true
+		key := cwcellport.RowKey{Table: cwtenure.TableCell, Part: p.name, Key: keyChain}
+		f.tx.Expected = append(f.tx.Expected, cwcellport.Expectation{RowKey: key, Version: p.chain})
+		f.tx.Put = append(f.tx.Put, cwcellport.Row{RowKey: key, Value: []byte(f.mark)})
+	}
+	sent := s.submit("commit", func() {
 		version, present, err := s.owner.opts.Store.Commit(f.tx, commitTimeout)
 		s.post(func(now time.Time) { s.committed(f, version, present, err, now) })
 	})
+	if !sent {
+		s.failed(f, cwfault.New(cwfault.Unavailable, "the pool is full"), f.began)
+	}
 }
 
-// build makes one transaction of the writes that are due.
-func (s *session) build(now time.Time) *flight {
-	c := &s.commits
-	c.number++
-	f := &flight{
-		writes: s.cell.NextWrites((cwcellport.MaxTransactionRows - 2) / rowsPerEnd),
-		mark:   fmt.Sprintf("%d/%d", s.tenure.Fence, c.number),
-		began:  now,
-	}
-	chain := cwcellport.RowKey{Table: cwtenure.TableCell, Key: cwtenure.KeyChain}
-	f.tx.Expected = []cwcellport.Expectation{{RowKey: chain, Version: c.chain}}
-	f.tx.Put = []cwcellport.Row{{RowKey: chain, Value: []byte(f.mark)}}
-	if s.cell.EnrolmentDue() {
-		s.addMembers(f, s.cell.Members())
-	}
+func (s *session) newFlight(now time.Time) *flight {
+	s.commits.number++
+	return &flight{mark: fmt.Sprintf("%d/%d", s.tenure.Fence, s.commits.number), began: now}
+}
+
+// build makes one write of what is due in the parts that pass.
+func (s *session) build(now time.Time, pass func(*part) bool) *flight {
+	f := s.newFlight(now)
+	f.writes = s.cell.NextWrites(mostJobs, func(id cwmodel.JobID) bool { return pass(s.partOf(id)) })
 	for _, w := range f.writes {
+		if p := s.partOf(w.Job); !slices.Contains(f.parts, p) {
+			f.parts = append(f.parts, p)
+		}
 		s.addWrite(&f.tx, w)
 	}
 	return f
 }
 
-// addMembers writes which workers may run tasks. A later owner calls them though their entries in the platform's list may
-// have lapsed.
-func (s *session) addMembers(f *flight, ids []cwmodel.HostID) {
-	members := make([]cwcellcodec.Member, 0, len(ids))
-	for _, id := range ids {
+// membersFlight writes which workers may run tasks. A later owner calls them though their entries in the platform's list
+// may have lapsed.
+func (s *session) membersFlight(now time.Time) *flight {
+	f := s.newFlight(now)
+	f.parts = []*part{&s.commits.cell}
+	f.enrols = s.cell.Members()
+	members := make([]cwcellcodec.Member, 0, len(f.enrols))
+	for _, id := range f.enrols {
 		if l, ok := s.links[id]; ok {
 			members = append(members, cwcellcodec.Member{ID: id, Address: l.entry.Address})
 		}
@@ -99,70 +133,144 @@
 	value, err := cwcellcodec.EncodeMembers(members)
 	if err != nil {
 		s.owner.opts.Log.WithField("error", err.Error()).Error("members-not-encoded")
-		return
+		return f
 	}
-	f.enrols = ids
 	f.tx.Put = append(f.tx.Put, cwcellport.Row{RowKey: membersKey, Value: value})
+	return f
 }
 
 // membersKey names the row of the workers that may run tasks.
 var membersKey = cwcellport.RowKey{Table: cwtenure.TableCell, Key: "members"}
 
+// addWrite adds the rows of one job to a transaction.
 func (s *session) addWrite(tx *cwcellport.Transaction, w cwcell.Write) {
-	part := PartOf(w.Job, s.owner.opts.Store.Parts)
+	name := s.partOf(w.Job).name
 	row := func(table string) cwcellport.RowKey {
-		return cwcellport.RowKey{Table: table, Part: part, Key: string(w.Job)}
+		return cwcellport.RowKey{Table: table, Part: name, Key: string(w.Job)}
 	}
+	table, value, err := TableProgress, []byte(nil), error(nil)
 	if w.State != "" {
-		value, err := cwcellcodec.EncodeEnding(cwcellcodec.Ending{State: w.State, At: s.wall()})
-		if err != nil {
-			s.owner.opts.Log.WithFields(cwlog.Fields{"job": w.Job, "error": err.Error()}).Error("ending-not-encoded")
-			return
-		}
-		tx.Put = append(tx.Put, cwcellport.Row{RowKey: row(TableEnded), Value: value})
-		if _, ok := s.commits.cancelled[w.Job]; ok {
-			mark := row(TableJobs)
-			mark.Key += CancelSuffix
-			tx.Remove = append(tx.Remove, mark)
-		}
-		tx.Remove = append(tx.Remove, row(TableJobs))
-		if _, ok := s.commits.written[w.Job]; ok {
-			tx.Remove = append(tx.Remove, row(TableProgress))
-		}
-		return
+		table = TableEnded
+		value, err = cwcellcodec.EncodeEnding(cwcellcodec.Ending{State: w.State, At: s.wall()})
+		s.removeRows(tx, w.Job, row)
+	} else {
+		value, err = cwcellcodec.EncodeProgress(w.Progress)
+		s.commits.written[w.Job] = struct{}{}
 	}
-	value, err := cwcellcodec.EncodeProgress(w.Progress)
 	if err != nil {
-		s.owner.opts.Log.WithFields(cwlog.Fields{"job": w.Job, "error": err.Error()}).Error("progress-not-encoded")
+		s.owner.opts.Log.WithFields(cwlog.Fields{"job": w.Job, "table": table, "error": err.Error()}).Error("row-not-encoded")
 		return
 	}
-	s.commits.written[w.Job] = struct{}{}
-	tx.Put = append(tx.Put, cwcellport.Row{RowKey: row(TableProgress), Value: value})
+	tx.Put = append(tx.Put, cwcellport.Row{RowKey: row(table), Value: value})
+}
+
+// removeRows removes the rows that a job has while it lives.
+func (s *session) removeRows(tx *cwcellport.Transaction, id cwmodel.JobID, row func(table string) cwcellport.RowKey) {
+	tx.Remove = append(tx.Remove, row(TableJobs))
+	if _, ok := s.commits.written[id]; ok {
+		tx.Remove = append(tx.Remove, row(TableProgress))
+	}
+	if _, ok := s.commits.cancelled[id]; ok {
+		mark := row(TableJobs)
+		mark.Key += CancelSuffix
+		tx.Remove = append(tx.Remove, mark)
+	}
 }
 
 // committed takes the answer of a write.
 func (s *session) committed(f *flight, version uint64, present []cwcellport.Row, err error, now time.Time) {
-	c := &s.commits
-	if cwfault.CodeOf(err) == cwfault.Conflict {
-		if len(present) == 0 || string(present[0].Value) != f.mark {
-			s.owner.opts.Log.WithFields(cwlog.Fields{"fence": s.tenure.Fence, "mark": f.mark}).Warn("commit-fenced-off")
-			c.retryAt, f.sent = now.Add(commitRetry), false
-			s.owner.opts.Deposed()
-			return
-		}
-		version, err = present[0].Version, nil // an earlier try was done and its answer lost
+	switch {
+	case err == nil:
+		s.land(f, version, now)
+		s.owner.opts.Observed(Observation{Event: "commit", Took: now.Sub(f.began)})
+	case cwfault.CodeOf(err) == cwfault.Conflict:
+		s.resolve(f, present, now)
+	default:
+		s.failed(f, err, now)
 	}
-	if err != nil {
-		s.owner.opts.Log.WithFields(cwlog.Fields{"mark": f.mark, "jobs": len(f.writes), "error": err.Error()}).Warn("commit-failed")
-		c.retryAt, f.sent = now.Add(commitRetry), false
-		return
+}
+
+// release lets the parts of a write take the next one.
+func (s *session) release(f *flight) {
+	if f.shared {
+		s.commits.shared = false
+	}
+	for _, p := range f.parts {
+		p.busy = false
+	}
+}
+
+// land notes that a write was done.
+func (s *session) land(f *flight, version uint64, now time.Time) {
+	s.release(f)
+	for _, p := range f.parts {
+		p.chain, p.failures = version, 0
 	}
-	c.chain, c.flying = version, nil
 	s.cell.Enrolled(f.enrols)
 	for _, w := range s.cell.Committed(f.writes, true, now) {
 		s.concluded(w)
 	}
-	s.owner.opts.Observed(Observation{Event: "commit", Took: now.Sub(f.began)})
+	// Writes with lost answers expected chain rows that have moved: those that were not done never will be.
+	s.commits.doubtful = slices.DeleteFunc(s.commits.doubtful, func(d *flight) bool {
+		return slices.ContainsFunc(d.parts, func(p *part) bool { return slices.Contains(f.parts, p) })
+	})
+}
+
+// resolve takes the chain rows that a write found changed: an earlier write with a lost answer was done, or a later owner
+// has come.
+func (s *session) resolve(f *flight, present []cwcellport.Row, now time.Time) {
+	s.release(f)
+	s.cell.Committed(f.writes, false, now)
+	known := false
+	for _, row := range present {
+		p, ok := s.parts[row.Part]
+		if row.Part == "" {
+			p, ok = &s.commits.cell, true
+		}
+		if !ok || row.Key != keyChain || row.Version == p.chain {
+			continue
+		}
+		at := slices.IndexFunc(s.commits.doubtful, func(d *flight) bool { return d.mark == string(row.Value) })
+		if at < 0 {
+			continue
+		}
+		known = true
+		done := s.commits.doubtful[at]
+		s.commits.doubtful = slices.Delete(s.commits.doubtful, at, at+1)
+		for _, q := range done.parts {
+			q.chain = row.Version
+		}
+		s.cell.Enrolled(done.enrols)
+		for _, w := range s.cell.Committed(done.writes, true, now) {
+			s.concluded(w)
+		}
+	}
+	if !known {
+		s.owner.opts.Log.WithFields(cwlog.Fields{"fence": s.tenure.Fence, "mark": f.mark}).Warn("commit-fenced-off")
+		for _, p := range f.parts {
+			p.retryAt = now.Add(longestCommitPause)
+		}
+		s.owner.opts.Deposed()
+	}
+}
+
+// failed has the jobs of a write that was not done, or whose answer was lost, written again, each part by itself.
+func (s *session) failed(f *flight, err error, now time.Time) {
+	s.owner.opts.Log.WithFields(cwlog.Fields{
+		"mark": f.mark, "jobs": len(f.writes), "parts": len(f.parts), "error": err.Error(),
+	}).Warn("commit-failed")
+	s.release(f)
+	s.cell.Committed(f.writes, false, now)
+	if cwfault.CodeOf(err) != cwfault.Unavailable && len(s.commits.doubtful) < mostDoubtful {
+		s.commits.doubtful = append(s.commits.doubtful, f)
+	}
+	for _, p := range f.parts {
+		p.alone = now.Add(aloneFor)
+		if len(f.parts) == 1 {
+			p.retryAt = now.Add(min(shortestCommitPause<<min(p.failures, 3), longestCommitPause))
+			p.failures++
+		}
+	}
 }
 
 // concluded tells the callers that wait for the end of a job.
--- a/internal/app/cwcellowner/owner.go
+++ b/internal/app/cwcellowner/owner.go
@@ -23,6 +23,7 @@
 
 // Options configure an owner.
 type Options struct {
+	Self     cwcellport.EntryHost
 	Store    cwcellport.Store
 	Registry cwcellport.Registry
 	Workers  cwcellport.Workers
@@ -157,12 +158,17 @@
 	}
 }
 
-// Offer takes a job whose row is durable.
-func (o *Owner) Offer(s *cwwork.Submission, version uint64) error {
-	_, err := ask(o, callerWait, func(e *session, now time.Time, answer func(struct{})) {
-		e.admit(s, version, now)
-		answer(struct{}{})
+// Offer takes a job whose row is durable and was accepted under the owner with the given fence.
+func (o *Owner) Offer(s *cwwork.Submission, version, fence uint64) error {
+	taken, err := ask(o, callerWait, func(e *session, now time.Time, answer func(bool)) {
+		if fence == e.tenure.Fence {
+			e.admit(s, version, now)
+		}
+		answer(fence == e.tenure.Fence)
 	})
+	if err == nil && !taken {
+		return cwfault.New(cwfault.NotSupported, "the job was accepted under another owner")
+	}
 	return err
 }
 
@@ -176,9 +182,7 @@
 func (o *Owner) Look(id cwmodel.JobID) (state cwwork.State, known bool, err error) {
 	found, err := ask(o, callerWait, func(e *session, _ time.Time, answer func(jobState)) {
 		var s jobState
-		if e.loaded {
-			s.state, s.known = e.cell.State(id)
-		}
+		s.state, s.known = e.cell.State(id)
 		answer(s)
 	})
 	return found.state, found.known, err
@@ -187,10 +191,6 @@
 // Cancel ends a job and returns once its end is durable, false if the owner does not know it.
 func (o *Owner) Cancel(id cwmodel.JobID) (known bool, err error) {
 	return ask(o, callerWait, func(e *session, _ time.Time, answer func(bool)) {
-		if !e.loaded {
-			answer(false)
-			return
-		}
 		known, durable := e.cell.Cancel(id)
 		if !known || durable {
 			answer(known)
--- a/internal/app/cwcellowner/session.go
+++ b/internal/app/cwcellowner/session.go
@@ -1,6 +1,7 @@
 package cwcellowner
 
 import (
+	"sync/atomic"
 	"time"
 
 	"currantward/internal/app/cwtenure"
@@ -14,21 +15,23 @@
 
 // session is the state of one tenure. All of it belongs to the owner's duty.
 type session struct {
-	owner   *Owner
-	tenure  cwtenure.Tenure
-	cell    *cwcell.Cell
-	loaded  bool
-	early   []offered // jobs that were offered before the store was read
-	links   map[cwmodel.HostID]*link
-	ready   []*link // links that wait for their next call
-	advice  advisers
-	commits commits
-	cancels map[cwmodel.JobID][]func()
-	cleanup cwduty.Cleanup
-	closed  bool
-	status  time.Time
-	waiters time.Time // when the log last named the work that waits
-	began   time.Time
+	owner    *Owner
+	tenure   cwtenure.Tenure
+	cell     *cwcell.Cell
+	loaded   bool
+	parts    map[string]*part
+	progress map[cwmodel.JobID]*cwwork.Progress // of the part that is being read; nil otherwise
+	links    map[cwmodel.HostID]*link
+	ready    []*link // links that wait for their next call
+	advice   advisers
+	commits  commits
+	cancels  map[cwmodel.JobID][]func()
+	cleanup  cwduty.Cleanup
+	closed   bool
+	ended    atomic.Bool // closed, for the calls that run outside of the duty
+	status   time.Time
+	waiters  time.Time // when the log last named the work that waits
+	began    time.Time
 }
 
 // offered is one job with the version of its row.
@@ -44,16 +47,20 @@
 		tenure:  t,
 		links:   map[cwmodel.HostID]*link{},
 		cancels: map[cwmodel.JobID][]func(){},
+		parts:   map[string]*part{},
 		commits: commits{
-			chain: t.ChainVersion, written: map[cwmodel.JobID]struct{}{}, cancelled: map[cwmodel.JobID]struct{}{},
+			cell:    part{loaded: true, chain: t.ChainVersion},
+			written: map[cwmodel.JobID]struct{}{}, cancelled: map[cwmodel.JobID]struct{}{},
 		},
 		began: now,
 	}
+	for n := range o.opts.Store.Parts {
+		s.parts[partName(n)] = &part{name: partName(n)}
+	}
 	s.cell = cwcell.New(cwcell.Options{
 		Seed:       o.opts.Seed ^ t.Fence,
 		RunFloor:   (t.Term - 1) * runsPerTerm,
 		Inherited:  t.Inherited,
-		Superseded: t.Superseded,
 		StatusKept: o.opts.StatusKept,
 		StopTime:   o.opts.StopTime,
 		FarFactor:  o.opts.FarFactor,
@@ -72,6 +79,7 @@
 // close ends the tenure. Calls that are under way end by themselves; what they bring is dropped.
 func (s *session) close() {
 	s.closed = true
+	s.ended.Store(true)
 	s.owner.opts.Log.WithFields(cwlog.Fields{"fence": s.tenure.Fence, "after": s.owner.opts.Timer.Now().Sub(s.began)}).Info("cell-left")
 	for id := range s.links {
 		s.dropLink(id)
@@ -194,13 +202,14 @@
 	}
 }
 
-// admit adds a job whose row has the given version.
+// admit adds a job that was accepted under this owner. One from before the fence moved was read with its part, or has ended.
 func (s *session) admit(j *cwwork.Submission, version uint64, now time.Time) {
-	if !s.loaded {
-		s.early = append(s.early, offered{j, version})
+	p := s.partOf(j.ID)
+	if !p.loaded {
+		p.offers = append(p.offers, offered{j, version})
 		return
 	}
-	if s.cell.Admit(j, nil, version <= s.tenure.Fence, now, s.wall()) {
+	if version > p.fenced && s.cell.Admit(j, nil, false, now, s.wall()) {
 		s.owner.opts.Log.WithFields(cwlog.Fields{
 			"job": j.ID, "queue": j.Queue, "version": version, "age": s.wall().Sub(j.Accepted),
 		}).Info("job-admitted")
--- a/internal/app/cwgateway/gateway.go
+++ b/internal/app/cwgateway/gateway.go
@@ -20,6 +20,7 @@
 
 // Options configure a gateway.
 type Options struct {
+	Self  cwcellport.EntryHost
 	Store cwcellport.Store
 	Peers cwcellport.Peers
 	Owner *cwcellowner.Owner
@@ -38,8 +39,9 @@
 const (
 	// storeTimeout bounds one call; a slow store takes 50 times its 4 ms.
 	storeTimeout = 700 * time.Millisecond
-	// storeTries is how often a write without an answer is repeated before the caller is told that nobody knows.
-	storeTries = 2
+	// storeTries is how often a write without an answer, or under a former owner, is repeated before the caller is told
+	// that nobody knows.
+	storeTries = 3
 	// brokenAfter is how many calls in a row must fail before submissions are refused without a try.
 	brokenAfter = 2
 	// probePeriod is how often a submission is tried all the same.
@@ -51,6 +53,7 @@
 // Gateway serves callers; it is safe for concurrent use.
 type Gateway struct {
 	opts    Options
+	fences  fences
 	failing atomic.Int32 // writes in a row that the store did not answer
 	probed  atomic.Int64 // time of the last try while failing
 }
@@ -58,60 +61,85 @@
 // New returns a gateway.
 func New(opts Options) *Gateway { return &Gateway{opts: opts} }
 
+// receipt is what is known of a write of a job.
+type receipt struct {
+	verdict cwcellport.Verdict
+	version uint64 // of the row; 0 if the job was there before
+	fence   fence
+}
+
 // Submit makes a job durable and tells the owner of it.
 func (g *Gateway) Submit(s *cwwork.Submission) cwcellport.Verdict {
-	verdict, version := g.write(s)
-	if verdict != cwcellport.VerdictAccepted && g.relay(s, &verdict) {
-		return verdict
-	}
-	if verdict == cwcellport.VerdictAccepted && version > 0 {
-		g.announce(s, version)
+	r := g.write(s)
+	if r.verdict != cwcellport.VerdictAccepted && g.relay(s, &r.verdict) {
+		return r.verdict
 	}
-	return verdict
+	g.announce(s, r)
+	return r.verdict
 }
 
 // Relayed makes a job durable for a peer that the store refuses.
 func (g *Gateway) Relayed(s *cwwork.Submission) cwcellport.Verdict {
-	verdict, version := g.write(s)
-	if verdict == cwcellport.VerdictAccepted && version > 0 {
-		g.announce(s, version)
-	}
-	return verdict
+	r := g.write(s)
+	g.announce(s, r)
+	return r.verdict
 }
 
-// write commits the row of a job; the version is 0 if the job was there before.
-func (g *Gateway) write(s *cwwork.Submission) (verdict cwcellport.Verdict, version uint64) {
-	verdict = cwcellport.VerdictRefused
+// write commits the row of a job.
+func (g *Gateway) write(s *cwwork.Submission) (r receipt) {
+	r.verdict = cwcellport.VerdictRefused
 	if !g.mayTry() {
-		return verdict, 0
+		return r
 	}
 	value, err := cwcellcodec.EncodeSubmission(s)
 	if err != nil {
 		g.opts.Log.WithFields(cwlog.Fields{"job": s.ID, "error": err.Error()}).Error("job-not-encoded")
-		return verdict, 0
+		return r
 	}
 	key := g.row(cwcellowner.TableJobs, s.ID)
-	t := cwcellport.Transaction{
-		Expected: []cwcellport.Expectation{{RowKey: key}, {RowKey: g.row(cwcellowner.TableEnded, s.ID)}},
-		Put:      []cwcellport.Row{{RowKey: key, Value: value}},
-	}
 	for try := range storeTries {
-		version, _, err = g.opts.Store.Commit(t, storeTimeout)
+		if r.fence, err = g.fences.get(g.opts.Store, key.Part); err == nil {
+			err = g.tryWrite(key, value, &r)
+		}
 		g.count(err)
 		switch cwfault.CodeOf(err) {
 		case "":
-			return cwcellport.VerdictAccepted, version
+			r.verdict = cwcellport.VerdictAccepted
+			return r
 		case cwfault.Conflict:
-			return cwcellport.VerdictAccepted, 0
+			continue // the owner has changed; its fence is known now
 		case cwfault.Indefinite:
-			verdict = cwcellport.VerdictUnknown
+			r.verdict = cwcellport.VerdictUnknown
 		}
 		g.opts.Log.WithFields(cwlog.Fields{"job": s.ID, "try": try, "error": err.Error()}).Warn("job-not-written")
-		if verdict != cwcellport.VerdictUnknown {
-			return verdict, 0
+		if r.verdict != cwcellport.VerdictUnknown {
+			return r
+		}
+	}
+	return r
+}
+
+// tryWrite commits the row of a job under the present owner. Conflict says that the owner has changed; a row of the job
+// itself says that the job is there.
+func (g *Gateway) tryWrite(key cwcellport.RowKey, value []byte, r *receipt) error {
+	ended := key
+	ended.Table = cwcellowner.TableEnded
+	version, present, err := g.opts.Store.Commit(cwcellport.Transaction{
+		Expected: []cwcellport.Expectation{{RowKey: key}, {RowKey: ended}, {RowKey: fenceKey(key.Part), Version: r.fence.version}},
+		Put:      []cwcellport.Row{{RowKey: key, Value: value}},
+	}, storeTimeout)
+	if cwfault.CodeOf(err) != cwfault.Conflict {
+		r.version = version
+		return err
+	}
+	for _, row := range present {
+		if row.Table == key.Table || row.Table == ended.Table {
+			r.version = 0
+			return nil
 		}
 	}
-	return verdict, 0
+	g.fences.drop(key.Part)
+	return err
 }
 
 // mayTry reports whether a write to the store is worth a try.
@@ -154,26 +182,26 @@
 }
 
 // announce tells the owner of an accepted job without making the caller wait.
-func (g *Gateway) announce(s *cwwork.Submission, version uint64) {
-	if !g.opts.Submit(func() { g.offer(s, version) }) {
+func (g *Gateway) announce(s *cwwork.Submission, r receipt) {
+	if r.verdict != cwcellport.VerdictAccepted || r.version == 0 {
+		return
+	}
+	if !g.opts.Submit(func() { g.offer(s, r) }) {
 		g.opts.Log.WithField("job", s.ID).Warn("job-not-offered")
 	}
 }
 
-func (g *Gateway) offer(s *cwwork.Submission, version uint64) {
+// offer tells the owner under which the job was accepted.
+func (g *Gateway) offer(s *cwwork.Submission, r receipt) {
 	var err error
 	for range offerTries {
-		view := g.opts.View()
-		switch {
-		case view.IsOwner:
-			err = g.opts.Owner.Offer(s, version)
-		case view.Known:
-			err = g.opts.Peers.Offer(view.Owner.Address, s, version)
-		default:
-			return
+		if r.fence.owner.ID == g.opts.Self.ID {
+			err = g.opts.Owner.Offer(s, r.version, r.fence.number)
+		} else {
+			err = g.opts.Peers.Offer(r.fence.owner.Address, s, r.version, r.fence.number)
 		}
-		if err == nil {
-			return
+		if err == nil || cwfault.CodeOf(err) == cwfault.NotSupported {
+			return // a later owner reads the job from the store
 		}
 	}
 	g.opts.Log.WithFields(cwlog.Fields{"job": s.ID, "error": err.Error()}).Warn("job-not-offered")
--- a/internal/app/cwnode/node.go
+++ b/internal/app/cwnode/node.go
@@ -88,7 +88,7 @@
 	cleanup.Add(stopOwner)
 	n.owner = owner
 	n.Gateway = cwgateway.New(cwgateway.Options{
-		Store: opts.Store, Peers: opts.Peers, Owner: owner, Timer: opts.Timer, Log: opts.Log,
+		Self: opts.Self, Store: opts.Store, Peers: opts.Peers, Owner: owner, Timer: opts.Timer, Log: opts.Log,
 		View:   func() cwtenure.View { return n.tenure.View() },
 		Relays: n.relays,
 		Submit: func(call func()) bool { return pool.Submit(call) == nil },
@@ -132,6 +132,7 @@
 
 func (n *Node) ownerOptions(pool *ants.Pool) cwcellowner.Options {
 	return cwcellowner.Options{
+		Self:  n.opts.Self,
 		Store: n.opts.Store, Registry: n.opts.Registry, Workers: n.opts.Workers, Timer: n.opts.Timer, Pool: pool, Log: n.opts.Log,
 		Seed: n.opts.Seed, StatusKept: n.opts.Status, StopTime: n.opts.StopTime, FarFactor: n.opts.FarFactor,
 		HoldLease: n.holdLease(), StartWindow: startWindow,
--- a/internal/app/cwtenure/hold.go
+++ b/internal/app/cwtenure/hold.go
@@ -32,14 +32,9 @@
 	k.lease, k.version, k.seen = lease, version, sent
 	k.holding, k.fence, k.until, k.renewed = true, version, sent.Add(TTL), sent
 	k.failed, k.nextRenewal = 0, sent.Add(renewPeriod)
-	t := Tenure{Fence: version, Term: lease.Term, ChainVersion: version, Superseded: sent, Inherited: sent}
+	t := Tenure{Fence: version, Term: lease.Term, ChainVersion: version, Inherited: sent}
 	if formerVersion > 0 {
-		t.Superseded = k.opts.Timer.Now().Add(k.opts.StartWindow)
-		ownLife := former.Holder == k.opts.Self.ID && former.Address == k.opts.Self.Address
-		if !former.Released && !ownLife {
-			t.Superseded = k.opts.Timer.Now().Add(TTL)
-		}
-		t.Inherited = t.Superseded.Add(time.Duration(float64(k.opts.HoldLease) * (1 + 2*ClockDrift)))
+		t.Inherited = k.inherited(former)
 	}
 	k.opts.Log.WithFields(cwlog.Fields{
 		"why": why, "fence": version, "term": lease.Term, "former-owner": former.Holder, "former-version": formerVersion,
@@ -48,6 +43,16 @@
 	k.opts.Gained(t)
 }
 
+// inherited returns when everything that the former owner may have left on a worker that does not answer is over.
+func (k *Keeper) inherited(former cwcellcodec.Lease) time.Time {
+	stopped := k.opts.Timer.Now().Add(k.opts.StartWindow)
+	ownLife := former.Holder == k.opts.Self.ID && former.Address == k.opts.Self.Address
+	if !former.Released && !ownLife {
+		stopped = k.opts.Timer.Now().Add(TTL)
+	}
+	return stopped.Add(time.Duration(float64(k.opts.HoldLease) * (1 + 2*ClockDrift)))
+}
+
 // commitLease writes the lease's row if that still has the given version.
 func (k *Keeper) commitLease(lease cwcellcodec.Lease, expected uint64, taking bool) (uint64, []cwcellport.Row, error) {
 	value, err := cwcellcodec.EncodeLease(lease)
--- a/internal/app/cwtenure/tenure.go
+++ b/internal/app/cwtenure/tenure.go
@@ -47,15 +47,15 @@
 	Fence        uint64 // larger for each later owner; the version of the row's taking
 	Term         int    // counts the owners
 	ChainVersion uint64 // of the row that every write of the owner moves
-	Superseded   time.Time
-	Inherited    time.Time
+	// Inherited is when everything that former owners may have left on a silent worker is over.
+	Inherited time.Time
 }
 
 // Bounds of the lease.
 const (
-	// TTL is how long an owner acts after its last renewal. It outlasts the store's usual outages; that a successor may come
-	// earlier does no harm, as workers refuse the former owner's fencing token.
-	TTL = 6500 * time.Millisecond
+	// TTL is how long an owner acts after its last renewal. A successor may come earlier: workers refuse the former owner's
+	// fencing token, and only what runs on workers that do not answer has to wait for the end of the former lease.
+	TTL = 3 * time.Second
 	// renewPeriod lets several renewals be lost before the lease lapses.
 	renewPeriod = 500 * time.Millisecond
 	// unwellAfter is how long renewals may fail before the owner asks others to take over.
--- a/internal/core/cwcell/cell.go
+++ b/internal/core/cwcell/cell.go
@@ -19,8 +19,6 @@
 	RunFloor int
 	// Inherited is when everything that earlier owners may have left on a silent worker is over.
 	Inherited time.Time
-	// Superseded is when an earlier owner that has not noticed the takeover has stopped by itself.
-	Superseded time.Time
 	// StatusKept is how long the final state of a job stays known.
 	StatusKept time.Duration
 	// StopTime is the longest time that a worker takes to stop a task.
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -317,7 +317,7 @@
 
 // settled reports whether what earlier owners left of a job is known.
 func (c *Cell) settled(j *job, now time.Time) bool {
-	if !now.Before(c.opts.Inherited) || (!j.adopted && !now.Before(c.opts.Superseded)) {
+	if !j.adopted || !now.Before(c.opts.Inherited) {
 		return true
 	}
 	for _, w := range c.workers {
--- a/internal/core/cwcell/write.go
+++ b/internal/core/cwcell/write.go
@@ -16,10 +16,15 @@
 	version  int
 }
 
-// NextWrites returns the writes of at most limit jobs whose state is not durable; each stays due until Committed.
-func (c *Cell) NextWrites(limit int) (writes []Write) {
-	n := min(limit, len(c.dirty))
-	for _, j := range c.dirty[:n] {
+// NextWrites returns the writes of at most limit jobs that pass and whose state is not durable. Each is due again unless
+// Committed says that it was done.
+func (c *Cell) NextWrites(limit int, pass func(cwmodel.JobID) bool) (writes []Write) {
+	left := c.dirty[:0]
+	for _, j := range c.dirty {
+		if len(writes) >= limit || !pass(j.ID) {
+			left = append(left, j)
+			continue
+		}
 		j.queued = false
 		w := Write{Job: j.ID, State: j.final, version: j.changed}
 		if j.final == "" {
@@ -27,10 +32,18 @@
 		}
 		writes = append(writes, w)
 	}
-	c.dirty = slices.Delete(c.dirty, 0, n)
+	clear(c.dirty[len(left):])
+	c.dirty = left
 	return writes
 }
 
+// DueWrites calls each with the jobs whose state is not durable and not part of a write.
+func (c *Cell) DueWrites(each func(cwmodel.JobID)) {
+	for _, j := range c.dirty {
+		each(j.ID)
+	}
+}
+
 // WritesDue reports whether a job waits for a write.
 func (c *Cell) WritesDue() bool { return len(c.dirty) > 0 }
 
@@ -41,13 +54,13 @@
 		switch {
 		case !known:
 		case !ok:
-			if !j.queued {
+			if !j.queued && !j.evict {
 				j.queued = true
 				c.dirty = append(c.dirty, j)
 			}
 		default:
-			j.written = w.version
-			if w.State != "" {
+			j.written = max(j.written, w.version)
+			if w.State != "" && !j.evict {
 				c.conclusion(j, now)
 				concluded = append(concluded, w)
 			}
