--- a/internal/app/cwcellowner/commit.go
+++ b/internal/app/cwcellowner/commit.go
@@ -20,7 +20,8 @@
 type commits struct {
 	cell      part // the part of the cell's own rows
 	number    int
-	shared    bool // a write to all parts that are well is under way
+	shared    bool      // a write to all parts that are well is under way
+	sharedAt  time.Time // when the next one may leave
 	doubtful  []*flight
 	written   map[cwmodel.JobID]struct{} // jobs that have a row of progress
 	cancelled map[cwmodel.JobID]struct{} // jobs that have a row of cancellation
@@ -45,10 +46,15 @@
 	longestCommitPause  = 800 * time.Millisecond
 	// aloneFor is how long a part is written by itself after a failure.
 	aloneFor = 2 * time.Second
+	// usualCommit is what a write takes while the store is well.
+	usualCommit = 30 * time.Millisecond
 	// rowsPerEnd is how many rows the end of a job changes.
 	rowsPerEnd = 4
-	// mostJobs leaves room for the chain rows of all parts.
-	mostJobs = (cwcellport.MaxTransactionRows - 2 - 16) / rowsPerEnd
+	// mostJobs leaves room for the chain row of each job's part, which is expected and written.
+	mostJobs = cwcellport.MaxTransactionRows / (rowsPerEnd + 2)
+	// commitPause gathers the ends that come up together. A slow store is left alone for as long as the last write took,
+	// so that acceptances find room in its parts.
+	commitPause = 12 * time.Millisecond
 	// mostDoubtful bounds the writes that are remembered because their answers were lost.
 	mostDoubtful = 64
 )
@@ -72,7 +78,7 @@
 			together = true
 		}
 	})
-	if together && !s.commits.shared {
+	if together && !s.commits.shared && !now.Before(s.commits.sharedAt) {
 		s.commits.shared = true
 		f := s.build(now, func(p *part) bool { return p.loaded && !p.busy && !now.Before(p.retryAt) && !now.Before(p.alone) })
 		f.shared = true
@@ -203,8 +209,12 @@
 // land notes that a write was done.
 func (s *session) land(f *flight, version uint64, now time.Time) {
 	s.release(f)
+	pause := max(commitPause, now.Sub(f.began)-usualCommit)
 	for _, p := range f.parts {
-		p.chain, p.failures = version, 0
+		p.chain, p.failures, p.retryAt = version, 0, now.Add(pause)
+	}
+	if f.shared {
+		s.commits.sharedAt = now.Add(pause)
 	}
 	s.cell.Enrolled(f.enrols)
 	for _, w := range s.cell.Committed(f.writes, true, now) {
--- a/internal/app/cwgateway/gateway.go
+++ b/internal/app/cwgateway/gateway.go
@@ -37,10 +37,11 @@
 
 // Bounds of the gateway's calls to the store.
 const (
-	// storeTimeout bounds one call; a slow store takes 50 times its 4 ms.
+	// storeTimeout bounds one read; a slow store takes 50 times its 4 ms.
 	storeTimeout = 700 * time.Millisecond
-	// storeTries is how often a write without an answer, or under a former owner, is repeated before the caller is told
-	// that nobody knows.
+	// writeTimeout bounds one write, for which the store may let up to a second of others go first.
+	writeTimeout = 1400 * time.Millisecond
+	// storeTries is how often a write is tried where the owner has changed meanwhile.
 	storeTries = 3
 	// brokenAfter is how many calls in a row must fail before submissions are refused without a try.
 	brokenAfter = 2
@@ -112,9 +113,7 @@
 			r.verdict = cwcellport.VerdictUnknown
 		}
 		g.opts.Log.WithFields(cwlog.Fields{"job": s.ID, "try": try, "error": err.Error()}).Warn("job-not-written")
-		if r.verdict != cwcellport.VerdictUnknown {
-			return r
-		}
+		return r
 	}
 	return r
 }
@@ -127,7 +126,7 @@
 	version, present, err := g.opts.Store.Commit(cwcellport.Transaction{
 		Expected: []cwcellport.Expectation{{RowKey: key}, {RowKey: ended}, {RowKey: fenceKey(key.Part), Version: r.fence.version}},
 		Put:      []cwcellport.Row{{RowKey: key, Value: value}},
-	}, storeTimeout)
+	}, writeTimeout)
 	if cwfault.CodeOf(err) != cwfault.Conflict {
 		r.version = version
 		return err
