Keep the room that comes free soonest for a gang, and ask about all workers

Room was kept on the least used workers and for two gangs at a time. Change: a gang without room asks about every worker; the ends of the runs on its workers are predicted from their progress, and those that free its seats soonest are kept, unless that is too late for its objective.

--- a/internal/core/cwcell/gang.go
+++ b/internal/core/cwcell/gang.go
@@ -11,41 +11,39 @@
 
 // holds keeps room for gangs whose turn has come but which do not fit yet.
 type holds struct {
-	workers map[*worker]*group
+	workers map[*worker]hold
 	gangs   int
 }
 
-func newHolds() *holds { return &holds{workers: map[*worker]*group{}} }
+// hold is the room of one worker that is kept.
+type hold struct {
+	group *group
+	until time.Time // when the gang is expected to start
+}
+
+func newHolds() *holds { return &holds{workers: map[*worker]hold{}} }
 
-// refuses reports whether a worker's room is kept for a gang that comes before the group.
-func (h *holds) refuses(w *worker, g *group) bool {
-	owner, ok := h.workers[w]
-	return ok && owner != g && g.step.Estimate > shortTask
+// refuses reports whether a worker's room is kept for a gang, and tasks of the group would not be over by its start.
+func (h *holds) refuses(w *worker, g *group, now time.Time) bool {
+	kept, ok := h.workers[w]
+	return ok && kept.group != g && now.Add(g.step.Estimate).After(kept.until)
 }
 
-const (
-	// shortTask is the longest estimate of tasks that may use room which is kept for a gang: they are over before the
-	// last member of the gang finds room.
-	shortTask = 1200 * time.Millisecond
-	// mostHolds is how many gangs keep room at a time, so that kept room does not idle the cell.
-	mostHolds = 2
-	// holdAfter is how long a gang waits before room is kept for it.
-	holdAfter = 300 * time.Millisecond
-)
+// mostHolds is how many gangs keep room at a time, so that kept room does not idle the cell.
+const mostHolds = 4
 
 // placeGang starts all tasks of a group at once, or none.
-func (c *Cell) placeGang(g *group, policy cwwork.Policy, candidates []*worker, held *holds, now time.Time) {
+func (c *Cell) placeGang(g *group, policy cwwork.Policy, slack time.Duration, candidates []*worker, held *holds, now time.Time) {
 	if g.waiting != len(g.tasks) {
 		c.endPartial(g, now)
 		return
 	}
 	g.partial = time.Time{}
-	seats := c.seats(g, candidates, held)
+	seats := c.seats(g, candidates, held, now)
 	if len(seats) < len(g.tasks) {
-		c.lackRoom(g, policy, candidates, held, now)
+		c.lackRoom(g, policy, slack, candidates, held, now)
 		return
 	}
-	g.room = time.Time{}
 	number := 0
 	for index := range g.tasks {
 		number = max(number, g.tasks[index].highest+1)
@@ -87,9 +85,9 @@
 const partialGrace = time.Second
 
 // seats returns a worker for each member that finds room now, on one rack if the gang asks for it and one has the room.
-func (c *Cell) seats(g *group, candidates []*worker, held *holds) []*worker {
+func (c *Cell) seats(g *group, candidates []*worker, held *holds, now time.Time) []*worker {
 	if !g.step.SameRack {
-		return c.seatsOn(g, candidates, held)
+		return c.seatsOn(g, candidates, held, now)
 	}
 	racks := map[string][]*worker{}
 	for _, w := range candidates {
@@ -101,14 +99,14 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		if s := c.seatsOn(g, racks[name], held); len(s) == len(g.tasks) {
+		if s := c.seatsOn(g, racks[name], held, now); len(s) == len(g.tasks) {
 			return s
 		}
 	}
-	return c.seatsOn(g, candidates, held)
+	return c.seatsOn(g, candidates, held, now)
 }
 
-func (c *Cell) seatsOn(g *group, candidates []*worker, held *holds) (seats []*worker) {
+func (c *Cell) seatsOn(g *group, candidates []*worker, held *holds, now time.Time) (seats []*worker) {
 	type place struct {
 		w    *worker
 		n    int
@@ -116,7 +114,7 @@
 	}
 	var places []place
 	for _, w := range candidates {
-		if held.refuses(w, g) {
+		if held.refuses(w, g, now) {
 			continue
 		}
 		free, n := w.free(), 0
@@ -140,46 +138,83 @@
 }
 
 // lackRoom asks about more workers, keeps room for the gang, or gives up a gang that can never be whole.
-func (c *Cell) lackRoom(g *group, policy cwwork.Policy, candidates []*worker, held *holds, now time.Time) {
-	if g.room.IsZero() {
-		g.room = now
-	}
-	if g.advice != nil && !c.couldSeat(g, candidates) {
-		if c.ask(g, policy, now) {
-			return
-		}
-	}
+func (c *Cell) lackRoom(g *group, policy cwwork.Policy, slack time.Duration, candidates []*worker, held *holds, now time.Time) {
+	asking := g.advice != nil && c.ask(g, policy, now)
 	if !c.couldSeat(g, candidates) {
-		if c.neverWhole(g, policy, now) {
+		if !asking && c.neverWhole(g, policy, now) {
 			c.note(Note{Event: "gang-too-wide", Job: g.job.ID, Detail: g.key.String()})
 			c.conclude(g.job, cwwork.StateFailed)
 		}
 		return
 	}
-	if now.Sub(g.room) < holdAfter || held.gangs >= mostHolds {
+	if held.gangs < mostHolds {
+		c.keepRoom(g, slack, candidates, held, now)
+	}
+}
+
+// vacancy is a moment at which a worker gets room for more members of a gang.
+type vacancy struct {
+	at      time.Time
+	worker  *worker
+	members int
+}
+
+// keepRoom keeps the workers that will soonest have room for the whole gang, unless that is too late for its objective.
+func (c *Cell) keepRoom(g *group, slack time.Duration, candidates []*worker, held *holds, now time.Time) {
+	var vacancies []vacancy
+	for _, w := range candidates {
+		if _, taken := held.workers[w]; !taken {
+			vacancies = append(vacancies, c.vacancies(g, w, now)...)
+		}
+	}
+	slices.SortStableFunc(vacancies, func(a, b vacancy) int { return a.at.Compare(b.at) })
+	need, used := len(g.tasks), 0
+	for ; used < len(vacancies) && need > 0; used++ {
+		need -= vacancies[used].members
+	}
+	if need > 0 || (slack > 0 && vacancies[used-1].at.Sub(now) > slack) {
 		return
 	}
 	held.gangs++
-	c.keepRoom(g, candidates, held)
-}
-
-// keepRoom keeps the workers that will soonest have room for the whole gang.
-func (c *Cell) keepRoom(g *group, candidates []*worker, held *holds) {
-	ready := slices.Clone(candidates)
-	slices.SortStableFunc(ready, func(a, b *worker) int {
-		return cmp.Compare(a.used.DominantShare(a.Capacity), b.used.DominantShare(b.Capacity))
-	})
-	need := len(g.tasks)
-	for _, w := range ready {
-		if need <= 0 {
-			return
-		}
-		if _, taken := held.workers[w]; taken {
-			continue
+	for _, v := range vacancies[:used] {
+		held.workers[v.worker] = hold{group: g, until: vacancies[used-1].at}
+	}
+}
+
+// vacancies returns when a worker gets room for members of a gang, as its present runs end.
+func (c *Cell) vacancies(g *group, w *worker, now time.Time) (list []vacancy) {
+	free, seated := w.free(), 0
+	add := func(at time.Time) {
+		if n := g.fits(free); n > seated {
+			list = append(list, vacancy{at, w, n - seated})
+			seated = n
 		}
-		held.workers[w] = g
-		need -= g.fits(w.Capacity)
 	}
+	add(now)
+	runs := w.sorted()
+	slices.SortStableFunc(runs, func(a, b *run) int { return c.expectedEnd(a, now).Compare(c.expectedEnd(b, now)) })
+	for _, r := range runs {
+		free = free.Plus(r.group.step.Need)
+		add(c.expectedEnd(r, now))
+	}
+	return list
+}
+
+// expectedEnd estimates when a run is over, from its progress if that has been seen and else from its estimate.
+func (c *Cell) expectedEnd(r *run, now time.Time) time.Time {
+	if done := r.percent - r.firstPercent; done > 0 && r.moved.After(r.firstSeen) {
+		left := time.Duration(float64(r.moved.Sub(r.firstSeen)) / float64(done) * float64(100-r.percent))
+		return later(r.moved.Add(left), now)
+	}
+	ratio := c.queue(r.group.job.Queue).ratio
+	return later(r.ordered.Add(time.Duration(ratio*float64(r.group.step.Estimate))), now)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // fits returns how many members a worker of the given room can hold.
--- a/internal/core/cwcell/job.go
+++ b/internal/core/cwcell/job.go
@@ -49,7 +49,6 @@
 	advice   *eligibility
 	failed   int // failed runs of a gang
 	seen     map[int]struct{}
-	room     time.Time // a gang found too little room since then
 	partial  time.Time // a run of the gang has lacked members since then
 }
 
@@ -76,18 +75,20 @@
 
 // run is one run of one task, or the room held for it.
 type run struct {
-	group     *group
-	index     int
-	number    int
-	worker    *worker
-	state     runState
-	confirmed time.Time // when the start was confirmed
-	ordered   time.Time
-	stopSent  time.Time // zero: no stop order is under way
-	stopped   time.Time // when the worker confirmed the stop order
-	percent   int
-	moved     time.Time // when the percentage last rose
-	uncertain bool      // the start order got no answer
+	group        *group
+	index        int
+	number       int
+	worker       *worker
+	state        runState
+	confirmed    time.Time // when the start was confirmed
+	ordered      time.Time
+	stopSent     time.Time // zero: no stop order is under way
+	stopped      time.Time // when the worker confirmed the stop order
+	percent      int
+	firstPercent int // of the first report
+	firstSeen    time.Time
+	moved        time.Time // when the percentage last rose
+	uncertain    bool      // the start order got no answer
 }
 
 func (r *run) key() cwwork.TaskKey { return cwwork.TaskKey{StepKey: r.group.key, Index: r.index} }
--- a/internal/core/cwcell/place.go
+++ b/internal/core/cwcell/place.go
@@ -69,13 +69,13 @@
 	held := newHolds()
 	for _, r := range order {
 		if r.group.isOpen && c.settled(r.group.job, now) {
-			c.placeGroup(r.group, held, now)
+			c.placeGroup(r.group, r.rank, held, now)
 		}
 	}
 }
 
 // placeGroup starts the waiting tasks of one group as far as there is room.
-func (c *Cell) placeGroup(g *group, held *holds, now time.Time) {
+func (c *Cell) placeGroup(g *group, r rank, held *holds, now time.Time) {
 	policy := c.policy(g.job)
 	if policy.Advice.Needed() && g.advice == nil {
 		g.advice = &eligibility{tickets: map[cwmodel.HostID]ticket{}, bad: map[cwmodel.HostID]time.Time{}}
@@ -90,7 +90,7 @@
 	}
 	candidates := c.candidates(g, policy, now)
 	if g.step.Gang {
-		c.placeGang(g, policy, candidates, held, now)
+		c.placeGang(g, policy, r.slack, candidates, held, now)
 	} else {
 		c.placeTasks(g, policy, candidates, held, now)
 	}
@@ -160,7 +160,7 @@
 		if t.done || len(t.runs) > 0 {
 			continue
 		}
-		w := c.bestFit(g, t, candidates, held)
+		w := c.bestFit(g, t, candidates, held, now)
 		if w == nil {
 			short = true
 			break
@@ -182,10 +182,10 @@
 }
 
 // bestFit returns the worker with the least room left after the task, or nil.
-func (c *Cell) bestFit(g *group, t *task, candidates []*worker, held *holds) (best *worker) {
+func (c *Cell) bestFit(g *group, t *task, candidates []*worker, held *holds, now time.Time) (best *worker) {
 	bestScore := 0.0
 	for _, w := range candidates {
-		if !g.step.Need.FitsIn(w.free()) || held.refuses(w, g) || g.crowded(w) {
+		if !g.step.Need.FitsIn(w.free()) || held.refuses(w, g, now) || g.crowded(w) {
 			continue
 		}
 		score := w.free().Minus(g.step.Need).DominantShare(w.Capacity)
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -121,6 +121,9 @@
 		c.orderStop(w, rep.Task, rep.Run)
 		return
 	}
+	if r.firstSeen.IsZero() {
+		r.firstPercent, r.firstSeen = rep.Percent, now
+	}
 	if rep.Percent > r.percent || r.moved.IsZero() {
 		r.moved = now
 	}
--- a/internal/core/cwcell/world_test.go
+++ b/internal/core/cwcell/world_test.go
@@ -412,13 +412,6 @@
 
 func (w *world) lateness() time.Time { return w.now.Add(time.Duration(2+w.draw(10)) * time.Second) }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // hold is the worker's side of a poll; it reports false where it has seen a later owner.
 func (w *world) hold(o *modelOwner, m *modelWorker, ack uint64, deadline time.Time) (*Report, bool) {
 	if o.fence < m.fence {
