Test the cell, its nodes and their store without the bench

Nodes run over in-memory twins of the store and the workers: owners that die, leave or are refused by the store, lost answers, submissions through peers. Found by it: a run that the former owner had started was stopped where the ends of the step before it were listed later than the run; it is adopted now.

--- /dev/null
+++ b/internal/app/cwnode/node_test.go
@@ -0,0 +1,371 @@
+package cwnode
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"currantward/internal/adapter/cwcellpeer"
+	"currantward/internal/adapter/cwcelltwin"
+	"currantward/internal/app/cwcellowner"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwcell"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+	"currantward/internal/port/cwcellport"
+)
+
+// cluster is several nodes in one process over in-memory twins.
+type cluster struct {
+	t     *testing.T
+	timer *cwtimer.Service
+	store *cwcelltwin.Store
+	fleet *cwcelltwin.Fleet
+	mu    sync.Mutex
+	nodes map[netip.AddrPort]*member
+	down  atomic.Bool // the store refuses every call
+}
+
+// member is one node of a cluster.
+type member struct {
+	node   *Node
+	stop   func()
+	server cwcellpeer.ServerOptions
+	cut    bool // the store refuses this node
+	gone   bool
+}
+
+const service = "portal"
+
+var policy = cwwork.Policy{Service: service, MaxAttempts: 3, Stretch: 2, Target: time.Second}
+
+func newCluster(t *testing.T, nodes, workers int, runTime time.Duration) *cluster {
+	timer, stop := cwtimer.NewSteady()
+	c := &cluster{t: t, timer: timer, store: cwcelltwin.NewStore(timer), nodes: map[netip.AddrPort]*member{}}
+	c.store.Down = c.down.Load
+	c.fleet = cwcelltwin.NewFleet(workers, service, cwmodel.Resources{MilliProcessors: 8000, MemoryBytes: 8 << 30}, runTime, timer)
+	for n := range nodes {
+		c.add(n)
+	}
+	t.Cleanup(func() {
+		for _, m := range c.nodes {
+			m.stop()
+		}
+		stop()
+	})
+	return c
+}
+
+func (c *cluster) add(n int) *member {
+	addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(20000+n))
+	m := &member{}
+	source := cwcellport.ConfigurationSource{
+		Read: func(time.Duration) (*cwcellport.Configuration, uint64, error) {
+			return &cwcellport.Configuration{Version: 1, Queues: []cwcellport.Queue{{Host: "h", Prefix: "/q/", Policy: policy}}}, 1, c.refusal(m)
+		},
+		Changes: func(after uint64, wait time.Duration) (*cwcellport.Configuration, uint64, error) {
+			c.timer.Sleep(nil, min(wait, 50*time.Millisecond))
+			return nil, after, c.refusal(m)
+		},
+	}
+	c.mu.Lock()
+	c.nodes[addr] = m
+	c.mu.Unlock()
+	node, stop, err := Start(Options{
+		Self:     cwcellport.EntryHost{ID: cwmodel.HostID(fmt.Sprintf("host-%d", n)), DataCentre: "dc", Address: addr},
+		PeerBind: netip.MustParseAddrPort("127.0.0.1:0"), Capacity: 1, Seed: uint64(n), Timer: c.timer, Log: cwlog.Discard(),
+		Store: c.storeOf(m), Registry: c.fleet.Registry(), Workers: c.fleet.Workers(), Source: source, Peers: c.peersOf(m),
+		HoldMax: 6 * time.Second, StopTime: 200 * time.Millisecond, Status: time.Minute,
+		Observed: func(cwcellowner.Observation) {},
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.mu.Lock()
+	m.node, m.stop, m.server = node, stop, node.peerOptions()
+	c.mu.Unlock()
+	return m
+}
+
+// refusal returns the error of a store that refuses one node.
+func (c *cluster) refusal(m *member) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m.cut || c.down.Load() {
+		return cwfault.New(cwfault.Unavailable, "refused")
+	}
+	return nil
+}
+
+func (c *cluster) storeOf(m *member) cwcellport.Store {
+	port := c.store.Port(4)
+	return cwcellport.Store{
+		Parts: port.Parts,
+		Commit: func(t cwcellport.Transaction, timeout time.Duration) (uint64, []cwcellport.Row, error) {
+			if err := c.refusal(m); err != nil {
+				return 0, nil, err
+			}
+			return port.Commit(t, timeout)
+		},
+		Read: func(table, part, from, to string, timeout time.Duration) ([]cwcellport.Row, uint64, error) {
+			if err := c.refusal(m); err != nil {
+				return nil, 0, err
+			}
+			return port.Read(table, part, from, to, timeout)
+		},
+		Follow: func(table string, after uint64, wait time.Duration) ([]cwcellport.Row, uint64, error) {
+			if err := c.refusal(m); err != nil {
+				return nil, 0, err
+			}
+			return port.Follow(table, after, wait)
+		},
+	}
+}
+
+// peer returns what answers at an address, from a node that has not gone.
+func (c *cluster) peer(from *member, addr netip.AddrPort) (cwcellpeer.ServerOptions, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, ok := c.nodes[addr]
+	if !ok || m.gone || m.node == nil || from.gone {
+		return cwcellpeer.ServerOptions{}, cwfault.New(cwfault.Unavailable, "no such host")
+	}
+	return m.server, nil
+}
+
+func (c *cluster) peersOf(from *member) cwcellport.Peers {
+	return cwcellport.Peers{
+		Pulse: func(addr netip.AddrPort, p cwcellport.Pulse) (cwcellport.PulseAnswer, error) {
+			s, err := c.peer(from, addr)
+			if err != nil {
+				return cwcellport.PulseAnswer{}, err
+			}
+			return s.Pulse(p), nil
+		},
+		Offer: func(addr netip.AddrPort, s *cwwork.Submission, version, fence uint64) error {
+			server, err := c.peer(from, addr)
+			if err != nil {
+				return err
+			}
+			return server.Offer(s, version, fence)
+		},
+		Look: func(addr netip.AddrPort, id cwmodel.JobID) (cwwork.State, bool, error) {
+			s, err := c.peer(from, addr)
+			if err != nil {
+				return "", false, err
+			}
+			return s.Look(id)
+		},
+		Cancel: func(addr netip.AddrPort, id cwmodel.JobID) (bool, error) {
+			s, err := c.peer(from, addr)
+			if err != nil {
+				return false, err
+			}
+			return s.Cancel(id)
+		},
+		Ask: func(netip.AddrPort, *cwcell.Question) ([]cwcell.GoodWorker, time.Duration, error) {
+			return nil, 0, cwfault.New(cwfault.NotSupported, "no advice here")
+		},
+		Store: func(addr netip.AddrPort, s *cwwork.Submission) (cwcellport.Verdict, error) {
+			server, err := c.peer(from, addr)
+			if err != nil {
+				return cwcellport.VerdictRefused, err
+			}
+			return server.Store(s), nil
+		},
+		TakeOver: func(addr netip.AddrPort) error {
+			s, err := c.peer(from, addr)
+			if err != nil {
+				return err
+			}
+			s.TakeOver()
+			return nil
+		},
+	}
+}
+
+// until waits for a condition.
+func (c *cluster) until(what string, met func() bool) {
+	c.t.Helper()
+	const limit = 20 * time.Second
+	for began := c.timer.Now(); !met(); c.timer.Sleep(nil, 10*time.Millisecond) {
+		if c.timer.Now().Sub(began) > limit {
+			c.t.Fatalf("not within %s: %s", limit, what)
+		}
+	}
+}
+
+// owner waits until one live node owns the cell.
+func (c *cluster) owner() (owner *member) {
+	c.t.Helper()
+	c.until("an owner", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		owner = nil
+		for _, m := range c.nodes {
+			if !m.gone && m.node != nil && m.node.tenure.Holds(c.timer.Now()) {
+				owner = m
+			}
+		}
+		return owner != nil
+	})
+	return owner
+}
+
+// other returns a live node that does not own the cell.
+func (c *cluster) other() *member {
+	owner := c.owner()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.nodes {
+		if m != owner && !m.gone && !m.cut {
+			return m
+		}
+	}
+	return nil
+}
+
+func submission(n int) *cwwork.Submission {
+	return &cwwork.Submission{
+		ID: cwmodel.JobID(fmt.Sprintf("%016x", n)), Queue: "h/q/", Policy: policy, Accepted: cwtimer.Wall(),
+		Steps: []cwwork.Step{
+			{Count: 3, Need: cwmodel.Resources{MilliProcessors: 1000}, Estimate: 50 * time.Millisecond, Gang: n%2 == 0},
+			{Count: 2, Need: cwmodel.Resources{MilliProcessors: 500}, Estimate: 50 * time.Millisecond, After: []int{0}},
+		},
+	}
+}
+
+// submit hands jobs in at a node until each is accepted.
+func (c *cluster) submit(m *member, from, to int) {
+	c.t.Helper()
+	for n := from; n < to; n++ {
+		c.until("an acceptance", func() bool { return m.node.Submit(submission(n)) == cwcellport.VerdictAccepted })
+	}
+}
+
+// completed waits for the end of jobs as a node tells it.
+func (c *cluster) completed(m *member, from, to int) {
+	c.t.Helper()
+	for n := from; n < to; n++ {
+		id := submission(n).ID
+		c.until("the end of job "+string(id), func() bool {
+			state, err := m.node.State(id)
+			return err == nil && state == cwwork.StateCompleted
+		})
+	}
+}
+
+// TestJobsSurviveTheirOwner ends the tenure of an owner in each way while jobs run, and holds that all are completed and no
+// task is started more than once for each tenure that may not know of the former start.
+func TestJobsSurviveTheirOwner(t *testing.T) {
+	cases := []struct {
+		name string
+		end  func(c *cluster, owner *member)
+	}{
+		{"it dies", func(c *cluster, owner *member) {
+			c.mu.Lock()
+			owner.gone = true
+			c.mu.Unlock()
+			owner.stop()
+			owner.stop = func() {}
+		}},
+		{"it leaves", func(_ *cluster, owner *member) { owner.node.Leave() }},
+		{"the store refuses it", func(c *cluster, owner *member) {
+			c.mu.Lock()
+			owner.cut = true
+			c.mu.Unlock()
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 3, 4, 300*time.Millisecond)
+			owner, entry := c.owner(), c.other()
+			c.submit(entry, 0, 6)
+			tc.end(c, owner)
+			c.submit(entry, 6, 10)
+			c.completed(entry, 0, 10)
+			is.Equal(len(c.store.Rows(cwcellowner.TableJobs)), 0)     // nothing is left of live jobs
+			is.Equal(len(c.store.Rows(cwcellowner.TableProgress)), 0) // nor of their progress
+			for key, n := range c.fleet.Starts() {
+				if n > 1 {
+					t.Errorf("%s was started %d times", key, n)
+				}
+			}
+		})
+	}
+}
+
+// TestSubmissionsWhileTheStoreFails holds what callers are told: a job is accepted once its row is there, also through a
+// peer, and refused only if it is not stored.
+func TestSubmissionsWhileTheStoreFails(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, 2, 50*time.Millisecond)
+	c.owner()
+	entry := c.other()
+	c.submit(entry, 0, 1)
+
+	is.Equal(entry.node.Submit(submission(0)), cwcellport.VerdictAccepted) // the same job again
+	c.completed(entry, 0, 1)
+	is.Equal(entry.node.Submit(submission(0)), cwcellport.VerdictAccepted) // and after its end
+	is.Equal(c.fleet.Starts()[cwwork.TaskKey{StepKey: cwwork.StepKey{Job: submission(0).ID}}], 1)
+
+	c.until("peers that reach the store", func() bool { return len(entry.node.relays()) > 0 })
+	c.mu.Lock()
+	entry.cut = true
+	c.mu.Unlock()
+	c.submit(entry, 1, 2) // through a peer
+	c.completed(entry, 1, 2)
+
+	c.down.Store(true)
+	is.Equal(entry.node.Submit(submission(2)), cwcellport.VerdictRefused)
+	c.down.Store(false)
+	_, err := c.other().node.State(submission(2).ID)
+	is.Equal(cwfault.CodeOf(err), cwfault.NotFound) // what was refused is not stored
+}
+
+// TestLostAnswersOfWrites has the answers of writes be lost, done or not, and holds that every job ends once.
+func TestLostAnswersOfWrites(t *testing.T) {
+	c := newCluster(t, 2, 3, 20*time.Millisecond)
+	c.owner()
+	entry := c.other()
+	// Drawn, since with a fixed order the same write may meet the same fault at each try.
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(1, 1))
+	c.store.Fault = func(cwcellport.Transaction) cwcelltwin.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		return []cwcelltwin.Fault{cwcelltwin.FaultNone, cwcelltwin.FaultMute, cwcelltwin.FaultNone, cwcelltwin.FaultLose}[random.IntN(4)]
+	}
+	c.submit(entry, 0, 8)
+	c.completed(entry, 0, 8)
+	for key, n := range c.fleet.Starts() {
+		if n > 1 {
+			t.Errorf("%s was started %d times", key, n)
+		}
+	}
+}
+
+// TestCancelIsDurable holds that a cancelled job is told so by every node and by the store, with and without its owner.
+func TestCancelIsDurable(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2, 1, time.Hour)
+	c.owner()
+	entry := c.other()
+	c.submit(entry, 0, 1)
+	c.until("a start", func() bool { return len(c.fleet.Starts()) > 0 })
+	is.NoErr(entry.node.Cancel(submission(0).ID))
+	state, err := entry.node.State(submission(0).ID)
+	is.NoErr(err)
+	is.Equal(state, cwwork.StateCancelled)
+	is.NoErr(entry.node.Cancel(submission(0).ID)) // again
+	is.Equal(cwfault.CodeOf(entry.node.Cancel(submission(1).ID)), cwfault.NotFound)
+}
--- /dev/null
+++ b/internal/core/cwcell/cell_test.go
@@ -0,0 +1,244 @@
+package cwcell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+)
+
+// fixture is a cell with idle workers that all have answered.
+type fixture struct {
+	*Cell
+	now time.Time
+}
+
+func newFixture(workers []cwmodel.HostID, policy cwwork.Policy) *fixture {
+	f := &fixture{now: time.Unix(1000, 0)}
+	f.Cell = New(Options{
+		StopTime:   200 * time.Millisecond,
+		StatusKept: time.Minute,
+		Policy:     func(cwwork.QueueName) (cwwork.Policy, bool) { return policy, true },
+		LeaseBound: func(cwmodel.HostID) time.Time { return time.Time{} },
+	})
+	f.CaughtUp()
+	for _, id := range workers {
+		f.join(id)
+	}
+	return f
+}
+
+// join adds a worker that answers.
+func (f *fixture) join(id cwmodel.HostID) {
+	f.SetWorker(WorkerInfo{
+		ID: id, Service: "portal", Capacity: cwmodel.Resources{MilliProcessors: 8000, MemoryBytes: 1 << 30}, Born: f.now,
+	}, f.now)
+	f.Enrolled([]cwmodel.HostID{id})
+	f.Report(&Report{Worker: id, Born: f.now, Asked: f.now}, f.now)
+}
+
+// decide lets a moment pass and returns the orders.
+func (f *fixture) decide() Effects {
+	f.now = f.now.Add(200 * time.Millisecond)
+	return f.Decide(f.now, f.now)
+}
+
+func (f *fixture) admit(steps ...cwwork.Step) *cwwork.Submission {
+	s := &cwwork.Submission{ID: "job", Queue: "q", Steps: steps, Accepted: f.now, Policy: cwwork.Policy{Service: "portal", Stretch: 2}}
+	f.Admit(s, nil, false, f.now, f.now)
+	return s
+}
+
+func step(count int, processors int64, gang bool) cwwork.Step {
+	return cwwork.Step{Count: count, Need: cwmodel.Resources{MilliProcessors: processors}, Estimate: time.Second, Gang: gang}
+}
+
+var plain = cwwork.Policy{Service: "portal", MaxAttempts: 2, Stretch: 2, Target: time.Second}
+
+var advised = cwwork.Policy{
+	Service: "portal", MaxAttempts: 2, Stretch: 2, Target: time.Second,
+	Advice: cwwork.Advice{Base: 10 * time.Millisecond, PerWorker: time.Millisecond, Validity: time.Second},
+}
+
+// TestGangsStartWholeOrNotAtAll holds where the members of a gang are placed.
+func TestGangsStartWholeOrNotAtAll(t *testing.T) {
+	cases := []struct {
+		name   string
+		count  int
+		need   int64
+		starts int
+	}{
+		{"fits on one worker", 2, 4000, 2},
+		{"spans workers", 4, 4000, 4},
+		{"lacks a seat", 5, 4000, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture([]cwmodel.HostID{"a", "b"}, plain)
+			f.admit(step(tc.count, tc.need, true))
+			e := f.decide()
+			is.Equal(len(e.Starts), tc.starts)
+			for _, s := range e.Starts {
+				is.Equal(s.Run, 1) // all members have the same run
+			}
+		})
+	}
+}
+
+// TestGangAsksAboutEveryWorker holds that a gang whose good workers could hold it only when empty asks about the others.
+// Seen red with the question asked only where the known workers could never hold the gang.
+func TestGangAsksAboutEveryWorker(t *testing.T) {
+	is := is.New(t)
+	f := newFixture([]cwmodel.HostID{"a", "b"}, advised)
+	f.admit(step(3, 4000, true))
+	first := f.decide().Questions
+	is.Equal(len(first), 1)
+	f.Advised(first[0].ID, []GoodWorker{{ID: "a", Ticket: "t"}, {ID: "b", Ticket: "t"}}, true, f.now.Add(time.Second), f.now)
+	started := f.decide()
+	is.Equal(len(started.Starts), 3)
+
+	other := &cwwork.Submission{ID: "other", Queue: "q", Steps: []cwwork.Step{step(3, 4000, true)}, Accepted: f.now, Policy: advised}
+	f.Admit(other, nil, false, f.now, f.now)
+	second := f.decide().Questions
+	f.Advised(second[0].ID, []GoodWorker{{ID: "a", Ticket: "t"}, {ID: "b", Ticket: "t"}}, true, f.now.Add(time.Second), f.now)
+	is.Equal(len(f.decide().Starts), 0)
+	f.join("c")
+	third := f.decide().Questions
+	is.Equal(len(third), 1)
+	is.Equal(third[0].Workers, []cwmodel.HostID{"c"})
+}
+
+// TestExpiredTicketIsRenewedBeforeTheStart holds that room is kept while a ticket is renewed.
+func TestExpiredTicketIsRenewedBeforeTheStart(t *testing.T) {
+	is := is.New(t)
+	f := newFixture([]cwmodel.HostID{"a"}, advised)
+	f.admit(step(1, 4000, false))
+	q := f.decide().Questions[0]
+	f.Advised(q.ID, []GoodWorker{{ID: "a", Ticket: "old"}}, true, f.now.Add(10*time.Millisecond), f.now)
+	e := f.decide()
+	is.Equal(len(e.Starts), 0)
+	is.Equal(len(e.Questions), 1)
+	f.Advised(e.Questions[0].ID, []GoodWorker{{ID: "a", Ticket: "new"}}, true, f.now.Add(time.Second), f.now)
+	starts := f.decide().Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Ticket, "new")
+}
+
+// TestProgressOfAGangIsRestoredOnce holds that a step is counted as done once, however many of its members are named.
+// Seen red: a later step was skipped and the job completed.
+func TestProgressOfAGangIsRestoredOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFixture([]cwmodel.HostID{"a"}, plain)
+	s := &cwwork.Submission{ID: "job", Queue: "q", Accepted: f.now, Policy: plain, Steps: []cwwork.Step{step(3, 500, true), step(1, 500, false)}}
+	s.Steps[1].After = []int{0}
+	p := &cwwork.Progress{Steps: []cwwork.StepProgress{{Done: []int{0, 1, 2}}}}
+	f.Admit(s, p, true, f.now, f.now)
+	starts := f.decide().Starts
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Task.Step, 1)
+	state, known := f.State("job")
+	is.True(known)
+	is.Equal(state, cwwork.StateRunning)
+}
+
+// TestRunsOfUnknownJobsKeepAWorkerClosed holds that a worker which lists runs whose room is not known takes nothing new.
+// Seen red: the worker was filled beyond its capacity.
+func TestRunsOfUnknownJobsKeepAWorkerClosed(t *testing.T) {
+	is := is.New(t)
+	f := newFixture([]cwmodel.HostID{"a"}, plain)
+	f.caughtUp = false
+	foreign := cwwork.TaskKey{StepKey: cwwork.StepKey{Job: "unknown"}}
+	f.Report(&Report{Worker: "a", Born: time.Unix(1000, 0), Asked: f.now, Running: []Running{{Task: foreign, Run: 1}}}, f.now)
+	f.admit(step(1, 500, false))
+	is.Equal(len(f.decide().Starts), 0)
+	f.CaughtUp()
+	f.Report(&Report{Worker: "a", Born: time.Unix(1000, 0), Asked: f.now, Running: []Running{{Task: foreign, Run: 1}}}, f.now)
+	is.Equal(len(f.decide().Stops), 1) // the job has ended
+	f.Report(&Report{Worker: "a", Born: time.Unix(1000, 0), Asked: f.now}, f.now)
+	is.Equal(len(f.decide().Starts), 1)
+}
+
+// TestHopelessWorkEndsPromptly holds what is given up and what is not.
+func TestHopelessWorkEndsPromptly(t *testing.T) {
+	cases := []struct {
+		name  string
+		step  cwwork.Step
+		wait  time.Duration
+		state cwwork.State
+	}{
+		{"larger than any worker", step(1, 9000, false), 0, cwwork.StateFailed},
+		{"a gang wider than all workers", step(3, 8000, true), 2 * hopelessAfter, cwwork.StateFailed},
+		{"a gang that fits the empty workers", step(2, 8000, true), 2 * hopelessAfter, cwwork.StateRunning},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture([]cwmodel.HostID{"a", "b"}, plain)
+			f.admit(tc.step)
+			f.decide()
+			f.now = f.now.Add(tc.wait)
+			f.decide()
+			f.Committed(f.NextWrites(10, func(cwmodel.JobID) bool { return true }), true, f.now)
+			state, _ := f.State("job")
+			is.Equal(state, tc.state)
+		})
+	}
+}
+
+// TestAttemptsAreSpent holds that a task which fails as often as it may ends its job, whatever worker it fails on.
+func TestAttemptsAreSpent(t *testing.T) {
+	is := is.New(t)
+	f := newFixture([]cwmodel.HostID{"a", "b", "c"}, plain)
+	f.admit(step(1, 4000, false))
+	for n := range uint64(plain.MaxAttempts) {
+		starts := f.decide().Starts
+		is.Equal(len(starts), 1)
+		o := starts[0]
+		f.Started(&o, StartAccepted, f.now)
+		f.Report(&Report{
+			Worker: o.Worker, Born: time.Unix(1000, 0), Asked: f.now,
+			Ended: []Ended{{Number: n + 1, Task: o.Task, Run: o.Run, Kind: EndFailed}},
+		}, f.now)
+	}
+	is.Equal(len(f.decide().Starts), 0)
+	writes := f.NextWrites(10, func(cwmodel.JobID) bool { return true })
+	is.Equal(writes[0].State, cwwork.StateFailed)
+}
+
+// TestEndsAreAcknowledgedOnceDurable holds that a worker keeps an end until the state of its job is written.
+func TestEndsAreAcknowledgedOnceDurable(t *testing.T) {
+	is := is.New(t)
+	f := newFixture([]cwmodel.HostID{"a"}, plain)
+	f.admit(step(1, 4000, false))
+	o := f.decide().Starts[0]
+	f.Report(&Report{
+		Worker: "a", Born: time.Unix(1000, 0), Asked: f.now,
+		Ended: []Ended{{Number: 1, Task: o.Task, Run: o.Run, Kind: EndDone}},
+	}, f.now)
+	number, all := f.Acknowledged("a")
+	is.Equal(number, uint64(0))
+	is.True(!all)
+	f.Committed(f.NextWrites(10, func(cwmodel.JobID) bool { return true }), true, f.now)
+	number, all = f.Acknowledged("a")
+	is.Equal(number, uint64(1))
+	is.True(all)
+}
+
+// TestBreakerKeepsTasksOffAFailingWorker holds that failures in a row close a worker for a time that doubles.
+func TestBreakerKeepsTasksOffAFailingWorker(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var b breaker
+	is.True(!b.fail(now))
+	is.True(b.fail(now))
+	is.True(b.open(now.Add(breakerFirst - time.Millisecond)))
+	is.True(!b.open(now.Add(breakerFirst)))
+	is.True(b.fail(now))
+	is.True(b.open(now.Add(2*breakerFirst - time.Millisecond)))
+	b.succeed()
+	is.True(!b.open(now))
+}
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -138,7 +138,8 @@
 func (c *Cell) adopt(w *worker, g *group, rep *Running, now time.Time) {
 	t := &g.tasks[rep.Task.Index]
 	r := &run{group: g, index: rep.Task.Index, number: rep.Run, worker: w, state: runRunning, confirmed: now, ordered: now, moved: now, percent: rep.Percent}
-	wanted := !t.done && len(t.runs) == 0 && g.depends == 0 && g.job.final == ""
+	// The steps before it were done when it was started, though their ends may be listed later than this run.
+	wanted := !t.done && len(t.runs) == 0 && g.job.final == ""
 	w.hold(r)
 	c.begin(g.job)
 	c.note(Note{Event: "run-adopted", Job: g.job.ID, Task: rep.Task, Worker: w.ID, Run: rep.Run, Detail: strconv.FormatBool(wanted)})
