--- /dev/null
+++ b/internal/app/cwcellowner/start_test.go
@@ -0,0 +1,43 @@
+package cwcellowner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"currantward/internal/core/cwcell"
+	"currantward/internal/port/cwcellport"
+)
+
+// TestUnansweredStartStaysUnanswered holds what the tries of one start order say together. Seen red: a second try that was
+// not sent hid that the first one may have been carried out.
+func TestUnansweredStartStaysUnanswered(t *testing.T) {
+	cases := []struct {
+		name   string
+		tries  []cwcell.StartResult
+		result cwcell.StartResult
+	}{
+		{"accepted", []cwcell.StartResult{cwcell.StartAccepted}, cwcell.StartAccepted},
+		{"refused", []cwcell.StartResult{cwcell.StartNoRoom}, cwcell.StartNoRoom},
+		{"not sent", []cwcell.StartResult{cwcell.StartNotSent}, cwcell.StartNotSent},
+		{"accepted on the second try", []cwcell.StartResult{cwcell.StartUnanswered, cwcell.StartAccepted}, cwcell.StartAccepted},
+		{"unanswered, then not sent", []cwcell.StartResult{cwcell.StartUnanswered, cwcell.StartNotSent}, cwcell.StartUnanswered},
+		{"unanswered, then late", []cwcell.StartResult{cwcell.StartUnanswered, cwcell.StartLate}, cwcell.StartUnanswered},
+		{"unanswered twice", []cwcell.StartResult{cwcell.StartUnanswered, cwcell.StartUnanswered}, cwcell.StartUnanswered},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			tries := 0
+			s := &session{owner: &Owner{opts: Options{Workers: cwcellport.Workers{
+				Start: func(cwcellport.WorkerEntry, *cwcell.StartOrder, uint64, time.Duration) cwcell.StartResult {
+					tries++
+					return tc.tries[tries-1]
+				},
+			}}}}
+			is.Equal(s.start(cwcellport.WorkerEntry{}, &cwcell.StartOrder{}), tc.result)
+			is.Equal(tries, len(tc.tries))
+		})
+	}
+}
--- /dev/null
+++ b/internal/app/cwtenure/tenure_test.go
@@ -0,0 +1,155 @@
+package cwtenure
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"currantward/internal/adapter/cwcellcodec"
+	"currantward/internal/adapter/cwcelltwin"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/port/cwcellport"
+)
+
+// bench is keepers over one store whose duties are driven by hand.
+type bench struct {
+	timer  *cwtimer.Manual
+	store  *cwcelltwin.Store
+	answer func(addr netip.AddrPort) (cwcellport.PulseAnswer, error)
+	gained map[cwmodel.HostID]Tenure
+}
+
+func newBench() *bench {
+	timer := cwtimer.NewManual(time.Unix(1000, 0))
+	return &bench{
+		timer: timer, store: cwcelltwin.NewStore(timer.Service), gained: map[cwmodel.HostID]Tenure{},
+		answer: func(netip.AddrPort) (cwcellport.PulseAnswer, error) {
+			return cwcellport.PulseAnswer{}, cwfault.New(cwfault.Unavailable, "no such host")
+		},
+	}
+}
+
+func (b *bench) keeper(id cwmodel.HostID, port uint16) *Keeper {
+	self := cwcellport.EntryHost{ID: id, Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)}
+	k := &Keeper{opts: Options{
+		Self: self, Store: b.store.Port(4), Timer: b.timer.Service, Log: cwlog.Discard(), Capacity: 1,
+		HoldLease: 3 * time.Second, StartWindow: 2 * time.Second,
+		Peers:  cwcellport.Peers{Pulse: func(addr netip.AddrPort, _ cwcellport.Pulse) (cwcellport.PulseAnswer, error) { return b.answer(addr) }},
+		Gained: func(t Tenure) { b.gained[id] = t }, Lost: func() { delete(b.gained, id) },
+		Answered: func(cwcellport.PulseAnswer) {}, Known: func() []cwcellport.EntryHost { return nil },
+	}}
+	k.view.Store(&View{})
+	return k
+}
+
+// run lets a keeper handle ticks for a time.
+func (b *bench) run(d time.Duration, keepers ...*Keeper) {
+	for end := b.timer.Now().Add(d); b.timer.Now().Before(end); b.timer.Advance(50 * time.Millisecond) {
+		for _, k := range keepers {
+			k.handle(eventTick)
+			k.publish()
+		}
+	}
+}
+
+// TestOneHostTakesTheLease holds that the first host owns the cell and the others do not, with a fence that grows.
+func TestOneHostTakesTheLease(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	first, second := b.keeper("a", 1), b.keeper("b", 2)
+	b.run(100*time.Millisecond, first, second)
+	is.True(first.Holds(b.timer.Now()))
+	is.True(!second.Holds(b.timer.Now()))
+	is.Equal(b.gained["a"].Term, 1)
+
+	b.run(2*staleAfter, second) // the first one is gone
+	is.True(second.Holds(b.timer.Now()))
+	is.True(b.gained["b"].Fence > b.gained["a"].Fence)
+	is.True(b.gained["b"].Inherited.After(b.timer.Now()))
+
+	first.handle(eventTick)
+	is.True(!first.View().IsOwner || !first.holding)
+}
+
+// TestStaleLeaseIsTakenOnlyWhileItsRowStandsStill holds that a host which cannot reach the owner leaves a lease alone that is
+// renewed.
+func TestStaleLeaseIsTakenOnlyWhileItsRowStandsStill(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	owner, other := b.keeper("a", 1), b.keeper("b", 2)
+	b.run(100*time.Millisecond, owner)
+	b.run(10*time.Second, owner, other) // other's pulses fail all the while
+	is.True(owner.Holds(b.timer.Now()))
+	is.True(!other.Holds(b.timer.Now()))
+}
+
+// TestUnwellOwnerIsSucceededOnce holds that a host which heard "unwell" from a former owner does not take the lease from its
+// successor. Seen red: three hosts took the lease one after the other.
+func TestUnwellOwnerIsSucceededOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	owner, second, third := b.keeper("a", 1), b.keeper("b", 2), b.keeper("c", 3)
+	b.run(100*time.Millisecond, owner, second, third)
+	b.answer = func(addr netip.AddrPort) (cwcellport.PulseAnswer, error) {
+		return cwcellport.PulseAnswer{IsOwner: true, Unwell: addr.Port() == 1, LeaseVersion: 1}, nil
+	}
+	second.follow()
+	is.True(second.holding)
+	third.follow()
+	is.True(!third.holding)
+	is.Equal(third.lease.Holder, cwmodel.HostID("b"))
+}
+
+// TestRenewalWithALostAnswer holds that an owner whose renewal was done without an answer goes on under its fence.
+func TestRenewalWithALostAnswer(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	k := b.keeper("a", 1)
+	b.run(100*time.Millisecond, k)
+	fence := k.fence
+	lost := false
+	b.store.Fault = func(cwcellport.Transaction) cwcelltwin.Fault {
+		if lost {
+			return cwcelltwin.FaultNone
+		}
+		lost = true
+		return cwcelltwin.FaultMute
+	}
+	b.run(5*time.Second, k)
+	is.True(lost)
+	is.True(k.Holds(b.timer.Now()))
+	is.Equal(k.fence, fence)
+}
+
+// TestOutageEndsTheTenureInTime holds that an owner stops to act when its lease is over, and goes on under the same fence
+// where nobody has taken it meanwhile.
+func TestOutageEndsTheTenureInTime(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	k := b.keeper("a", 1)
+	b.run(100*time.Millisecond, k)
+	fence, down := k.fence, true
+	b.store.Down = func() bool { return down }
+	b.run(TTL, k)
+	is.True(!k.Holds(b.timer.Now()))
+	is.True(k.View().Unwell)
+	down = false
+	b.run(time.Second, k)
+	is.True(k.Holds(b.timer.Now()))
+	is.Equal(k.fence, fence)
+}
+
+// TestUnreadableLeaseIsLeftAlone holds that a row which nobody can read does not crash a host or change its belief.
+func TestUnreadableLeaseIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	k := b.keeper("a", 1)
+	k.lease = cwcellcodec.Lease{Holder: "b"}
+	is.True(!k.seeLease(cwcellport.Row{Value: []byte("{"), Version: 7}))
+	is.Equal(k.lease.Holder, cwmodel.HostID("b"))
+}
