--- /dev/null
+++ b/internal/adapter/cwcellmetric/metric.go
@@ -0,0 +1,115 @@
+// Package cwcellmetric publishes the metrics of an entry host that may own a cell.
+package cwcellmetric
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"currantward/internal/app/cwcellowner"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/core/cwwork"
+)
+
+const (
+	// maxQueues bounds the queues that have labels of their own.
+	maxQueues = 64
+	// otherQueues stands in for the queues past the bound.
+	otherQueues = "other"
+	// done stands in for the code of a call without an error.
+	done = "done"
+)
+
+// buckets are the upper bounds of the histograms' buckets, in seconds.
+var buckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 20, 40, 80}
+
+// Metrics holds the metrics of one process.
+type Metrics struct {
+	registry *prometheus.Registry
+	events   *prometheus.CounterVec
+	commits  prometheus.Histogram
+	advice   prometheus.Histogram
+	waited   *prometheus.HistogramVec
+	took     *prometheus.HistogramVec
+	answers  *prometheus.HistogramVec
+	calls    *prometheus.CounterVec
+
+	mu     sync.Mutex
+	queues map[cwwork.QueueName]struct{}
+}
+
+// New returns metrics with their own registry.
+func New() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		queues:   map[cwwork.QueueName]struct{}{},
+		events:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "currantward_cell_events_total", Help: "Decisions and events of the cell by kind."}, []string{"event"}),
+		commits:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "currantward_commit_seconds", Help: "Time of a write of the owner.", Buckets: buckets}),
+		advice:   prometheus.NewHistogram(prometheus.HistogramOpts{Name: "currantward_advice_seconds", Help: "Time from a question to its answer.", Buckets: buckets}),
+		waited:   prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "currantward_job_wait_seconds", Help: "Time from acceptance to the first start by queue.", Buckets: buckets}, []string{"queue"}),
+		took:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "currantward_job_seconds", Help: "Time from acceptance to the durable end by queue and state.", Buckets: buckets}, []string{"queue", "state"}),
+		answers:  prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "currantward_answer_seconds", Help: "Time of an answer to a caller by queue, method and status.", Buckets: buckets}, []string{"queue", "method", "status"}),
+		calls:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "currantward_platform_calls_total", Help: "Calls to the store, the workers and the advice by outcome."}, []string{"call", "outcome"}),
+	}
+	m.registry.MustRegister(m.events, m.commits, m.advice, m.waited, m.took, m.answers, m.calls)
+	m.registry.MustRegister(collectors.NewGoCollector())
+	return m
+}
+
+// label returns the label of a queue, and one for all queues past the bound.
+func (m *Metrics) label(queue cwwork.QueueName) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.queues[queue]; !ok {
+		if len(m.queues) >= maxQueues {
+			return otherQueues
+		}
+		m.queues[queue] = struct{}{}
+	}
+	return string(queue)
+}
+
+// Observe records one event of the cell.
+func (m *Metrics) Observe(o cwcellowner.Observation) {
+	switch o.Event {
+	case cwcellowner.EventCommit:
+		m.commits.Observe(o.Took.Seconds())
+	case cwcellowner.EventAdvice:
+		m.advice.Observe(o.Took.Seconds())
+	case cwcellowner.EventBegun:
+		m.waited.WithLabelValues(m.label(o.Queue)).Observe(o.Took.Seconds())
+	case cwcellowner.EventEnded:
+		m.took.WithLabelValues(m.label(o.Queue), string(o.State)).Observe(o.Took.Seconds())
+	default:
+		m.events.WithLabelValues(o.Event).Inc()
+	}
+}
+
+// Answered records one answer to a caller.
+func (m *Metrics) Answered(method string, queue cwwork.QueueName, status int, took time.Duration) {
+	m.answers.WithLabelValues(m.label(queue), method, strconv.Itoa(status)).Observe(took.Seconds())
+}
+
+// Called counts one call to the platform.
+func (m *Metrics) Called(call string, err error) {
+	outcome := done
+	if err != nil {
+		outcome = string(cwfault.CodeOf(err))
+	}
+	m.calls.WithLabelValues(call, outcome).Inc()
+}
+
+// Gauge publishes a value that is read when metrics are collected.
+func (m *Metrics) Gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+}
+
+// Handler returns the handler that serves the metrics.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/internal/adapter/cwcellmetric/metric_test.go
@@ -0,0 +1,34 @@
+package cwcellmetric
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"currantward/internal/app/cwcellowner"
+	"currantward/internal/base/cwfault"
+	"currantward/internal/core/cwwork"
+)
+
+// TestLabelsAreBounded holds that queues past the bound share one label.
+func TestLabelsAreBounded(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	for n := range 2 * maxQueues {
+		m.Observe(cwcellowner.Observation{
+			Event: cwcellowner.EventEnded, Queue: cwwork.QueueName(fmt.Sprintf("q%d", n)), State: cwwork.StateCompleted, Took: time.Second,
+		})
+	}
+	m.Called("commit", cwfault.New(cwfault.Conflict, "no"))
+	m.Answered("GET", "q1", 200, time.Millisecond)
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	text := w.Body.String()
+	is.True(strings.Contains(text, fmt.Sprintf(`currantward_job_seconds_count{queue="other",state="completed"} %d`, maxQueues)))
+	is.True(strings.Contains(text, `currantward_platform_calls_total{call="commit",outcome="conflict"} 1`))
+	is.Equal(strings.Count(text, "currantward_job_seconds_count"), maxQueues+1)
+}
--- a/internal/app/cwcellowner/advice.go
+++ b/internal/app/cwcellowner/advice.go
@@ -132,5 +132,5 @@
 	}
 	spent := max(0, now.Sub(began)-q.question.Cost)
 	s.cell.Advised(q.question.ID, good, true, now.Add(validity-spent), now)
-	s.owner.opts.Observed(Observation{Event: "advice", Took: now.Sub(q.since)})
+	s.owner.opts.Observed(Observation{Event: EventAdvice, Took: now.Sub(q.since)})
 }
--- a/internal/app/cwcellowner/commit.go
+++ b/internal/app/cwcellowner/commit.go
@@ -188,7 +188,7 @@
 	switch {
 	case err == nil:
 		s.land(f, version, now)
-		s.owner.opts.Observed(Observation{Event: "commit", Took: now.Sub(f.began)})
+		s.owner.opts.Observed(Observation{Event: EventCommit, Took: now.Sub(f.began)})
 	case cwfault.CodeOf(err) == cwfault.Conflict:
 		s.resolve(f, present, now)
 	default:
@@ -288,7 +288,7 @@
 	delete(s.commits.written, w.Job)
 	delete(s.commits.cancelled, w.Job)
 	s.owner.opts.Log.WithFields(cwlog.Fields{"job": w.Job, "state": w.State, "fence": s.tenure.Fence}).Info("job-ended")
-	s.owner.opts.Observed(Observation{Event: "job-" + string(w.State)})
+	s.owner.opts.Observed(Observation{Event: EventEnded, Queue: w.Queue, State: w.State, Took: s.wall().Sub(w.Accepted)})
 	if w.State == cwwork.StateCancelled || len(s.cancels[w.Job]) > 0 {
 		for _, answer := range s.cancels[w.Job] {
 			answer()
--- a/internal/app/cwcellowner/owner.go
+++ b/internal/app/cwcellowner/owner.go
@@ -54,13 +54,22 @@
 	Observed func(Observation)
 }
 
-// Observation is one event for the metrics.
+// Observation is one event for the metrics: one of those below, or a decision of the cell by its name in the log.
 type Observation struct {
 	Event string
 	Queue cwwork.QueueName
+	State cwwork.State
 	Took  time.Duration
 }
 
+// The events that are timed.
+const (
+	EventCommit = "commit"
+	EventAdvice = "advice"
+	EventBegun  = "job-begun" // since its acceptance
+	EventEnded  = "job-ended" // since its acceptance
+)
+
 // Limits of the owner.
 const (
 	inboxSlots   = 8192
--- a/internal/app/cwcellowner/session.go
+++ b/internal/app/cwcellowner/session.go
@@ -129,6 +129,9 @@
 	for n := range e.Notes {
 		s.logNote(&e.Notes[n])
 	}
+	for _, b := range e.Begun {
+		s.owner.opts.Observed(Observation{Event: EventBegun, Queue: b.Queue, Took: s.wall().Sub(b.Accepted)})
+	}
 	for n := range e.Stops {
 		s.sendStop(&e.Stops[n])
 	}
--- a/internal/core/cwcell/cell.go
+++ b/internal/core/cwcell/cell.go
@@ -74,6 +74,7 @@
 	Stops     []StopOrder
 	Questions []Question
 	Notes     []Note
+	Begun     []*cwwork.Submission // jobs of which the first task was started
 }
 
 // StartOrder asks a worker to start one run.
--- a/internal/core/cwcell/write.go
+++ b/internal/core/cwcell/write.go
@@ -13,6 +13,8 @@
 	Job      cwmodel.JobID
 	State    cwwork.State     // final state, or empty
 	Progress *cwwork.Progress // nil for a final state
+	Queue    cwwork.QueueName
+	Accepted time.Time
 	version  int
 }
 
@@ -26,7 +28,7 @@
 			continue
 		}
 		j.queued = false
-		w := Write{Job: j.ID, State: j.final, version: j.changed}
+		w := Write{Job: j.ID, State: j.final, Queue: j.Queue, Accepted: j.Accepted, version: j.changed}
 		if j.final == "" {
 			w.Progress = j.snapshot()
 		}
