--- a/internal/adapter/cwcellmetric/metric_test.go
+++ b/internal/adapter/cwcellmetric/metric_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -26,7 +27,7 @@
 	m.Called("commit", cwfault.New(cwfault.Conflict, "no"))
 	m.Answered("GET", "q1", 200, time.Millisecond)
 	w := httptest.NewRecorder()
-	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	text := w.Body.String()
 	is.True(strings.Contains(text, fmt.Sprintf(`currantward_job_seconds_count{queue="other",state="completed"} %d`, maxQueues)))
 	is.True(strings.Contains(text, `currantward_platform_calls_total{call="commit",outcome="conflict"} 1`))
--- a/internal/app/cwcellowner/commit.go
+++ b/internal/app/cwcellowner/commit.go
@@ -154,7 +154,9 @@
 	row := func(table string) cwcellport.RowKey {
 		return cwcellport.RowKey{Table: table, Part: name, Key: string(w.Job)}
 	}
-	table, value, err := TableProgress, []byte(nil), error(nil)
+	var value []byte
+	var err error
+	table := TableProgress
 	if w.State != "" {
 		table = TableEnded
 		value, err = cwcellcodec.EncodeEnding(cwcellcodec.Ending{State: w.State, At: s.wall()})
--- a/internal/app/cwcellowner/load.go
+++ b/internal/app/cwcellowner/load.go
@@ -83,6 +83,7 @@
 		s.submit("load", func() { s.loadPart(name) })
 	}
 	s.cleanup.Add(cwduty.Start("jobs-feed", func(ctx context.Context) { s.followJobs(ctx, s.tenure.Fence) }))
+	s.cleanup.Add(cwduty.Start("ended-sweep", s.sweep))
 	s.cleanup.Add(cwduty.Start("worker-feed", func(ctx context.Context) { s.followWorkers(ctx, img.listed) }))
 }
 
--- /dev/null
+++ b/internal/app/cwcellowner/sweep_test.go
@@ -0,0 +1,41 @@
+package cwcellowner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"currantward/internal/adapter/cwcellcodec"
+	"currantward/internal/adapter/cwcelltwin"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwwork"
+	"currantward/internal/port/cwcellport"
+)
+
+// TestSweepRemovesOldStates holds that final states go once nobody may ask for them, over several transactions.
+func TestSweepRemovesOldStates(t *testing.T) {
+	is := is.New(t)
+	timer := cwtimer.NewManual(time.Unix(1000, 0))
+	store := cwcelltwin.NewStore(timer.Service)
+	port := store.Port(1)
+	limit := time.Unix(10_000, 0)
+	put := func(key string, at time.Time) {
+		value, err := cwcellcodec.EncodeEnding(cwcellcodec.Ending{State: cwwork.StateCompleted, At: at})
+		is.NoErr(err)
+		row := cwcellport.Row{RowKey: cwcellport.RowKey{Table: TableEnded, Part: "p00", Key: key}, Value: value}
+		_, _, err = port.Commit(cwcellport.Transaction{Put: []cwcellport.Row{row}}, time.Second)
+		is.NoErr(err)
+	}
+	for n := range 120 {
+		put(fmt.Sprintf("old-%03d", n), limit.Add(-time.Second))
+	}
+	put("young", limit)
+	s := &session{owner: &Owner{opts: Options{Store: port, Timer: timer.Service, Log: cwlog.Discard()}}}
+	removed, err := s.sweepPart("p00", limit)
+	is.NoErr(err)
+	is.Equal(removed, 120)
+	is.Equal(store.Rows(TableEnded), []string{"young"})
+}
--- a/internal/app/cwgateway/gateway.go
+++ b/internal/app/cwgateway/gateway.go
@@ -229,14 +229,14 @@
 // stored returns the state of a job as the store knows it. A job moves from one table to the other, so the live one is
 // read first.
 func (g *Gateway) stored(id cwmodel.JobID) (cwwork.State, error) {
-	live, _, err := g.read(cwcellowner.TableJobs, id)
+	live, err := g.read(cwcellowner.TableJobs, id)
 	if err != nil {
 		return "", err
 	}
 	if live != nil {
 		return cwwork.StateQueued, nil
 	}
-	row, _, err := g.read(cwcellowner.TableEnded, id)
+	row, err := g.read(cwcellowner.TableEnded, id)
 	if err != nil {
 		return "", err
 	}
@@ -248,13 +248,13 @@
 }
 
 // read returns the row of a job, nil if there is none.
-func (g *Gateway) read(table string, id cwmodel.JobID) (row *cwcellport.Row, version uint64, err error) {
+func (g *Gateway) read(table string, id cwmodel.JobID) (row *cwcellport.Row, err error) {
 	key := g.row(table, id)
-	rows, version, err := g.opts.Store.Read(table, key.Part, key.Key, key.Key+"\x00", storeTimeout)
+	rows, _, err := g.opts.Store.Read(table, key.Part, key.Key, key.Key+"\x00", storeTimeout)
 	if err != nil || len(rows) == 0 {
-		return nil, version, err
+		return nil, err
 	}
-	return &rows[0], version, nil
+	return &rows[0], nil
 }
 
 // Cancel ends a job durably; NotFound only on the store's word.
@@ -275,7 +275,7 @@
 
 // markCancelled writes the wish to cancel where the owner finds it.
 func (g *Gateway) markCancelled(id cwmodel.JobID) error {
-	live, _, err := g.read(cwcellowner.TableJobs, id)
+	live, err := g.read(cwcellowner.TableJobs, id)
 	if err != nil {
 		return err
 	}
--- a/internal/app/cwnode/node.go
+++ b/internal/app/cwnode/node.go
@@ -59,6 +59,8 @@
 	peerShutdown = 500 * time.Millisecond
 	// handOverWait is how long a leaving owner waits until its lease is released.
 	handOverWait = time.Second
+	// releaseLook is how often a leaving owner looks whether its lease is released.
+	releaseLook = 10 * time.Millisecond
 )
 
 // Node is one entry host.
@@ -238,7 +240,7 @@
 	if !owned {
 		return
 	}
-	n.opts.Timer.Sleep(n.released(), handOverWait)
+	n.awaitRelease()
 	for _, p := range n.roster.successors() {
 		err := n.opts.Peers.TakeOver(p.Address)
 		fields := cwlog.Fields{"successor": p.ID}
@@ -252,18 +254,11 @@
 	}
 }
 
-// released is closed once this host no longer owns the cell.
-func (n *Node) released() <-chan struct{} {
-	done := make(chan struct{})
-	var closed atomic.Bool
-	var cancel func()
-	cancel = n.opts.Timer.Every(10*time.Millisecond, func(time.Time) {
-		if !n.tenure.View().IsOwner && closed.CompareAndSwap(false, true) {
-			close(done)
-		}
-	})
-	n.opts.Timer.After(handOverWait, func(time.Time) { cancel() })
-	return done
+// awaitRelease waits until this host no longer owns the cell, or for too long.
+func (n *Node) awaitRelease() {
+	for end := n.opts.Timer.Now().Add(handOverWait); n.tenure.View().IsOwner && n.opts.Timer.Now().Before(end); {
+		n.opts.Timer.Sleep(nil, releaseLook)
+	}
 }
 
 // Owner returns the host that owns the cell, and whether that is known.
--- a/internal/core/cwcell/cell_test.go
+++ b/internal/core/cwcell/cell_test.go
@@ -46,10 +46,9 @@
 	return f.Decide(f.now, f.now)
 }
 
-func (f *fixture) admit(steps ...cwwork.Step) *cwwork.Submission {
+func (f *fixture) admit(steps ...cwwork.Step) {
 	s := &cwwork.Submission{ID: "job", Queue: "q", Steps: steps, Accepted: f.now, Policy: cwwork.Policy{Service: "portal", Stretch: 2}}
 	f.Admit(s, nil, false, f.now, f.now)
-	return s
 }
 
 func step(count int, processors int64, gang bool) cwwork.Step {
--- a/internal/core/cwcell/world_test.go
+++ b/internal/core/cwcell/world_test.go
@@ -39,17 +39,16 @@
 
 // modelWorker is a worker as its users describe it.
 type modelWorker struct {
-	info     WorkerInfo
-	up       bool
-	cut      bool
-	fence    uint64
-	lease    time.Time
-	runs     map[cwwork.TaskKey]*modelRun
-	ended    []Ended
-	number   uint64
-	acked    uint64
-	stopped  map[cwwork.TaskKey]int
-	capacity cwmodel.Resources
+	info    WorkerInfo
+	up      bool
+	cut     bool
+	fence   uint64
+	lease   time.Time
+	runs    map[cwwork.TaskKey]*modelRun
+	ended   []Ended
+	number  uint64
+	acked   uint64
+	stopped map[cwwork.TaskKey]int
 }
 
 // delayed is an order that is carried out late.
@@ -525,6 +524,16 @@
 			}
 		}
 	}
+	w.checkRoom(m, order, step)
+	for _, other := range w.workers {
+		if _, there := other.runs[order.Task]; there && other != m && other.up {
+			w.fail("twice: %s starts on %s and runs on %s", order.Task, m.info.ID, other.info.ID)
+		}
+	}
+}
+
+// checkRoom holds that a start does not overfill its worker.
+func (w *world) checkRoom(m *modelWorker, order *StartOrder, step *cwwork.Step) {
 	used, same := step.Need, 0
 	for key := range m.runs {
 		used = used.Plus(w.jobs[key.Job].Steps[key.Step].Need)
@@ -538,11 +547,6 @@
 	if step.AntiAffinity > 0 && same >= step.AntiAffinity {
 		w.fail("anti-affinity: %s on %s", order.Task, m.info.ID)
 	}
-	for _, other := range w.workers {
-		if _, there := other.runs[order.Task]; there && other != m && other.up {
-			w.fail("twice: %s starts on %s and runs on %s", order.Task, m.info.ID, other.info.ID)
-		}
-	}
 }
 
 // isDone reports whether a task, or a member of its gang, has ended as done, durably or on a worker's list.
@@ -554,12 +558,8 @@
 			return true
 		}
 	}
-	if p := w.progress[key.Job]; p != nil {
-		for _, s := range p.Steps {
-			if s.Occurrence == key.Occurrence && s.Step == key.Step && (slices.Contains(s.Done, key.Index) || (gang && len(s.Done) > 0)) {
-				return true
-			}
-		}
+	if w.isWritten(key, gang) {
+		return true
 	}
 	for _, m := range w.workers {
 		for _, e := range m.ended {
@@ -571,6 +571,14 @@
 	return false
 }
 
+// isWritten reports whether the store holds that a task is done.
+func (w *world) isWritten(key cwwork.TaskKey, gang bool) bool {
+	p := w.progress[key.Job]
+	return p != nil && slices.ContainsFunc(p.Steps, func(s cwwork.StepProgress) bool {
+		return s.Occurrence == key.Occurrence && s.Step == key.Step && (slices.Contains(s.Done, key.Index) || (gang && len(s.Done) > 0))
+	})
+}
+
 func (w *world) record(format string, args ...any) {
 	w.history = append(w.history, w.now.Format("05.000 ")+fmt.Sprintf(format, args...))
 }
