--- a/internal/app/cwcommand/command.go
+++ b/internal/app/cwcommand/command.go
@@ -44,6 +44,7 @@
 type arguments struct {
 	Serve    *serveArgs         `arg:"subcommand:serve" help:"run one entry host"`
 	Node     *nodeArgs          `arg:"subcommand:node" help:"run one entry host on the users' platform"`
+	Explain  *explainArgs       `arg:"subcommand:explain" help:"print the life of one job from the logs of the entry hosts"`
 	Dev      *devArgs           `arg:"subcommand:dev" help:"run a whole deployment in this process and serve a file of requests"`
 	Submit   *submitArgs        `arg:"subcommand:submit" help:"submit one request or a file of requests"`
 	Job      *jobArgs           `arg:"subcommand:job" help:"submit, get, list or cancel jobs"`
@@ -127,6 +128,8 @@
 		return r.serve(a.Serve)
 	case a.Node != nil:
 		return r.node(a.Node)
+	case a.Explain != nil:
+		return r.explain(a.Explain)
 	case a.Dev != nil:
 		return r.dev(a.Dev)
 	case a.Submit != nil:
--- a/internal/base/cwlog/buffered.go
+++ b/internal/base/cwlog/buffered.go
@@ -15,17 +15,31 @@
 // bufferedLines bounds the lines that wait for a slow reader; further ones are left out and counted.
 const bufferedLines = 4096
 
-// NewBuffered returns a logger that never blocks its callers: one duty writes the lines, several in one call. The returned
-// function writes what waits and ends the duty.
-func NewBuffered(w io.Writer, level logrus.Level) (log *logrus.Logger, flush func()) {
+// NewBuffered returns a logger that never blocks its callers: one duty writes the lines, several in one call. Every line
+// names the host. The returned function writes what waits and ends the duty.
+func NewBuffered(w io.Writer, level logrus.Level, host string) (log *logrus.Logger, flush func()) {
 	b := &buffer{lines: cwring.New[[]byte](bufferedLines), w: w}
 	stop := cwduty.Start("log-writer", b.run)
-	return New(b, level), func() {
+	log = New(b, level)
+	log.AddHook(hostField(host))
+	return log, func() {
 		stop()
 		b.write(b.lines.Ready(nil))
 	}
 }
 
+// hostField adds the host to every line.
+type hostField string
+
+// Levels returns all levels.
+func (hostField) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire adds the field.
+func (h hostField) Fire(e *logrus.Entry) error {
+	e.Data["host"] = string(h)
+	return nil
+}
+
 // buffer hands lines to the duty that writes them.
 type buffer struct {
 	lines *cwring.Ring[[]byte]
