Look only at the workers that advice allows; bound decisions to a third of the processor

Cause: on a grown deployment (350 workers) the owner spent its whole share of a processor on decisions: each looked up every worker for every waiting step, and each heartbeat of a worker counted as a change. Change: a step keeps its good workers in a list; heartbeats that say nothing new change nothing; after a decision the next waits for twice the time it took.

--- a/internal/app/cwcellowner/session.go
+++ b/internal/app/cwcellowner/session.go
@@ -30,6 +30,7 @@
 	closed   bool
 	ended    atomic.Bool // closed, for the calls that run outside of the duty
 	status   time.Time
+	decideAt time.Time // when the next decision may be made
 	waiters  time.Time // when the log last named the work that waits
 	began    time.Time
 }
@@ -112,8 +113,10 @@
 		return
 	}
 	holds := s.owner.opts.Holds(now)
-	if holds {
+	if holds && !now.Before(s.decideAt) {
 		effects := s.cell.Decide(now, s.wall())
+		took := s.owner.opts.Timer.Now().Sub(now)
+		s.decideAt = now.Add(min(decideShare*took, longestDecidePause))
 		s.carryOut(effects, now)
 	}
 	s.commit(now)
@@ -183,6 +186,13 @@
 	}
 }
 
+const (
+	// decideShare bounds the part of the processor that decisions take: one in so many moments.
+	decideShare = 3
+	// longestDecidePause bounds what that costs in latency; a tick comes later than this.
+	longestDecidePause = 40 * time.Millisecond
+)
+
 // Bounds of the lines about work that waits.
 const (
 	waiterAge    = 5 * time.Second
--- a/internal/core/cwcell/advice.go
+++ b/internal/core/cwcell/advice.go
@@ -1,6 +1,7 @@
 package cwcell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -11,29 +12,38 @@
 // eligibility is what advice has said about the workers of one group. Which workers are good does not change while they
 // live; a ticket expires.
 type eligibility struct {
-	tickets map[cwmodel.HostID]ticket
+	tickets map[cwmodel.HostID]*ticket
+	good    []*ticket                    // the same, in the order of their workers
 	bad     map[cwmodel.HostID]time.Time // start of the life that was meant
+	asked   int                          // state of the fleet at which nobody was left to ask about
 	asking  bool
 	pending int
 }
 
 // ticket allows the tasks of a group on one worker for some time.
 type ticket struct {
-	text  string
-	born  time.Time
-	until time.Time
+	worker *worker
+	text   string
+	born   time.Time
+	until  time.Time
 }
 
+func newEligibility() *eligibility {
+	return &eligibility{tickets: map[cwmodel.HostID]*ticket{}, bad: map[cwmodel.HostID]time.Time{}}
+}
+
+// current reports whether the ticket is for the worker's present life.
+func (t *ticket) current() bool { return t.born.Equal(t.worker.Born) && !t.worker.forgotten }
+
 func (e *eligibility) expire(id cwmodel.HostID) {
 	if t, ok := e.tickets[id]; ok {
 		t.until = time.Time{}
-		e.tickets[id] = t
 	}
 }
 
 // knows reports whether advice has judged the present life of a worker.
 func (e *eligibility) knows(w *worker) bool {
-	if t, ok := e.tickets[w.ID]; ok && t.born.Equal(w.Born) {
+	if e.allows(w) {
 		return true
 	}
 	born, ok := e.bad[w.ID]
@@ -43,13 +53,13 @@
 // allows reports whether the worker may run the group.
 func (e *eligibility) allows(w *worker) bool {
 	t, ok := e.tickets[w.ID]
-	return ok && t.born.Equal(w.Born)
+	return ok && t.worker == w && t.current()
 }
 
 // valid reports whether a start that is ordered now arrives with a valid ticket.
 func (e *eligibility) valid(w *worker, now time.Time) bool {
 	t, ok := e.tickets[w.ID]
-	return ok && t.born.Equal(w.Born) && t.until.Sub(now) > ticketMargin
+	return ok && t.worker == w && t.current() && t.until.Sub(now) > ticketMargin
 }
 
 // ticketMargin covers the way of a start order to its worker.
@@ -97,6 +107,9 @@
 	if g.advice.asking {
 		return true
 	}
+	if g.advice.asked == c.fleet {
+		return false
+	}
 	var unknown []*worker
 	for _, w := range c.sortedWorkers() {
 		if c.suits(w, g, policy) && w.usable(now) && !g.advice.knows(w) {
@@ -104,6 +117,7 @@
 		}
 	}
 	if len(unknown) == 0 {
+		g.advice.asked = c.fleet
 		return false
 	}
 	if limit := sampleSize(policy.Advice); len(unknown) > limit {
@@ -182,14 +196,20 @@
 	fresh := 0
 	for _, row := range good {
 		n := slices.Index(q.Workers, row.ID)
-		if n < 0 {
+		w, known := c.workers[row.ID]
+		if n < 0 || !known {
 			continue
 		}
-		if _, known := e.tickets[row.ID]; !known {
+		t, ok := e.tickets[row.ID]
+		if !ok {
 			fresh++
+			t = &ticket{}
+			e.tickets[row.ID] = t
+			at, _ := slices.BinarySearchFunc(e.good, row.ID, func(t *ticket, id cwmodel.HostID) int { return cmp.Compare(t.worker.ID, id) })
+			e.good = slices.Insert(e.good, at, t)
 		}
 		delete(e.bad, row.ID)
-		e.tickets[row.ID] = ticket{text: row.Ticket, born: q.born[n], until: validUntil}
+		*t = ticket{worker: w, text: row.Ticket, born: q.born[n], until: validUntil}
 	}
 	const weight = 0.1
 	stats := c.queue(q.group.job.Queue)
--- a/internal/core/cwcell/cell.go
+++ b/internal/core/cwcell/cell.go
@@ -46,6 +46,8 @@
 	asks       []*question
 	questionID uint64
 	inOrder    []*worker // workers in a fixed order; nil after a change
+	fleet      int       // counts the changes after which a worker may be asked about
+	scratch    []*worker // reused by candidates
 	effects    Effects
 	now        time.Time // of the latest event
 	caughtUp   bool      // every job that an earlier owner may have started is known
--- a/internal/core/cwcell/gang.go
+++ b/internal/core/cwcell/gang.go
@@ -117,12 +117,9 @@
 		if held.refuses(w, g, now) {
 			continue
 		}
-		free, n := w.free(), 0
-		for g.step.Need.FitsIn(free) && n < len(g.tasks) && (g.step.AntiAffinity == 0 || n < g.step.AntiAffinity) {
-			free, n = free.Minus(g.step.Need), n+1
-		}
-		if n > 0 {
-			places = append(places, place{w, n, free.DominantShare(w.Capacity)})
+		free := w.free()
+		if n := g.fits(free); n > 0 {
+			places = append(places, place{w, n, free.Minus(g.step.Need.Times(int64(n))).DominantShare(w.Capacity)})
 		}
 	}
 	// The fullest workers first: they lose the least room that a wider task could use.
@@ -218,10 +215,19 @@
 }
 
 // fits returns how many members a worker of the given room can hold.
-func (g *group) fits(room cwmodel.Resources) (n int) {
-	for g.step.Need.FitsIn(room) && n < len(g.tasks) && (g.step.AntiAffinity == 0 || n < g.step.AntiAffinity) {
-		room, n = room.Minus(g.step.Need), n+1
+func (g *group) fits(room cwmodel.Resources) int {
+	n := len(g.tasks)
+	if g.step.AntiAffinity > 0 {
+		n = min(n, g.step.AntiAffinity)
+	}
+	limit := func(room, need int64) {
+		if need > 0 {
+			n = min(n, int(max(room, 0)/need))
+		}
 	}
+	limit(room.MilliProcessors, g.step.Need.MilliProcessors)
+	limit(room.MemoryBytes, g.step.Need.MemoryBytes)
+	limit(room.Accelerators, g.step.Need.Accelerators)
 	return n
 }
 
--- a/internal/core/cwcell/place.go
+++ b/internal/core/cwcell/place.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwwork"
 )
 
@@ -78,7 +77,7 @@
 func (c *Cell) placeGroup(g *group, r rank, held *holds, now time.Time) {
 	policy := c.policy(g.job)
 	if policy.Advice.Needed() && g.advice == nil {
-		g.advice = &eligibility{tickets: map[cwmodel.HostID]ticket{}, bad: map[cwmodel.HostID]time.Time{}}
+		g.advice = newEligibility()
 	}
 	if c.infeasible(g, policy, now) {
 		c.conclude(g.job, cwwork.StateFailed)
@@ -130,12 +129,22 @@
 }
 
 // candidates returns the workers on which tasks of the group may start now, whether or not they have room.
-func (c *Cell) candidates(g *group, policy cwwork.Policy, now time.Time) (list []*worker) {
-	for _, w := range c.sortedWorkers() {
-		if c.suits(w, g, policy) && w.usable(now) && (g.advice == nil || g.advice.allows(w)) {
-			list = append(list, w)
+func (c *Cell) candidates(g *group, policy cwwork.Policy, now time.Time) []*worker {
+	list := c.scratch[:0]
+	if g.advice != nil {
+		for _, t := range g.advice.good {
+			if t.current() && t.worker.usable(now) && c.suits(t.worker, g, policy) {
+				list = append(list, t.worker)
+			}
+		}
+	} else {
+		for _, w := range c.sortedWorkers() {
+			if w.usable(now) && c.suits(w, g, policy) {
+				list = append(list, w)
+			}
 		}
 	}
+	c.scratch = list
 	return list
 }
 
@@ -152,42 +161,38 @@
 
 // placeTasks starts the waiting tasks of a group one by one, each where it leaves the least room.
 func (c *Cell) placeTasks(g *group, policy cwwork.Policy, candidates []*worker, held *holds, now time.Time) {
-	renewals := map[*worker]struct{}{}
+	known := len(candidates) > 0
+	candidates = slices.DeleteFunc(candidates, func(w *worker) bool {
+		return !g.step.Need.FitsIn(w.free()) || held.refuses(w, g, now) || g.crowded(w)
+	})
 	var renew []*worker
-	short := false
-	for index := range g.tasks {
+	for index := 0; index < len(g.tasks) && len(candidates) > 0; index++ {
 		t := &g.tasks[index]
 		if t.done || len(t.runs) > 0 {
 			continue
 		}
-		w := c.bestFit(g, t, candidates, held, now)
-		if w == nil {
-			short = true
-			break
-		}
+		at := c.bestFit(g, t, candidates)
+		w := candidates[at]
 		r := c.newRun(g, index, w, t.highest+1, now)
 		if g.advice == nil || g.advice.valid(w, now) {
 			c.order(r, now)
-			continue
-		}
-		if _, ok := renewals[w]; !ok {
-			renewals[w] = struct{}{}
+		} else if !slices.Contains(renew, w) {
 			renew = append(renew, w)
 		}
+		if !g.step.Need.FitsIn(w.free()) || g.crowded(w) {
+			candidates = slices.Delete(candidates, at, at+1)
+		}
 	}
 	c.renew(g, policy, renew)
-	if short && g.advice != nil && len(candidates) > 0 {
+	if g.waiting > 0 && g.advice != nil && known {
 		c.ask(g, policy, now)
 	}
 }
 
-// bestFit returns the worker with the least room left after the task, or nil.
-func (c *Cell) bestFit(g *group, t *task, candidates []*worker, held *holds, now time.Time) (best *worker) {
+// bestFit returns the index of the worker with the least room left after the task. All candidates have room for it.
+func (c *Cell) bestFit(g *group, t *task, candidates []*worker) (best int) {
 	bestScore := 0.0
-	for _, w := range candidates {
-		if !g.step.Need.FitsIn(w.free()) || held.refuses(w, g, now) || g.crowded(w) {
-			continue
-		}
+	for n, w := range candidates {
 		score := w.free().Minus(g.step.Need).DominantShare(w.Capacity)
 		if slices.Contains(t.avoid, w.ID) {
 			score += avoidPenalty
@@ -195,8 +200,8 @@
 		if g.step.Affinity != "" && w.Rack != g.step.Affinity {
 			score += farPenalty
 		}
-		if best == nil || score < bestScore {
-			best, bestScore = w, score
+		if n == 0 || score < bestScore {
+			best, bestScore = n, score
 		}
 	}
 	return best
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -72,6 +72,7 @@
 	}
 	if w.silent || !w.known {
 		c.changed = true
+		c.fleet++
 	}
 	if w.silent {
 		c.note(Note{Event: "worker-answers", Worker: w.ID})
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -35,6 +35,7 @@
 	ends      []pendingEnd
 	breaker   breaker
 	enrolled  bool      // a later owner will know of the worker
+	forgotten bool      // dropped from the cell
 	foreign   int       // listed runs that are not ours; their room is not known
 	strangers []Running // runs of jobs that this owner has not read yet
 }
@@ -98,6 +99,9 @@
 // SetWorker adds a worker or takes what is new about it.
 func (c *Cell) SetWorker(info WorkerInfo, now time.Time) {
 	w, ok := c.workers[info.ID]
+	if ok && w.listed && w.sameInfo(info) {
+		return // only a heartbeat
+	}
 	if !ok {
 		w = &worker{runs: map[cwwork.TaskKey]*run{}, contact: now}
 		c.workers[info.ID] = w
@@ -114,6 +118,7 @@
 	w.WorkerInfo = info
 	w.Born = born
 	w.listed = true
+	c.fleet++
 	c.largest = larger(c.largest, info.Capacity)
 	c.changed = true
 	if info.Draining && !draining {
@@ -163,7 +168,14 @@
 			w.enrolled = true
 		}
 	}
-	c.changed = true
+	c.changed = c.changed || len(ids) > 0
+	c.fleet++
+}
+
+// sameInfo reports whether an entry says nothing new.
+func (w *worker) sameInfo(info WorkerInfo) bool {
+	return w.Service == info.Service && w.Draining == info.Draining && w.Capacity == info.Capacity && w.Rack == info.Rack &&
+		!info.Born.After(w.Born) && slices.Equal(w.Labels, info.Labels)
 }
 
 // RemoveWorker notes that the platform no longer lists a worker; what runs there goes on while it answers.
@@ -188,6 +200,9 @@
 
 // Forget drops a worker.
 func (c *Cell) Forget(id cwmodel.HostID) {
+	if w, ok := c.workers[id]; ok {
+		w.forgotten = true
+	}
 	delete(c.workers, id)
 	c.inOrder, c.departed = nil, true
 }
