--- a/internal/core/cwcell/cell.go
+++ b/internal/core/cwcell/cell.go
@@ -65,9 +65,9 @@
 
 // queueStatistics is what the cell has learned about one queue.
 type queueStatistics struct {
-	waiting int     // jobs of which no task has started
-	good    float64 // share of the workers that advice allowed, averaged
-	ratio   float64 // run time in proportion to its estimate, averaged
+	waiting   int     // jobs of which no task has started
+	good      float64 // share of the workers that advice allowed, averaged
+	predictor predictor
 }
 
 // Effects are the orders that a decision leads to.
@@ -174,7 +174,7 @@
 func (c *Cell) queue(name cwwork.QueueName) *queueStatistics {
 	q, ok := c.queues[name]
 	if !ok {
-		q = &queueStatistics{good: 0.5, ratio: 1}
+		q = &queueStatistics{good: 0.5}
 		c.queues[name] = q
 	}
 	return q
--- a/internal/core/cwcell/gang.go
+++ b/internal/core/cwcell/gang.go
@@ -23,10 +23,11 @@
 
 func newHolds() *holds { return &holds{workers: map[*worker]hold{}} }
 
-// refuses reports whether a worker's room is kept for a gang, and tasks of the group would not be over by its start.
-func (h *holds) refuses(w *worker, g *group, now time.Time) bool {
+// refuses reports whether a worker's room is kept for a gang, and tasks of the group that are over at the given
+// time would not be over by its start.
+func (h *holds) refuses(w *worker, g *group, over time.Time) bool {
 	kept, ok := h.workers[w]
-	return ok && kept.group != g && now.Add(g.step.Estimate).After(kept.until)
+	return ok && kept.group != g && over.After(kept.until)
 }
 
 // mostHolds is how many gangs keep room at a time, so that kept room does not idle the cell.
@@ -113,8 +114,9 @@
 		left float64
 	}
 	var places []place
+	over := now.Add(c.expected(g.job, g.step))
 	for _, w := range candidates {
-		if held.refuses(w, g, now) {
+		if held.refuses(w, g, over) {
 			continue
 		}
 		free := w.free()
@@ -203,8 +205,7 @@
 		left := time.Duration(float64(r.moved.Sub(r.firstSeen)) / float64(done) * float64(100-r.percent))
 		return later(r.moved.Add(left), now)
 	}
-	ratio := c.queue(r.group.job.Queue).ratio
-	return later(r.ordered.Add(time.Duration(ratio*float64(r.group.step.Estimate))), now)
+	return later(r.ordered.Add(c.expected(r.group.job, r.group.step)), now)
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/core/cwcell/job.go
+++ b/internal/core/cwcell/job.go
@@ -12,8 +12,7 @@
 type job struct {
 	*cwwork.Submission
 	objective time.Duration // from acceptance until its latest end that earns its whole worth
-	chain     time.Duration
-	floor     int // below the number of every run that this owner starts
+	floor     int           // below the number of every run that this owner starts
 	adopted   bool
 	occs      []*occurrence
 	nextOcc   int
@@ -88,6 +87,7 @@
 	firstPercent int // of the first report
 	firstSeen    time.Time
 	moved        time.Time // when the percentage last rose
+	adopted      bool      // started by an earlier owner
 	uncertain    bool      // the start order got no answer
 }
 
@@ -101,8 +101,9 @@
 	if _, ok := c.ended[s.ID]; ok {
 		return false
 	}
-	j := &job{Submission: s, adopted: adopted, progress: p, chain: s.Chain()}
-	j.objective = time.Duration(s.Policy.Stretch*float64(j.chain)) + s.Policy.Target
+	j := &job{Submission: s, adopted: adopted, progress: p}
+	chain := s.Chain(func(step *cwwork.Step) time.Duration { return c.expected(j, step) })
+	j.objective = time.Duration(s.Policy.Stretch*float64(chain)) + s.Policy.Target
 	if adopted {
 		j.floor = c.opts.RunFloor
 	}
--- a/internal/core/cwcell/place.go
+++ b/internal/core/cwcell/place.go
@@ -25,7 +25,7 @@
 	if j.Repeats > 0 {
 		since = j.Due(g.key.Occurrence)
 	}
-	remaining := g.remaining()
+	remaining := c.remaining(g)
 	slack := j.objective - wall.Sub(since) - remaining
 	r := rank{priority: c.policy(j).Priority, slack: slack}
 	switch {
@@ -39,12 +39,13 @@
 	return r
 }
 
-// remaining returns the estimated chain from this group to the end of its occurrence.
-func (g *group) remaining() time.Duration {
-	longest := g.step.Estimate
+// remaining returns the expected chain from this group to the end of its occurrence.
+func (c *Cell) remaining(g *group) time.Duration {
+	own := c.expected(g.job, g.step)
+	longest := own
 	for n := g.key.Step + 1; n < len(g.job.Steps); n++ {
-		if slices.Contains(g.job.Steps[n].After, g.key.Step) {
-			longest = max(longest, g.step.Estimate+g.job.Steps[n].Estimate)
+		if step := &g.job.Steps[n]; slices.Contains(step.After, g.key.Step) {
+			longest = max(longest, own+c.expected(g.job, step))
 		}
 	}
 	return longest
@@ -161,9 +162,9 @@
 
 // placeTasks starts the waiting tasks of a group one by one, each where it leaves the least room.
 func (c *Cell) placeTasks(g *group, policy cwwork.Policy, candidates []*worker, held *holds, now time.Time) {
-	known := len(candidates) > 0
+	known, expected := len(candidates) > 0, c.expected(g.job, g.step)
 	candidates = slices.DeleteFunc(candidates, func(w *worker) bool {
-		return !g.step.Need.FitsIn(w.free()) || held.refuses(w, g, now) || g.crowded(w)
+		return !g.step.Need.FitsIn(w.free()) || held.refuses(w, g, now.Add(expected)) || g.crowded(w)
 	})
 	var renew []*worker
 	for index := 0; index < len(g.tasks) && len(candidates) > 0; index++ {
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -138,7 +138,7 @@
 // adopt takes over a run of an earlier owner, or stops it if its task is done or runs elsewhere.
 func (c *Cell) adopt(w *worker, g *group, rep *Running, now time.Time) {
 	t := &g.tasks[rep.Task.Index]
-	r := &run{group: g, index: rep.Task.Index, number: rep.Run, worker: w, state: runRunning, confirmed: now, ordered: now, moved: now, percent: rep.Percent}
+	r := &run{group: g, index: rep.Task.Index, number: rep.Run, worker: w, state: runRunning, adopted: true, confirmed: now, ordered: now, moved: now, percent: rep.Percent}
 	// The steps before it were done when it was started, though their ends may be listed later than this run.
 	wanted := !t.done && len(t.runs) == 0 && g.job.final == ""
 	w.hold(r)
@@ -323,14 +323,11 @@
 	}
 }
 
-// learn averages how long runs take in proportion to their estimate.
+// learn notes how long a run took that was seen from its start.
 func (c *Cell) learn(g *group, r *run, now time.Time) {
-	if g.step.Estimate <= 0 || r.confirmed.IsZero() {
-		return
+	if !r.adopted {
+		c.queue(g.job.Queue).predictor.observe(g.step.Estimate, now.Sub(r.ordered))
 	}
-	const weight = 0.05
-	q := c.queue(g.job.Queue)
-	q.ratio += weight * (float64(now.Sub(r.confirmed))/float64(g.step.Estimate) - q.ratio)
 }
 
 // begin notes that a task of the job has started.
--- a/internal/core/cwwork/work.go
+++ b/internal/core/cwwork/work.go
@@ -87,8 +87,8 @@
 	return false
 }
 
-// Chain returns the longest estimated chain of dependent steps.
-func (s *Submission) Chain() time.Duration {
+// Chain returns the longest chain of dependent steps, each as long as expected says.
+func (s *Submission) Chain(expected func(*Step) time.Duration) time.Duration {
 	var longest time.Duration
 	ends := make([]time.Duration, len(s.Steps))
 	for n := range s.Steps {
@@ -97,7 +97,7 @@
 		for _, before := range step.After {
 			begin = max(begin, ends[before])
 		}
-		ends[n] = begin + step.Estimate + s.Policy.Advice.Cost(adviceSample)
+		ends[n] = begin + expected(step) + s.Policy.Advice.Cost(adviceSample)
 		longest = max(longest, ends[n])
 	}
 	return longest
