--- a/internal/app/cwtenure/follow.go
+++ b/internal/app/cwtenure/follow.go
@@ -19,8 +19,7 @@
 		k.pulse()
 		return pulsePeriod
 	case k.version == 0:
-		k.take("no-owner")
-		return retryPeriod
+		return k.takeFirst()
 	case k.lease.Holder == k.opts.Self.ID && k.lease.Address == k.opts.Self.Address:
 		k.take("own-earlier-life")
 		return retryPeriod
@@ -76,14 +75,31 @@
 	return retryPeriod
 }
 
+// takeFirst takes the lease where nobody ever had one; slow hosts let faster ones do so.
+func (k *Keeper) takeFirst() time.Duration {
+	now := k.opts.Timer.Now()
+	if k.vacant.IsZero() {
+		k.vacant = now
+	}
+	if left := k.slowness() - now.Sub(k.vacant); left > 0 {
+		return left
+	}
+	k.take("no-owner")
+	return retryPeriod
+}
+
+// slowness is how much longer than the fastest host this one waits before it takes a lease.
+func (k *Keeper) slowness() time.Duration {
+	return time.Duration(float64(slowestDelay) * max(0, 1-k.opts.Capacity))
+}
+
 // takeStale takes a lease whose row has stood still for too long, and returns when to look again.
 func (k *Keeper) takeStale() time.Duration {
 	if !k.readLease() {
 		k.askPeers()
 		return retryPeriod
 	}
-	delay := staleAfter + time.Duration(float64(slowestDelay)*max(0, 1-k.opts.Capacity))
-	left := delay - k.opts.Timer.Now().Sub(k.seen)
+	left := staleAfter + k.slowness() - k.opts.Timer.Now().Sub(k.seen)
 	if left <= 0 && k.version > 0 && !k.holding {
 		k.take("owner-stale")
 	}
--- a/internal/app/cwtenure/tenure.go
+++ b/internal/app/cwtenure/tenure.go
@@ -108,6 +108,7 @@
 	lease       cwcellcodec.Lease
 	version     uint64 // of the lease's row; 0: none is known
 	seen        time.Time
+	vacant      time.Time // when this host first saw that nobody holds the lease
 	holding     bool
 	fence       uint64
 	until       time.Time
