--- a/internal/adapter/cwcellpeer/client.go
+++ b/internal/adapter/cwcellpeer/client.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -17,6 +15,7 @@
 	"currantward/internal/adapter/cwcellcodec"
 	"currantward/internal/adapter/cwcellwire"
 	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwrpc"
 	"currantward/internal/core/cwcell"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwwork"
@@ -28,13 +27,12 @@
 	Timeout         time.Duration // of a call that only asks
 	StoreTimeout    time.Duration // of a call that waits for the store
 	MaxConnsPerPeer int
-	// Control prepares each connection, for example with a limit on unacknowledged bytes; it may be nil.
-	Control func(conn *net.TCPConn) error
+	UserTimeout     time.Duration // ends connections into a partition
 }
 
 // DefaultClientOptions returns limits that suit entry hosts of one region.
 func DefaultClientOptions() ClientOptions {
-	return ClientOptions{Timeout: 400 * time.Millisecond, StoreTimeout: 1500 * time.Millisecond, MaxConnsPerPeer: 32}
+	return ClientOptions{Timeout: 400 * time.Millisecond, StoreTimeout: 1500 * time.Millisecond, MaxConnsPerPeer: 32, UserTimeout: 2 * time.Second}
 }
 
 type client struct {
@@ -46,15 +44,10 @@
 
 // New returns the port to peers and the function that closes its connections.
 func New(opts ClientOptions) (port cwcellport.Peers, stop func()) {
-	transport := &http.Transport{
-		DialContext:         opts.dial,
-		MaxConnsPerHost:     opts.MaxConnsPerPeer,
-		MaxIdleConnsPerHost: opts.MaxConnsPerPeer,
-		IdleConnTimeout:     time.Minute,
-		WriteBufferSize:     2 << 10,
-		ReadBufferSize:      2 << 10,
-	}
-	c := &client{opts: opts, http: &http.Client{Transport: transport}, clients: map[netip.AddrPort]cwcellwire.Cell{}}
+	web, stop := cwrpc.NewClient(cwrpc.ClientOptions{
+		DialTimeout: opts.Timeout, MaxConnsPerPeer: opts.MaxConnsPerPeer, UserTimeout: opts.UserTimeout,
+	})
+	c := &client{opts: opts, http: web, clients: map[netip.AddrPort]cwcellwire.Cell{}}
 	return cwcellport.Peers{
 		Pulse:    c.pulse,
 		Offer:    c.offer,
@@ -63,21 +56,7 @@
 		Ask:      c.ask,
 		Store:    c.store,
 		TakeOver: c.takeOver,
-	}, transport.CloseIdleConnections
-}
-
-func (o ClientOptions) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: o.Timeout}
-	conn, err := dialer.DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, err
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok && o.Control != nil {
-		if err := o.Control(tcp); err != nil {
-			return nil, errors.Join(err, conn.Close())
-		}
-	}
-	return conn, nil
+	}, stop
 }
 
 func (c *client) peer(addr netip.AddrPort) cwcellwire.Cell {
@@ -238,8 +217,7 @@
 	if err == nil {
 		return nil
 	}
-	var dial *net.OpError
-	if errors.As(err, &dial) && dial.Op == "dial" {
+	if cwrpc.IsDialError(err) {
 		return cwfault.New(cwfault.Unavailable, "%v", err)
 	}
 	var remote twirp.Error
--- /dev/null
+++ b/internal/adapter/cwcellpeer/peer_test.go
@@ -0,0 +1,107 @@
+package cwcellpeer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"currantward/internal/base/cwfault"
+	"currantward/internal/base/cwlog"
+	"currantward/internal/core/cwcell"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+	"currantward/internal/port/cwcellport"
+)
+
+// TestCallsOverLoopback holds that every call and answer arrives as it was sent, and that refusals keep their code.
+func TestCallsOverLoopback(t *testing.T) {
+	is := is.New(t)
+	self := cwcellport.EntryHost{ID: "a", DataCentre: "dc", Address: netip.MustParseAddrPort("10.0.0.1:7720")}
+	answer := cwcellport.PulseAnswer{
+		IsOwner: true, Unwell: true, Owner: self, Fence: 7, LeaseVersion: 9, Configuration: 3,
+		Queues: []cwcellport.QueueLength{{Queue: "h/q/", Waiting: 12}}, Peers: []cwcellport.EntryHost{self},
+	}
+	job := &cwwork.Submission{
+		ID: "5c0e7a21d94b36f8", Queue: "h/q/", Payload: "text", Accepted: time.UnixMilli(1000), Repeats: 2, Interval: time.Second, First: time.UnixMilli(5000),
+		Policy: cwwork.Policy{Service: "s", Priority: 1, MaxAttempts: 3, Stretch: 2.2, Target: time.Second, Advice: cwwork.Advice{Base: 7400 * time.Microsecond, PerWorker: 110 * time.Microsecond, Validity: 1500 * time.Millisecond}},
+		Steps: []cwwork.Step{
+			{Count: 2, Need: cwmodel.Resources{MilliProcessors: 500, MemoryBytes: 1 << 20, Accelerators: 1}, Estimate: time.Second, Gang: true, Saves: true},
+			{Count: 1, After: []int{0}, AntiAffinity: 1, Affinity: "r1", Requires: "a", Speculative: true, LongRunning: true, SameRack: true, Image: "i"},
+		},
+	}
+	var offered *cwwork.Submission
+	question := cwcell.Question{Step: cwwork.StepKey{Job: "j", Occurrence: 1, Step: 2}, Workers: []cwmodel.HostID{"w1", "w2"}, Cost: 20 * time.Millisecond}
+	takenOver := false
+	bound, stop, err := Serve(ServerOptions{
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Log: cwlog.Discard(), ShutdownTimeout: time.Second,
+		Pulse: func(p cwcellport.Pulse) cwcellport.PulseAnswer {
+			is.Equal(p, cwcellport.Pulse{From: self, Leaving: true, StoreOK: true, Capacity: 0.4})
+			return answer
+		},
+		Offer: func(s *cwwork.Submission, version, fence uint64) error {
+			offered = s
+			is.Equal(version, uint64(11))
+			is.Equal(fence, uint64(7))
+			return nil
+		},
+		Look: func(id cwmodel.JobID) (cwwork.State, bool, error) {
+			if id != job.ID {
+				return "", false, cwfault.New(cwfault.NotSupported, "not the owner")
+			}
+			return cwwork.StateRunning, true, nil
+		},
+		Cancel: func(cwmodel.JobID) (bool, error) { return true, nil },
+		Ask: func(q *cwcell.Question) ([]cwcell.GoodWorker, time.Duration, error) {
+			is.Equal(q.Step, question.Step)
+			is.Equal(q.Workers, question.Workers)
+			return []cwcell.GoodWorker{{ID: "w2", Ticket: "t"}}, 1500 * time.Millisecond, nil
+		},
+		Store:    func(*cwwork.Submission) cwcellport.Verdict { return cwcellport.VerdictRefused },
+		TakeOver: func() { takenOver = true },
+	})
+	is.NoErr(err)
+	defer stop()
+	peers, closePeers := New(DefaultClientOptions())
+	defer closePeers()
+
+	got, err := peers.Pulse(bound, cwcellport.Pulse{From: self, Leaving: true, StoreOK: true, Capacity: 0.4})
+	is.NoErr(err)
+	is.Equal(got, answer)
+	is.NoErr(peers.Offer(bound, job, 11, 7))
+	is.Equal(offered, job)
+	state, known, err := peers.Look(bound, job.ID)
+	is.NoErr(err)
+	is.True(known)
+	is.Equal(state, cwwork.StateRunning)
+	_, _, err = peers.Look(bound, "other")
+	is.Equal(cwfault.CodeOf(err), cwfault.NotSupported)
+	known, err = peers.Cancel(bound, job.ID)
+	is.NoErr(err)
+	is.True(known)
+	good, validity, err := peers.Ask(bound, &question)
+	is.NoErr(err)
+	is.Equal(good, []cwcell.GoodWorker{{ID: "w2", Ticket: "t"}})
+	is.Equal(validity, 1500*time.Millisecond)
+	verdict, err := peers.Store(bound, job)
+	is.NoErr(err)
+	is.Equal(verdict, cwcellport.VerdictRefused)
+	is.NoErr(peers.TakeOver(bound))
+	is.True(takenOver)
+}
+
+// TestUnreachablePeer holds that a call which never left is told from one that may have been carried out.
+func TestUnreachablePeer(t *testing.T) {
+	is := is.New(t)
+	bound, stop, err := Serve(ServerOptions{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Log: cwlog.Discard(), ShutdownTimeout: time.Second})
+	is.NoErr(err)
+	stop()
+	peers, closePeers := New(DefaultClientOptions())
+	defer closePeers()
+	_, err = peers.Pulse(bound, cwcellport.Pulse{})
+	is.Equal(cwfault.CodeOf(err), cwfault.Unavailable)
+	verdict, err := peers.Store(bound, &cwwork.Submission{ID: "j"})
+	is.Equal(cwfault.CodeOf(err), cwfault.Unavailable)
+	is.Equal(verdict, cwcellport.VerdictRefused) // it certainly was not stored
+}
--- a/internal/adapter/cwcellpeer/server.go
+++ b/internal/adapter/cwcellpeer/server.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"net/netip"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -15,7 +12,7 @@
 	"currantward/internal/adapter/cwcellcodec"
 	"currantward/internal/adapter/cwcellwire"
 	"currantward/internal/base/cwfault"
-	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwrpc"
 	"currantward/internal/core/cwcell"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwwork"
@@ -40,33 +37,11 @@
 // server answers peers.
 type server struct{ opts ServerOptions }
 
-// Serve listens for peers and returns the function that ends the listener gracefully.
+// Serve listens for peers and returns the bound address and the function that ends the listener gracefully.
 func Serve(opts ServerOptions) (bound netip.AddrPort, stop func(), err error) {
-	defer func() { err = eris.Wrap(err, "serve peers of the cell") }()
-	listener, err := net.Listen("tcp", opts.Listen.String())
-	if err != nil {
-		return bound, nil, err
-	}
-	web := &http.Server{
-		Handler:           cwcellwire.NewCellServer(&server{opts: opts}),
-		ReadHeaderTimeout: 5 * time.Second,
-		IdleTimeout:       2 * time.Minute,
-	}
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		if err := web.Serve(listener); !eris.Is(err, http.ErrServerClosed) {
-			opts.Log.WithFields(logrus.Fields{"listener": "peers", "error": err.Error()}).Error("listener-failed")
-		}
-	}()
-	stop = func() {
-		ctx, cancel := context.WithTimeout(context.Background(), opts.ShutdownTimeout)
-		defer cancel()
-		_ = web.Shutdown(ctx)
-		_ = web.Close()
-		<-ended
-	}
-	return cwhttp.BoundAddress(listener), stop, nil
+	return cwrpc.Serve(cwcellwire.NewCellServer(&server{opts: opts}), cwrpc.ServerOptions{
+		Listen: opts.Listen, Log: opts.Log, ShutdownTimeout: opts.ShutdownTimeout,
+	})
 }
 
 // Pulse implements the twirp service.
--- a/internal/adapter/cwpeer/client.go
+++ b/internal/adapter/cwpeer/client.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -17,6 +15,7 @@
 	"currantward/internal/adapter/cwpeerwire"
 	"currantward/internal/base/cwfault"
 	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwrpc"
 	"currantward/internal/base/cwtimer"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwpolicy"
@@ -41,24 +40,9 @@
 
 // New returns the port to peers and the function that closes its connections.
 func New(opts ClientOptions) (port cwport.Peers, stop func()) {
-	transport := &http.Transport{
-		DialContext:         opts.dial,
-		MaxConnsPerHost:     opts.MaxConnsPerPeer,
-		MaxIdleConnsPerHost: opts.MaxConnsPerPeer,
-		IdleConnTimeout:     time.Minute,
-	}
-	c := &client{opts: opts, http: &http.Client{Transport: transport}, clients: map[netip.AddrPort]cwpeerwire.Peer{}}
-	return cwport.Peers{Exchange: c.exchange, Forward: c.forward, Configuration: c.configuration}, transport.CloseIdleConnections
-}
-
-// dial connects to a peer and counts the bytes of the connection.
-func (o ClientOptions) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: o.Timeout}
-	conn, err := dialer.DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, err
-	}
-	return o.Traffic.Conn(conn), nil
+	web, stop := cwrpc.NewClient(cwrpc.ClientOptions{DialTimeout: opts.Timeout, MaxConnsPerPeer: opts.MaxConnsPerPeer, Traffic: opts.Traffic})
+	c := &client{opts: opts, http: web, clients: map[netip.AddrPort]cwpeerwire.Peer{}}
+	return cwport.Peers{Exchange: c.exchange, Forward: c.forward, Configuration: c.configuration}, stop
 }
 
 func (c *client) peer(addr netip.AddrPort) cwpeerwire.Peer {
@@ -105,8 +89,7 @@
 
 // typed maps an error of the transport: only a refusal by the peer itself or a failure to connect is certain to have done nothing.
 func typed(err error) error {
-	var dial *net.OpError
-	if errors.As(err, &dial) && dial.Op == "dial" {
+	if cwrpc.IsDialError(err) {
 		return cwfault.New(cwfault.Unavailable, "%v", err)
 	}
 	var remote twirp.Error
--- a/internal/adapter/cwpeer/server.go
+++ b/internal/adapter/cwpeer/server.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"net/netip"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"github.com/twitchtv/twirp"
 
@@ -15,6 +12,7 @@
 	"currantward/internal/adapter/cwpeerwire"
 	"currantward/internal/base/cwfault"
 	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwrpc"
 	"currantward/internal/base/cwtimer"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwpolicy"
@@ -42,32 +40,9 @@
 
 // Serve listens for peers and returns the bound address and the function that ends the listener gracefully.
 func Serve(opts ServerOptions) (bound netip.AddrPort, stop func(), err error) {
-	defer func() { err = eris.Wrap(err, "serve peers") }()
-	listener, err := net.Listen("tcp", opts.Listen.String())
-	if err != nil {
-		return bound, nil, err
-	}
-	bound = cwhttp.BoundAddress(listener)
-	web := &http.Server{
-		Handler:           cwpeerwire.NewPeerServer(&server{opts: opts}),
-		ReadHeaderTimeout: 5 * time.Second,
-		IdleTimeout:       2 * time.Minute,
-	}
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		if err := web.Serve(opts.Traffic.Listener(listener)); !eris.Is(err, http.ErrServerClosed) {
-			opts.Log.WithFields(logrus.Fields{"listener": "peers", "error": err.Error()}).Error("listener-failed")
-		}
-	}()
-	stop = func() {
-		ctx, cancel := context.WithTimeout(context.Background(), opts.ShutdownTimeout)
-		defer cancel()
-		_ = web.Shutdown(ctx)
-		_ = web.Close()
-		<-ended
-	}
-	return bound, stop, nil
+	return cwrpc.Serve(cwpeerwire.NewPeerServer(&server{opts: opts}), cwrpc.ServerOptions{
+		Listen: opts.Listen, Log: opts.Log, ShutdownTimeout: opts.ShutdownTimeout, Traffic: opts.Traffic,
+	})
 }
 
 // Exchange implements the twirp service.
--- /dev/null
+++ b/internal/base/cwrpc/rpc.go
@@ -0,0 +1,101 @@
+// Package cwrpc holds the net/http client and listener that twirp's generated code runs on.
+package cwrpc
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"currantward/internal/base/cwhttp"
+)
+
+// ClientOptions bound the connections of a client.
+type ClientOptions struct {
+	DialTimeout     time.Duration
+	MaxConnsPerPeer int
+	UserTimeout     time.Duration   // ends connections with bytes that stay unacknowledged; zero leaves that to the kernel
+	Traffic         *cwhttp.Traffic // nil: not counted
+}
+
+const (
+	// idleConnection is how long an unused connection is kept.
+	idleConnection = time.Minute
+	// bufferSize suits messages of a few hundred bytes.
+	bufferSize = 2 << 10
+	// headerTimeout and idleTimeout bound the connections of a listener.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// NewClient returns a client and the function that closes its idle connections.
+func NewClient(opts ClientOptions) (client *http.Client, stop func()) {
+	transport := &http.Transport{
+		DialContext:         opts.dial,
+		MaxConnsPerHost:     opts.MaxConnsPerPeer,
+		MaxIdleConnsPerHost: opts.MaxConnsPerPeer,
+		IdleConnTimeout:     idleConnection,
+		WriteBufferSize:     bufferSize,
+		ReadBufferSize:      bufferSize,
+	}
+	return &http.Client{Transport: transport}, transport.CloseIdleConnections
+}
+
+func (o ClientOptions) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: o.DialTimeout}
+	conn, err := dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok && o.UserTimeout > 0 {
+		if err := cwhttp.LimitUnacknowledged(tcp, o.UserTimeout); err != nil {
+			return nil, errors.Join(err, conn.Close())
+		}
+	}
+	return o.Traffic.Conn(conn), nil
+}
+
+// IsDialError reports whether no connection was made, so that the callee has seen nothing.
+func IsDialError(err error) bool {
+	var dial *net.OpError
+	return errors.As(err, &dial) && dial.Op == "dial"
+}
+
+// ServerOptions configure a listener.
+type ServerOptions struct {
+	Listen          netip.AddrPort
+	Log             *logrus.Logger
+	ShutdownTimeout time.Duration
+	Traffic         *cwhttp.Traffic // nil: not counted
+}
+
+// Serve listens for peers and returns the bound address and the function that ends the listener gracefully.
+func Serve(handler http.Handler, opts ServerOptions) (bound netip.AddrPort, stop func(), err error) {
+	defer func() { err = eris.Wrap(err, "serve peers") }()
+	listener, err := net.Listen("tcp", opts.Listen.String())
+	if err != nil {
+		return bound, nil, err
+	}
+	web := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := web.Serve(opts.Traffic.Listener(listener)); !eris.Is(err, http.ErrServerClosed) {
+			opts.Log.WithFields(logrus.Fields{"listener": "peers", "error": err.Error()}).Error("listener-failed")
+		}
+	}()
+	stop = func() {
+		ctx, cancel := context.WithTimeout(context.Background(), opts.ShutdownTimeout)
+		defer cancel()
+		// What does not end in time is cut off by Close.
+		_ = web.Shutdown(ctx)
+		_ = web.Close()
+		<-ended
+	}
+	return cwhttp.BoundAddress(listener), stop, nil
+}
