Fail a job only by its attempts

Change: such work waits, keeps no room, blocks nothing and is named in the log. Seen red: TestWorkThatNoWorkerCanHoldBlocksNothing with the giving up in place.

--- a/internal/core/cwcell/advice.go
+++ b/internal/core/cwcell/advice.go
@@ -102,13 +102,10 @@
 // smallestSample is asked about even where each worker is dear.
 const smallestSample = 10
 
-// ask queues a question about workers that have not been judged; it reports false if none is left.
-func (c *Cell) ask(g *group, policy cwwork.Policy, now time.Time) bool {
-	if g.advice.asking {
-		return true
-	}
-	if g.advice.asked == c.fleet {
-		return false
+// ask queues a question about workers that have not been judged, if there are any and none is under way.
+func (c *Cell) ask(g *group, policy cwwork.Policy, now time.Time) {
+	if g.advice.asking || g.advice.asked == c.fleet {
+		return
 	}
 	var unknown []*worker
 	for _, w := range c.sortedWorkers() {
@@ -118,7 +115,7 @@
 	}
 	if len(unknown) == 0 {
 		g.advice.asked = c.fleet
-		return false
+		return
 	}
 	if limit := sampleSize(policy.Advice); len(unknown) > limit {
 		c.random.Shuffle(len(unknown), func(a, b int) { unknown[a], unknown[b] = unknown[b], unknown[a] })
@@ -126,7 +123,6 @@
 	}
 	g.advice.asking = true
 	c.queueQuestion(g, policy, unknown)
-	return true
 }
 
 // renew queues a question for new tickets of workers that are known to be good.
--- a/internal/core/cwcell/cell.go
+++ b/internal/core/cwcell/cell.go
@@ -42,7 +42,6 @@
 	open       []*group // groups with tasks that wait
 	timed      []*job   // jobs with occurrences still to come
 	dirty      []*job   // jobs whose progress is not durable yet
-	largest    cwmodel.Resources
 	asks       []*question
 	questionID uint64
 	inOrder    []*worker // workers in a fixed order; nil after a change
@@ -195,6 +194,7 @@
 	Step    cwwork.StepKey
 	Tasks   int // that wait
 	Need    cwmodel.Resources
+	Label   string // that the worker must have
 	Since   time.Time
 	Good    int  // workers that advice allows; -1 where none is needed
 	Asking  bool // a question about it is under way
@@ -207,7 +207,7 @@
 		if now.Sub(g.since) < d || len(list) == limit {
 			continue
 		}
-		w := Waiter{Step: g.key, Tasks: g.waiting, Need: g.step.Need, Since: g.since, Good: -1, Settled: c.settled(g.job, now)}
+		w := Waiter{Step: g.key, Tasks: g.waiting, Need: g.step.Need, Label: g.step.Requires, Since: g.since, Good: -1, Settled: c.settled(g.job, now)}
 		if g.advice != nil {
 			w.Good, w.Asking = len(g.advice.tickets), g.advice.asking || g.advice.pending > 0
 		}
--- a/internal/core/cwcell/gang.go
+++ b/internal/core/cwcell/gang.go
@@ -136,17 +136,13 @@
 	return seats
 }
 
-// lackRoom asks about more workers, keeps room for the gang, or gives up a gang that can never be whole.
+// lackRoom asks about more workers and keeps room for the gang. One that the present workers could never hold waits without
+// keeping any: others may join, and a job fails only by its attempts.
 func (c *Cell) lackRoom(g *group, policy cwwork.Policy, slack time.Duration, candidates []*worker, held *holds, now time.Time) {
-	asking := g.advice != nil && c.ask(g, policy, now)
-	if !c.couldSeat(g, candidates) {
-		if !asking && c.neverWhole(g, policy, now) {
-			c.note(Note{Event: "gang-too-wide", Job: g.job.ID, Detail: g.key.String()})
-			c.conclude(g.job, cwwork.StateFailed)
-		}
-		return
+	if g.advice != nil {
+		c.ask(g, policy, now)
 	}
-	if held.gangs < mostHolds {
+	if held.gangs < mostHolds && c.couldSeat(g, candidates) {
 		c.keepRoom(g, slack, candidates, held, now)
 	}
 }
@@ -242,28 +238,3 @@
 	}
 	return false
 }
-
-// neverWhole reports whether even all workers of the service that may run the group would be too few, for long enough
-// that workers which are away for a moment have come back.
-func (c *Cell) neverWhole(g *group, policy cwwork.Policy, now time.Time) bool {
-	if !c.settledAll(now) || now.Sub(g.since) < hopelessAfter {
-		return false
-	}
-	n := 0
-	for _, w := range c.workers {
-		if !c.suits(w, g, policy) {
-			continue
-		}
-		if g.advice != nil && !g.advice.allows(w) {
-			if !g.advice.knows(w) {
-				return false
-			}
-			continue
-		}
-		n += g.fits(w.Capacity)
-	}
-	return n < len(g.tasks)
-}
-
-// hopelessAfter is longer than workers are away for a restart or a short cut.
-const hopelessAfter = 6 * time.Second
--- a/internal/core/cwcell/place.go
+++ b/internal/core/cwcell/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
@@ -80,10 +79,6 @@
 	if policy.Advice.Needed() && g.advice == nil {
 		g.advice = newEligibility()
 	}
-	if c.infeasible(g, policy, now) {
-		c.conclude(g.job, cwwork.StateFailed)
-		return
-	}
 	if g.advice != nil && len(g.advice.tickets) == 0 {
 		c.ask(g, policy, now)
 		return
@@ -99,28 +94,6 @@
 	}
 }
 
-// infeasible reports whether no worker that was ever seen could hold one task of the group.
-func (c *Cell) infeasible(g *group, _ cwwork.Policy, now time.Time) bool {
-	if g.step.Need.FitsIn(c.largest) || len(c.workers) == 0 || !c.settledAll(now) {
-		return false
-	}
-	c.note(Note{Event: "job-infeasible", Job: g.job.ID, Detail: fmt.Sprintf("need=%+v largest=%+v", g.step.Need, c.largest)})
-	return true
-}
-
-// settledAll reports whether every listed worker has answered or had the time to.
-func (c *Cell) settledAll(now time.Time) bool {
-	if !now.Before(c.opts.Inherited) {
-		return true
-	}
-	for _, w := range c.workers {
-		if !w.known {
-			return false
-		}
-	}
-	return true
-}
-
 // suits reports whether a worker's kind is right for the group.
 func (c *Cell) suits(w *worker, g *group, policy cwwork.Policy) bool {
 	if w.Service != policy.Service || !g.step.Need.FitsIn(w.Capacity) {
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -119,7 +119,6 @@
 	w.Born = born
 	w.listed = true
 	c.fleet++
-	c.largest = larger(c.largest, info.Capacity)
 	c.changed = true
 	if info.Draining && !draining {
 		c.note(Note{Event: "worker-draining", Worker: w.ID})
@@ -250,14 +249,6 @@
 	return a.Index - b.Index
 }
 
-func larger(a, b cwmodel.Resources) cwmodel.Resources {
-	return cwmodel.Resources{
-		MilliProcessors: max(a.MilliProcessors, b.MilliProcessors),
-		MemoryBytes:     max(a.MemoryBytes, b.MemoryBytes),
-		Accelerators:    max(a.Accelerators, b.Accelerators),
-	}
-}
-
 // release frees the room of a run that is certainly over; its task waits again unless it is done.
 func (c *Cell) release(r *run, now time.Time) {
 	w, g := r.worker, r.group
