Load a takeover on duties of its own; remove what nothing uses

Cause: a takeover's reads went to the pool, which refuses when it is full, and a part that was refused was never read. Change: each read of a takeover is a duty that ends with the session.

--- a/internal/app/cwcellowner/load.go
+++ b/internal/app/cwcellowner/load.go
@@ -49,16 +49,16 @@
 // Retries of the reads of a takeover.
 const loadRetry = 200 * time.Millisecond
 
-// load reads the workers, until that succeeds or the session has ended.
-func (s *session) load() {
-	for attempt := 0; !s.ended.Load(); attempt++ {
+// load reads the workers, until that succeeds or ctx ends.
+func (s *session) load(ctx context.Context) {
+	for attempt := 0; ctx.Err() == nil; attempt++ {
 		img, err := s.readWorkers()
 		if err == nil {
 			s.post(func(now time.Time) { s.begin(img, now) })
 			return
 		}
 		s.owner.opts.Log.WithFields(cwlog.Fields{"attempt": attempt, "error": err.Error()}).Warn("workers-not-read")
-		s.owner.opts.Timer.Sleep(nil, loadRetry)
+		s.owner.opts.Timer.Sleep(ctx.Done(), loadRetry)
 	}
 }
 
@@ -80,7 +80,7 @@
 	}
 	s.addFormerMembers(img.members, now)
 	for name := range s.parts {
-		s.submit("load", func() { s.loadPart(name) })
+		s.cleanup.Add(cwduty.Start("load-part", func(ctx context.Context) { s.loadPart(ctx, name) }))
 	}
 	s.cleanup.Add(cwduty.Start("jobs-feed", func(ctx context.Context) { s.followJobs(ctx, s.tenure.Fence) }))
 	s.cleanup.Add(cwduty.Start("ended-sweep", s.sweep))
--- a/internal/app/cwcellowner/owner.go
+++ b/internal/app/cwcellowner/owner.go
@@ -34,7 +34,6 @@
 
 	StatusKept time.Duration
 	StopTime   time.Duration
-	FarFactor  float64
 	// HoldLease is how long tasks go on without a renewal.
 	HoldLease time.Duration
 	// StartWindow is how long a start order may travel.
--- a/internal/app/cwcellowner/part.go
+++ b/internal/app/cwcellowner/part.go
@@ -1,6 +1,7 @@
 package cwcellowner
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -49,9 +50,9 @@
 	return s.parts[PartOf(id, s.owner.opts.Store.Parts)]
 }
 
-// loadPart takes a part over and reads it, until that succeeds or the session has ended.
-func (s *session) loadPart(name string) {
-	for attempt := 0; !s.ended.Load(); attempt++ {
+// loadPart takes a part over and reads it, until that succeeds or ctx ends.
+func (s *session) loadPart(ctx context.Context, name string) {
+	for attempt := 0; ctx.Err() == nil; attempt++ {
 		img, err := s.readPart(name)
 		if err == nil {
 			s.post(func(now time.Time) { s.beginPart(name, img, now) })
@@ -62,7 +63,7 @@
 			return
 		}
 		s.owner.opts.Log.WithFields(cwlog.Fields{"part": name, "attempt": attempt, "error": err.Error()}).Warn("part-not-read")
-		s.owner.opts.Timer.Sleep(nil, loadRetry)
+		s.owner.opts.Timer.Sleep(ctx.Done(), loadRetry)
 	}
 }
 
--- a/internal/app/cwcellowner/session.go
+++ b/internal/app/cwcellowner/session.go
@@ -1,7 +1,6 @@
 package cwcellowner
 
 import (
-	"sync/atomic"
 	"time"
 
 	"currantward/internal/app/cwtenure"
@@ -28,7 +27,6 @@
 	cancels  map[cwmodel.JobID][]func()
 	cleanup  cwduty.Cleanup
 	closed   bool
-	ended    atomic.Bool // closed, for the calls that run outside of the duty
 	status   time.Time
 	decideAt time.Time // when the next decision may be made
 	waiters  time.Time // when the log last named the work that waits
@@ -64,13 +62,12 @@
 		Inherited:  t.Inherited,
 		StatusKept: o.opts.StatusKept,
 		StopTime:   o.opts.StopTime,
-		FarFactor:  o.opts.FarFactor,
 		Policy:     o.opts.Policy,
 		LeaseBound: o.opts.Workers.LeaseBound,
 	})
 	s.advice.session = s
 	s.cleanup.Add(o.opts.Timer.Every(tickPeriod, func(time.Time) { o.inbox.Offer(func(time.Time) {}) }))
-	s.submit("load", s.load)
+	s.cleanup.Add(cwduty.Start("load-workers", s.load))
 	return s
 }
 
@@ -80,7 +77,6 @@
 // close ends the tenure. Calls that are under way end by themselves; what they bring is dropped.
 func (s *session) close() {
 	s.closed = true
-	s.ended.Store(true)
 	s.owner.opts.Log.WithFields(cwlog.Fields{"fence": s.tenure.Fence, "after": s.owner.opts.Timer.Now().Sub(s.began)}).Info("cell-left")
 	for id := range s.links {
 		s.dropLink(id)
--- a/internal/app/cwnode/node.go
+++ b/internal/app/cwnode/node.go
@@ -19,30 +19,28 @@
 	"currantward/internal/base/cwlog"
 	"currantward/internal/base/cwtimer"
 	"currantward/internal/core/cwcell"
-	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwwork"
 	"currantward/internal/port/cwcellport"
 )
 
 // Options configure a node.
 type Options struct {
-	Self      cwcellport.EntryHost
-	PeerBind  netip.AddrPort
-	Capacity  float64 // share of a processor
-	Seed      uint64
-	Timer     *cwtimer.Service
-	Log       *logrus.Logger
-	Store     cwcellport.Store
-	Registry  cwcellport.Registry
-	Workers   cwcellport.Workers
-	Advice    cwcellport.Advice
-	Source    cwcellport.ConfigurationSource
-	Peers     cwcellport.Peers
-	HoldMax   time.Duration // longest lease that workers grant
-	StopTime  time.Duration // longest time of a stop
-	FarFactor float64
-	Status    time.Duration // how long final states stay known
-	Observed  func(cwcellowner.Observation)
+	Self     cwcellport.EntryHost
+	PeerBind netip.AddrPort
+	Capacity float64 // share of a processor
+	Seed     uint64
+	Timer    *cwtimer.Service
+	Log      *logrus.Logger
+	Store    cwcellport.Store
+	Registry cwcellport.Registry
+	Workers  cwcellport.Workers
+	Advice   cwcellport.Advice
+	Source   cwcellport.ConfigurationSource
+	Peers    cwcellport.Peers
+	HoldMax  time.Duration // longest lease that workers grant
+	StopTime time.Duration // longest time of a stop
+	Status   time.Duration // how long final states stay known
+	Observed func(cwcellowner.Observation)
 }
 
 const (
@@ -136,7 +134,7 @@
 	return cwcellowner.Options{
 		Self:  n.opts.Self,
 		Store: n.opts.Store, Registry: n.opts.Registry, Workers: n.opts.Workers, Timer: n.opts.Timer, Pool: pool, Log: n.opts.Log,
-		Seed: n.opts.Seed, StatusKept: n.opts.Status, StopTime: n.opts.StopTime, FarFactor: n.opts.FarFactor,
+		Seed: n.opts.Seed, StatusKept: n.opts.Status, StopTime: n.opts.StopTime,
 		HoldLease: n.holdLease(), StartWindow: startWindow,
 		Policy:   n.config.Policy,
 		Holds:    func(now time.Time) bool { return n.tenure.Holds(now) },
@@ -241,7 +239,7 @@
 		return
 	}
 	n.awaitRelease()
-	for _, p := range n.roster.successors() {
+	for _, p := range n.roster.reachable() {
 		err := n.opts.Peers.TakeOver(p.Address)
 		fields := cwlog.Fields{"successor": p.ID}
 		if err != nil {
@@ -261,8 +259,5 @@
 	}
 }
 
-// Owner returns the host that owns the cell, and whether that is known.
-func (n *Node) Owner() (cwmodel.HostID, bool) {
-	view := n.tenure.View()
-	return view.Owner.ID, view.Known
-}
+// Owns reports whether this host may act as the owner of the cell.
+func (n *Node) Owns() bool { return n.tenure.Holds(n.opts.Timer.Now()) }
--- a/internal/app/cwnode/roster.go
+++ b/internal/app/cwnode/roster.go
@@ -65,6 +65,3 @@
 func (r *roster) reachable() []cwcellport.EntryHost {
 	return r.list(func(p cwcellport.Pulse) bool { return !p.Leaving && p.StoreOK })
 }
-
-// successors returns the hosts that may take the cell over.
-func (r *roster) successors() []cwcellport.EntryHost { return r.reachable() }
--- a/internal/app/cwtenure/tenure.go
+++ b/internal/app/cwtenure/tenure.go
@@ -145,9 +145,6 @@
 	return v.IsOwner && now.Before(v.Until)
 }
 
-// StoreOK reports whether the last call of the keeper reached the store.
-func (k *Keeper) StoreOK() bool { return k.storeOK.Load() }
-
 // Met notes that another entry host has called.
 func (k *Keeper) Met() { k.met.Store(k.opts.Timer.Now().UnixNano()) }
 
@@ -156,9 +153,6 @@
 	return !k.storeOK.Load() && k.opts.Timer.Now().Sub(time.Unix(0, k.met.Load())) > isolatedAfter
 }
 
-// Leaving reports whether the host is shutting down.
-func (k *Keeper) Leaving() bool { return k.leaving.Load() }
-
 // TakeOver has the keeper try to take the lease at once.
 func (k *Keeper) TakeOver() { k.inbox.Offer(eventTakeOver) }
 
--- a/internal/core/cwcell/advice.go
+++ b/internal/core/cwcell/advice.go
@@ -189,7 +189,6 @@
 	for n, id := range q.Workers {
 		e.bad[id] = q.born[n]
 	}
-	fresh := 0
 	for _, row := range good {
 		n := slices.Index(q.Workers, row.ID)
 		w, known := c.workers[row.ID]
@@ -198,7 +197,6 @@
 		}
 		t, ok := e.tickets[row.ID]
 		if !ok {
-			fresh++
 			t = &ticket{}
 			e.tickets[row.ID] = t
 			at, _ := slices.BinarySearchFunc(e.good, row.ID, func(t *ticket, id cwmodel.HostID) int { return cmp.Compare(t.worker.ID, id) })
@@ -207,9 +205,6 @@
 		delete(e.bad, row.ID)
 		*t = ticket{worker: w, text: row.Ticket, born: q.born[n], until: validUntil}
 	}
-	const weight = 0.1
-	stats := c.queue(q.group.job.Queue)
-	stats.good += weight * (float64(fresh)/float64(len(q.Workers)) - stats.good)
 }
 
 // resolvePlanned orders the planned runs whose tickets have been renewed and gives up the others.
--- a/internal/core/cwcell/cell.go
+++ b/internal/core/cwcell/cell.go
@@ -23,8 +23,6 @@
 	StatusKept time.Duration
 	// StopTime is the longest time that a worker takes to stop a task.
 	StopTime time.Duration
-	// FarFactor is how many times as long a task takes away from the rack that it asks for.
-	FarFactor float64
 	// Policy returns the present policy of a queue, false if there is none.
 	Policy func(cwwork.QueueName) (cwwork.Policy, bool)
 	// LeaseBound returns when every lease that this owner has ordered on a worker is over.
@@ -64,8 +62,7 @@
 
 // queueStatistics is what the cell has learned about one queue.
 type queueStatistics struct {
-	waiting   int     // jobs of which no task has started
-	good      float64 // share of the workers that advice allowed, averaged
+	waiting   int // jobs of which no task has started
 	predictor predictor
 }
 
@@ -173,7 +170,7 @@
 func (c *Cell) queue(name cwwork.QueueName) *queueStatistics {
 	q, ok := c.queues[name]
 	if !ok {
-		q = &queueStatistics{good: 0.5}
+		q = &queueStatistics{}
 		c.queues[name] = q
 	}
 	return q
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -82,20 +82,6 @@
 	t.runs = append(t.runs, r)
 }
 
-// SetWorkers replaces the list of workers.
-func (c *Cell) SetWorkers(list []WorkerInfo, now time.Time) {
-	present := make(map[cwmodel.HostID]struct{}, len(list))
-	for _, info := range list {
-		present[info.ID] = struct{}{}
-		c.SetWorker(info, now)
-	}
-	for id := range c.workers {
-		if _, ok := present[id]; !ok {
-			c.RemoveWorker(id, now)
-		}
-	}
-}
-
 // SetWorker adds a worker or takes what is new about it.
 func (c *Cell) SetWorker(info WorkerInfo, now time.Time) {
 	w, ok := c.workers[info.ID]
--- a/internal/core/cwwork/work.go
+++ b/internal/core/cwwork/work.go
@@ -77,16 +77,6 @@
 	return s.First.Add(time.Duration(occurrence) * s.Interval)
 }
 
-// Lasting reports whether any step runs until the job is cancelled.
-func (s *Submission) Lasting() bool {
-	for n := range s.Steps {
-		if s.Steps[n].LongRunning {
-			return true
-		}
-	}
-	return false
-}
-
 // Chain returns the longest chain of dependent steps, each as long as expected says.
 func (s *Submission) Chain(expected func(*Step) time.Duration) time.Duration {
 	var longest time.Duration
--- a/internal/port/cwcellport/port.go
+++ b/internal/port/cwcellport/port.go
@@ -41,7 +41,6 @@
 // Limits of one call to the store; see the users' protocol.
 const (
 	MaxTransactionRows = 100
-	MaxKeyBytes        = 200
 )
 
 // Store is the platform's transactional store. Errors carry cwfault codes: Conflict if an expectation does not hold,
