Set the store's faults in a test without a race

Ruled out: the product, which does not touch that field. Change: the fault is read through an atomic pointer that is set before the nodes run.

--- a/internal/app/cwnode/node_test.go
+++ b/internal/app/cwnode/node_test.go
@@ -32,6 +32,7 @@
 	mu    sync.Mutex
 	nodes map[netip.AddrPort]*member
 	down  atomic.Bool // the store refuses every call
+	fault atomic.Pointer[func(cwcellport.Transaction) cwcelltwin.Fault]
 }
 
 // member is one node of a cluster.
@@ -51,6 +52,12 @@
 	timer, stop := cwtimer.NewSteady()
 	c := &cluster{t: t, timer: timer, store: cwcelltwin.NewStore(timer), nodes: map[netip.AddrPort]*member{}}
 	c.store.Down = c.down.Load
+	c.store.Fault = func(t cwcellport.Transaction) cwcelltwin.Fault {
+		if draw := c.fault.Load(); draw != nil {
+			return (*draw)(t)
+		}
+		return cwcelltwin.FaultNone
+	}
 	c.fleet = cwcelltwin.NewFleet(workers, service, cwmodel.Resources{MilliProcessors: 8000, MemoryBytes: 8 << 30}, runTime, timer)
 	for n := range nodes {
 		c.add(n)
@@ -340,11 +347,12 @@
 	// Drawn, since with a fixed order the same write may meet the same fault at each try.
 	var mu sync.Mutex
 	random := rand.New(rand.NewPCG(1, 1))
-	c.store.Fault = func(cwcellport.Transaction) cwcelltwin.Fault {
+	draw := func(cwcellport.Transaction) cwcelltwin.Fault {
 		mu.Lock()
 		defer mu.Unlock()
 		return []cwcelltwin.Fault{cwcelltwin.FaultNone, cwcelltwin.FaultMute, cwcelltwin.FaultNone, cwcelltwin.FaultLose}[random.IntN(4)]
 	}
+	c.fault.Store(&draw)
 	c.submit(entry, 0, 8)
 	c.completed(entry, 0, 8)
 	for key, n := range c.fleet.Starts() {
