--- a/review/harness/gate.go
+++ b/review/harness/gate.go
@@ -130,7 +130,7 @@
 		time.Sleep(10 * time.Millisecond)
 		_ = c.SetReadDeadline(time.Time{})
 		buf := make([]byte, 4096)
-		_, err := c.Conn.Read(buf)
+		_, err := c.Read(buf)
 		for !c.gate.hasPower() {
 			time.Sleep(retransmission)
 		}
