Review case 4: accepted jobs whose spec has some characters never run

The body of a start order is no JSON if the spec has a quote and an emoji of Unicode 16, or a control character. Runners answer 400; the owner quarantines them in turn and tries again for good. The client has the answer 200 and the state running.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/currantward ] && [ -x target/review-harness ] || exit 2
-exec target/review-harness pending review/4/record.txt
+exec target/review-harness spec review/4/record.txt
--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -227,7 +227,13 @@
 	return broken
 }
 
-// playSpec plays a day on which a client sends a job whose spec has a control character, among other jobs.
+// specs of the two jobs of playSpec that are out of the ordinary.
+const (
+	specEmoji  = "300 {\"note\":\"rider is tired \U0001FAE9\"}"      // JSON text with a face of Unicode 16
+	specColour = "300 battery \u001b[1mlow\u001b[0m, cell 3 \"old\"" // text from a terminal, with colour codes
+)
+
+// playSpec plays a calm day on which clients send two jobs of forty whose specs have such characters.
 func playSpec(c *cluster, trouble bool) ([]string, error) {
 	if err := startRunners(c, 8, 8000); err != nil {
 		return nil, err
@@ -238,9 +244,12 @@
 	time.Sleep(3 * time.Second)
 	s := step{Count: 1, CPU: 500, MemMB: 64, EstimateMS: 300}
 	for n := range 40 {
-		spec := "300 plain"
-		if trouble && n%20 == 10 {
-			spec = "300 battery \u001b[1mlow\u001b[0m"
+		spec := "300 {\"note\":\"plain\"}"
+		switch {
+		case trouble && n == 10:
+			spec = specEmoji
+		case trouble && n == 30:
+			spec = specColour
 		}
 		c.submit(prefix, spec, s)
 		time.Sleep(250 * time.Millisecond)
