--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -60,6 +60,7 @@
 type job struct {
 	id       string
 	queue    string
+	tasks    int
 	sentAt   time.Duration
 	accepted time.Duration // zero: not accepted
 }
@@ -135,6 +136,7 @@
 	n.process = exec.Command("target/currantward", "node")
 	n.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CURRANTWARD_CONFIG=" + c.settings(n)}
 	n.process.Stdout, n.process.Stderr = out, out
+	n.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if the harness is killed
 	if err = n.process.Start(); err != nil {
 		return errors.Join(err, out.Close())
 	}
@@ -254,7 +256,7 @@
 // submit sends a job to a node, again at the next one after no answer or a 502, 503 or 504, and returns it. Its tasks run as long
 // as the number of milliseconds that spec begins with.
 func (c *cluster) submit(queue, spec string, s step) *job {
-	j := &job{id: fmt.Sprintf("%016x", rand.Uint64()), queue: queue, sentAt: c.record.now()}
+	j := &job{id: fmt.Sprintf("%016x", rand.Uint64()), queue: queue, tasks: s.Count, sentAt: c.record.now()}
 	body, _ := json.Marshal(map[string]any{"spec": spec, "steps": []step{s}})
 	c.mu.Lock()
 	c.jobs = append(c.jobs, j)
