Log how far a fetch of the configuration came, and export the version in force

Callers got an answer of an older configuration; the log of the host said only that the store had been lost. A call that times out now states the bytes received and the time since the request, and configuration-not-fetched gives the call, the calls in progress with it and the version that stays in force.

--- a/internal/app/cwconfigwatch/watch.go
+++ b/internal/app/cwconfigwatch/watch.go
@@ -39,6 +39,7 @@
 	opts             Options
 	current          atomic.Pointer[indexedConfig] // nil before the first configuration
 	reportedVersions *cwring.Ring[uint64]          // versions that peers have reported
+	callsInProgress  atomic.Int32                  // calls to the source
 }
 
 // indexedConfig is one configuration with its queues indexed by name and by host.
@@ -132,9 +133,27 @@
 // fetch reads the configuration, or if synced is set waits for one that was written after a version.
 func (w *Watcher) fetch(after uint64, synced bool) (*cwcellport.Configuration, uint64, error) {
 	if synced {
-		return w.opts.Source.Watch(after, watchWait)
+		return w.call("watch", func() (*cwcellport.Configuration, uint64, error) { return w.opts.Source.Watch(after, watchWait) })
 	}
-	return w.opts.Source.Read(readTimeout)
+	return w.read()
+}
+
+// read reads the configuration from its source.
+func (w *Watcher) read() (*cwcellport.Configuration, uint64, error) {
+	return w.call("read", func() (*cwcellport.Configuration, uint64, error) { return w.opts.Source.Read(readTimeout) })
+}
+
+// call calls the source, and logs a failure with the version that stays in force and the number of calls in progress.
+func (w *Watcher) call(name string, fetch func() (*cwcellport.Configuration, uint64, error)) (*cwcellport.Configuration, uint64, error) {
+	concurrent, startedAt := w.callsInProgress.Add(1), w.opts.Timer.Now()
+	cfg, version, err := fetch()
+	w.callsInProgress.Add(-1)
+	if err != nil && cwfault.CodeOf(err) != cwfault.NotFound {
+		w.opts.Log.WithFields(cwlog.Fields{
+			"call": name, "elapsed": w.opts.Timer.Now().Sub(startedAt), "in-progress": concurrent, "version": w.Version(), "error": err.Error(),
+		}).Warn("configuration-not-fetched")
+	}
+	return cfg, version, err
 }
 
 // refreshOnReport reads the configuration when a peer has reported a newer one, for instance if the watch's connection has
@@ -148,7 +167,7 @@
 		if version <= w.Version() {
 			continue
 		}
-		if cfg, _, err := w.opts.Source.Read(readTimeout); err == nil {
+		if cfg, _, err := w.read(); err == nil {
 			w.apply(cfg)
 		}
 	}
--- a/internal/app/cwnode/node.go
+++ b/internal/app/cwnode/node.go
@@ -257,6 +257,9 @@
 	return n.config.Route(host, path)
 }
 
+// ConfigurationVersion returns the version of the configuration in force, or 0 before the first one.
+func (n *Node) ConfigurationVersion() uint64 { return n.config.Version() }
+
 // MaxBodyBytes returns the largest request body that the configuration allows, or 0 before the first configuration.
 func (n *Node) MaxBodyBytes() int { return n.config.MaxBodyBytes() }
 
--- a/internal/base/cwhttp/client.go
+++ b/internal/base/cwhttp/client.go
@@ -75,7 +75,7 @@
 				return nil, errors.Join(err, conn.Close())
 			}
 		}
-		return opts.Traffic.Conn(conn), nil
+		return &responseConn{Conn: opts.Traffic.Conn(conn)}, nil
 	}
 }
 
--- /dev/null
+++ b/internal/base/cwhttp/progress.go
@@ -0,0 +1,48 @@
+package cwhttp
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// responseConn is a client's connection that records how much of the current response has arrived. Its reads and writes do not overlap.
+type responseConn struct {
+	net.Conn
+	requestedAt time.Time // of the last write
+	received    int64     // bytes since then
+}
+
+// Write sends a part of a request.
+func (c *responseConn) Write(buf []byte) (n int, err error) {
+	c.requestedAt, c.received = time.Now(), 0
+	return c.Conn.Write(buf)
+}
+
+// Read receives a part of a response. The error of a timeout states how much of the response has arrived.
+func (c *responseConn) Read(buf []byte) (n int, err error) {
+	n, err = c.Conn.Read(buf)
+	c.received += int64(n)
+	if eris.Is(err, os.ErrDeadlineExceeded) {
+		err = &incompleteError{cause: err, received: c.received, elapsed: time.Since(c.requestedAt)}
+	}
+	return n, err
+}
+
+// incompleteError is the error of a response that did not arrive in time.
+type incompleteError struct {
+	cause    error
+	received int64         // bytes, with those of the header
+	elapsed  time.Duration // since the request was sent
+}
+
+// Error returns the cause and how much of the response has arrived.
+func (e *incompleteError) Error() string {
+	return fmt.Sprintf("%v with %d bytes received in %s", e.cause, e.received, e.elapsed.Round(time.Millisecond))
+}
+
+// Unwrap returns the cause.
+func (e *incompleteError) Unwrap() error { return e.cause }
