Add a failing test of a large configuration on narrow links

Hosts on a link of 10 Mbit/s never get a configuration of 9,000 queues: the test fails on this commit for each of its three narrow nodes and for no other.

--- a/internal/proof/cwprocess/proxy.go
+++ b/internal/proof/cwprocess/proxy.go
@@ -24,6 +24,8 @@
 	target        netip.AddrPort
 	mu            sync.Mutex
 	faults        NetFaults
+	bytesPerSec   int64     // capacity of the link in each direction; 0: unlimited
+	busyUntil     [2]time.Time // when each direction has sent the bytes that were given to it: to the target, from it
 	faultsChanged chan struct{} // closed and replaced when faults change
 	connections   map[*connection]struct{}
 }
@@ -37,6 +39,14 @@
 	closeOnce              sync.Once
 }
 
+// direction is a direction of a forwarded connection.
+type direction int
+
+const (
+	toTarget direction = iota
+	fromTarget
+)
+
 // NewProxy starts a TCP proxy without faults on a free port of the loopback interface, and returns the function that stops it.
 func NewProxy(timer *cwtimer.Service, target netip.AddrPort) (p *Proxy, stop func(), err error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -70,6 +80,28 @@
 	p.faultsChanged = make(chan struct{})
 }
 
+// SetBandwidth limits the bytes per second that all connections together may send in each direction; 0 sets no limit.
+func (p *Proxy) SetBandwidth(bytesPerSec int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bytesPerSec = bytesPerSec
+}
+
+// reserveLink returns how long it takes until the link has sent n more bytes in a direction.
+func (p *Proxy) reserveLink(d direction, n int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.bytesPerSec == 0 {
+		return 0
+	}
+	now := p.timer.Now()
+	if p.busyUntil[d].Before(now) {
+		p.busyUntil[d] = now
+	}
+	p.busyUntil[d] = p.busyUntil[d].Add(time.Duration(n) * time.Second / time.Duration(p.bytesPerSec))
+	return p.busyUntil[d].Sub(now)
+}
+
 // SetDisconnected resets all connections and refuses new ones, or accepts new ones again. It replaces all other faults.
 func (p *Proxy) SetDisconnected(disconnected bool) {
 	p.SetFaults(NetFaults{RefuseConnections: disconnected})
@@ -142,8 +174,8 @@
 	p.connections[c] = struct{}{}
 	p.mu.Unlock()
 	var copying sync.WaitGroup
-	copying.Go(func() { p.copyOneWay(c, clientConn, targetConn, func(f NetFaults) bool { return f.StallTo }) })
-	copying.Go(func() { p.copyOneWay(c, targetConn, clientConn, func(f NetFaults) bool { return f.StallFrom }) })
+	copying.Go(func() { p.copyOneWay(c, clientConn, targetConn, toTarget) })
+	copying.Go(func() { p.copyOneWay(c, targetConn, clientConn, fromTarget) })
 	copying.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,14 +189,17 @@
 	c.closeOnce.Do(func() { close(c.closed) })
 }
 
-// copyOneWay copies in one direction until an end closes. isStalled reports whether the faults stall this direction.
-func (p *Proxy) copyOneWay(c *connection, from, to net.Conn, isStalled func(NetFaults) bool) {
+// copyOneWay copies in one direction until an end closes.
+func (p *Proxy) copyOneWay(c *connection, from, to net.Conn, d direction) {
 	defer c.closeAfterCopy()
 	const chunkBytes = 32 << 10
 	buf := make([]byte, chunkBytes)
 	for {
 		n, err := from.Read(buf)
-		if err != nil || !p.awaitForwarding(c, isStalled) {
+		if err != nil || !p.awaitForwarding(c, d) {
+			return
+		}
+		if wait := p.reserveLink(d, n); wait > 0 && !p.timer.Sleep(c.closed, wait) {
 			return
 		}
 		if _, err = to.Write(buf[:n]); err != nil {
@@ -186,7 +221,7 @@
 
 // awaitForwarding waits while the faults stall or delay a direction. It returns false if its bytes must not be forwarded, because
 // the connection is black-holed or closed.
-func (p *Proxy) awaitForwarding(c *connection, isStalled func(NetFaults) bool) bool {
+func (p *Proxy) awaitForwarding(c *connection, d direction) bool {
 	for {
 		faults, changed, _ := p.currentFaults()
 		select {
@@ -195,7 +230,7 @@
 		default:
 		}
 		switch {
-		case isStalled(faults):
+		case d == toTarget && faults.StallTo, d == fromTarget && faults.StallFrom:
 			select {
 			case <-changed:
 			case <-c.closed:
--- a/internal/proof/cwsoak/cluster.go
+++ b/internal/proof/cwsoak/cluster.go
@@ -37,6 +37,8 @@
 	Nodes    int
 	Racks    int // each is one process
 	Runners  int // in each rack
+	// NarrowNodes is how many of the first nodes reach the store over a link of narrowLinkBytesPerSec.
+	NarrowNodes int
 }
 
 // Capacity of a runner, and names and bounds in the configuration.
@@ -48,6 +50,9 @@
 	maxAttempts      = 3
 )
 
+// narrowLinkBytesPerSec is the capacity of a narrow link, 10 Mbit/s.
+const narrowLinkBytesPerSec = 10_000_000 / 8
+
 // node is one entry host. A restart replaces its process; its addresses stay.
 type node struct {
 	*cwprocess.Process
@@ -100,6 +105,7 @@
 	subnet              [2]byte        // of the nodes' addresses, random so that concurrent runs do not collide
 	racks               []*rack
 	newestVersion       atomic.Uint64 // of the configuration
+	bulkQueues          atomic.Int64  // number of queues without jobs that each further version of the configuration has
 	configurationMu     sync.Mutex    // held while a configuration is written
 
 	mu        sync.Mutex
@@ -184,6 +190,12 @@
 		q.Host, q.Policy.Service, q.Policy.MaxAttempts, q.Policy.Stretch, q.Policy.TargetLatency = queueHostname, serviceName, maxAttempts, 2, time.Second
 		cfg.Queues = append(cfg.Queues, q)
 	}
+	for v := uint64(1); v <= version; v++ {
+		cfg.Queues = append(cfg.Queues, bulkQueue(addedPrefix(v)))
+	}
+	for n := range c.bulkQueues.Load() {
+		cfg.Queues = append(cfg.Queues, bulkQueue(fmt.Sprintf("/bulk-%d/", n)))
+	}
 	body, err := cwrows.EncodeConfiguration(cfg)
 	if err != nil {
 		return err
@@ -191,6 +203,17 @@
 	return c.sendCommand(c.platformControlAddr, cwstandin.PathConfiguration, body)
 }
 
+// bulkQueue returns a queue that receives no jobs.
+func bulkQueue(prefix string) cwcellport.Queue {
+	return cwcellport.Queue{
+		Host: queueHostname, Prefix: prefix,
+		Policy: cwwork.QueuePolicy{Service: serviceName, Priority: 2, MaxAttempts: maxAttempts, Stretch: 2, TargetLatency: time.Second},
+	}
+}
+
+// addedPrefix returns the path prefix of the queue that a version of the configuration adds, and that all later ones keep.
+func addedPrefix(version uint64) string { return fmt.Sprintf("/added-%d/", version) }
+
 // versionPrefix returns the path prefix of the queue that exists only in one version of the configuration.
 func versionPrefix(version uint64) string { return fmt.Sprintf("/version-%d/", version) }
 
@@ -264,6 +287,9 @@
 		return err
 	}
 	c.cleanup.Add(stopStoreProxy)
+	if number <= c.opts.NarrowNodes {
+		storeProxy.SetBandwidth(narrowLinkBytesPerSec)
+	}
 	ip := netip.AddrFrom4([4]byte{127, c.subnet[0], c.subnet[1], byte(number)})
 	n.storeProxy = storeProxy
 	n.settings = cwboot.Settings{
