Bound the pauses of the store's responses instead of the whole transfer

Callers of hosts on narrow links got answers of an older configuration: a read had to end within 700 ms and a watch 700 ms after its wait, so a configuration of 1.9 MB could never arrive at 10 Mbit/s, and each retry began with the first byte.

The timeout of a call to the store now bounds the wait for the first byte; after it, each pause within the response is bounded. TestLargeResponseArrivesOverSlowLink fails without the bound, which its last case shows.

--- a/internal/base/cwhttp/client.go
+++ b/internal/base/cwhttp/client.go
@@ -24,6 +24,9 @@
 	MaxIdleConnection time.Duration // after which an idle connection is closed
 	DialTimeout       time.Duration
 	Traffic           *ByteCounter // counts the bytes of all connections; nil: not counted
+	// StallTimeout makes the timeout of a call bound only the wait for the first byte of its response, and is the longest pause after
+	// it. Zero: the timeout of a call bounds the whole response.
+	StallTimeout time.Duration
 	// UserTimeout closes connections whose sent data stays unacknowledged for longer; zero selects the kernel's default.
 	UserTimeout time.Duration
 }
@@ -75,7 +78,7 @@
 				return nil, errors.Join(err, conn.Close())
 			}
 		}
-		return &responseConn{Conn: opts.Traffic.Conn(conn)}, nil
+		return &responseConn{Conn: opts.Traffic.Conn(conn), stallTimeout: opts.StallTimeout}, nil
 	}
 }
 
--- a/internal/base/cwhttp/progress.go
+++ b/internal/base/cwhttp/progress.go
@@ -9,11 +9,13 @@
 	"github.com/rotisserie/eris"
 )
 
-// responseConn is a client's connection that records how much of the current response has arrived. Its reads and writes do not overlap.
+// responseConn is a client's connection that bounds the pauses within a response rather than its whole transfer, so that a response of
+// any size arrives over any link that makes progress. Its reads and writes do not overlap.
 type responseConn struct {
 	net.Conn
-	requestedAt time.Time // of the last write
-	received    int64     // bytes since then
+	stallTimeout time.Duration // longest pause within a response; zero: the deadlines of the caller bound the whole response
+	requestedAt  time.Time     // of the last write
+	received     int64         // bytes since then
 }
 
 // Write sends a part of a request.
@@ -22,8 +24,14 @@
 	return c.Conn.Write(buf)
 }
 
-// Read receives a part of a response. The error of a timeout states how much of the response has arrived.
+// Read receives a part of a response. The caller's read deadline holds until its first byte. The error of a timeout states how much of
+// the response has arrived.
 func (c *responseConn) Read(buf []byte) (n int, err error) {
+	if c.received > 0 && c.stallTimeout > 0 {
+		if err = c.SetReadDeadline(time.Now().Add(c.stallTimeout)); err != nil {
+			return 0, err
+		}
+	}
 	n, err = c.Conn.Read(buf)
 	c.received += int64(n)
 	if eris.Is(err, os.ErrDeadlineExceeded) {
