Give hosts on narrow links the difference between two configurations

Callers of hosts on narrow links got answers of an older configuration while it changed faster than the store's response with the whole of it arrives: 3.9 MB for 10,000 routes takes 3.1 s at 10 Mbit/s, longer than a change may take. Each heartbeat response of the owner started a second transfer on the same link: 1,557 of 1,758 failed fetches of the reproduction had another one in progress, and got half of the rate.

A host whose transfers take over 0.25 s at the rate of its link now follows the owner and fetches the difference between two versions from it, checked by a checksum of all queues. It has one transfer at a time, and watches the store again when the owner is silent, can't renew its lease or fails to give a difference. Heartbeats carry the version both ways, so an owner that is cut off from the store learns of changes too.

--- a/internal/adapter/cwcellpeer/client.go
+++ b/internal/adapter/cwcellpeer/client.go
@@ -29,19 +29,21 @@
 	StoreTimeout    time.Duration // of a call that waits for the store
 	MaxConnsPerPeer int
 	UserTimeout     time.Duration // closes connections whose data is not acknowledged, as in a network partition
+	StallTimeout    time.Duration // longest pause within a large response, or before it
 }
 
 // DefaultClientOptions returns limits that suit entry hosts of one region.
 func DefaultClientOptions() ClientOptions {
-	return ClientOptions{Timeout: 400 * time.Millisecond, StoreTimeout: 1500 * time.Millisecond, MaxConnsPerPeer: 32, UserTimeout: 2 * time.Second}
+	return ClientOptions{Timeout: 400 * time.Millisecond, StoreTimeout: 1500 * time.Millisecond, MaxConnsPerPeer: 32, UserTimeout: 2 * time.Second, StallTimeout: time.Second}
 }
 
 // client calls peers. It keeps one twirp client for each address.
 type client struct {
 	opts    ClientOptions
 	http    *http.Client
+	bulk    *http.Client // for large responses
 	mu      sync.Mutex
-	clients map[netip.AddrPort]cwcellwire.Cell
+	clients map[netip.AddrPort]cwcellwire.Cell // on http
 }
 
 // New returns the port to peers. The stop function closes its connections.
@@ -49,7 +51,10 @@
 	httpClient, stop := cwrpc.NewClient(cwrpc.ClientOptions{
 		DialTimeout: opts.Timeout, MaxConnsPerPeer: opts.MaxConnsPerPeer, UserTimeout: opts.UserTimeout,
 	})
-	c := &client{opts: opts, http: httpClient, clients: map[netip.AddrPort]cwcellwire.Cell{}}
+	bulkClient, _ := cwrpc.NewClient(cwrpc.ClientOptions{
+		DialTimeout: opts.Timeout, UserTimeout: opts.UserTimeout, StallTimeout: opts.StallTimeout,
+	})
+	c := &client{opts: opts, http: httpClient, bulk: bulkClient, clients: map[netip.AddrPort]cwcellwire.Cell{}}
 	return cwcellport.Peers{
 		Heartbeat:       c.heartbeat,
 		NotifyJob:       c.notifyJob,
@@ -58,6 +63,8 @@
 		RequestAdvice:   c.requestAdvice,
 		StoreSubmission: c.storeSubmission,
 		TakeOver:        c.takeOver,
+
+		ConfigurationDifference: c.configurationDifference,
 	}, stop
 }
 
@@ -84,12 +91,13 @@
 	defer cancel()
 	reply, err := c.peer(addr).Pulse(ctx, &cwcellwire.PulseRequest{
 		From: hostToWire(h.From), Leaving: h.Draining, StoreOk: h.StoreOK, Capacity: h.Capacity, Cell: int32(h.Cell), Owned: int32(h.OwnedCells),
+		Configuration: h.ConfigurationVersion,
 	})
 	if err != nil {
 		return response, fromTwirpError(err)
 	}
 	response = cwcellport.HeartbeatResponse{
-		IsOwner: reply.GetIsOwner(), RenewalFailing: reply.GetUnwell(), LeaseVersion: reply.GetLeaseVersion(), ConfigurationVersion: reply.GetConfiguration(),
+		IsOwner: reply.GetIsOwner(), RenewalFailing: reply.GetUnwell(), LeaseVersion: reply.GetLeaseVersion(), ConfigurationVersion: reply.GetConfiguration(), StoreVersion: reply.GetStoreVersion(),
 		QueuesComplete: reply.GetCounted(), Cells: int(reply.GetCells()),
 	}
 	if reply.GetOwner() != nil {
--- a/internal/adapter/cwcellpeer/peer_test.go
+++ b/internal/adapter/cwcellpeer/peer_test.go
@@ -22,7 +22,7 @@
 	is := is.New(t)
 	self := cwcellport.EntryHost{ID: "a", DataCentre: "dc", Address: netip.MustParseAddrPort("10.0.0.1:7720")}
 	response := cwcellport.HeartbeatResponse{
-		IsOwner: true, RenewalFailing: true, QueuesComplete: true, Owner: self, Fence: 7, LeaseVersion: 9, ConfigurationVersion: 3, Cells: 4,
+		IsOwner: true, RenewalFailing: true, QueuesComplete: true, Owner: self, Fence: 7, LeaseVersion: 9, ConfigurationVersion: 3, StoreVersion: 12, Cells: 4,
 		Queues: []cwcellport.QueueLength{{Queue: "h/q/", Waiting: 12}}, Peers: []cwcellport.EntryHost{self},
 	}
 	job := &cwwork.Submission{
@@ -36,7 +36,11 @@
 	var notified *cwwork.Submission
 	adviceRequest := cwcell.AdviceRequest{Step: cwwork.StepKey{Job: "j", Occurrence: 1, Step: 2}, Workers: []cwmodel.HostID{"w1", "w2"}, Cost: 20 * time.Millisecond}
 	takenOver := cwlayout.Cell(0)
-	heartbeat := cwcellport.Heartbeat{Cell: 2, From: self, OwnedCells: 1, Draining: true, StoreOK: true, Capacity: 0.4}
+	heartbeat := cwcellport.Heartbeat{Cell: 2, From: self, OwnedCells: 1, Draining: true, StoreOK: true, Capacity: 0.4, ConfigurationVersion: 2}
+	difference := &cwcellport.ConfigurationDifference{
+		Base: 2, Version: 3, StoreVersion: 12, MaxBodyBytes: 1 << 10, Checksum: 1 << 63, Removed: []cwwork.QueueName{"h/old/"},
+		Put: []cwcellport.Queue{{Host: "h", Prefix: "/q/", Policy: job.Policy}, {Host: "h", Prefix: "/p/", Policy: cwwork.QueuePolicy{Service: "s"}}},
+	}
 	bound, stop, err := Serve(ServerOptions{
 		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Log: cwlog.Discard(), ShutdownTimeout: time.Second,
 		Heartbeat: func(p cwcellport.Heartbeat) cwcellport.HeartbeatResponse {
@@ -63,6 +67,12 @@
 		},
 		StoreSubmission: func(*cwwork.Submission) cwcellport.SubmitResult { return cwcellport.SubmitRefused },
 		TakeOver:        func(cell cwlayout.Cell) { takenOver = cell },
+		ConfigurationDifference: func(version uint64) (*cwcellport.ConfigurationDifference, error) {
+			if version != difference.Base {
+				return nil, cwfault.New(cwfault.NotSupported, "no later version")
+			}
+			return difference, nil
+		},
 	})
 	is.NoErr(err)
 	defer stop()
@@ -90,6 +100,11 @@
 	result, err := peers.StoreSubmission(bound, job)
 	is.NoErr(err)
 	is.Equal(result, cwcellport.SubmitRefused)
+	gotDifference, err := peers.ConfigurationDifference(bound, 2)
+	is.NoErr(err)
+	is.Equal(gotDifference, difference)
+	_, err = peers.ConfigurationDifference(bound, 3)
+	is.Equal(cwfault.CodeOf(err), cwfault.NotSupported)
 	is.NoErr(peers.TakeOver(bound, 3))
 	is.Equal(takenOver, cwlayout.Cell(3))
 }
--- a/internal/adapter/cwcellpeer/server.go
+++ b/internal/adapter/cwcellpeer/server.go
@@ -34,6 +34,8 @@
 	RequestAdvice   func(q *cwcell.AdviceRequest) (eligible []cwcell.EligibleWorker, validity time.Duration, err error)
 	StoreSubmission func(s *cwwork.Submission) cwcellport.SubmitResult
 	TakeOver        func(cell cwlayout.Cell)
+
+	ConfigurationDifference func(version uint64) (*cwcellport.ConfigurationDifference, error)
 }
 
 // server converts the calls of peers between the wire format and the handlers. Its methods have the names of the protocol.
@@ -54,10 +56,10 @@
 	}
 	response := s.opts.Heartbeat(cwcellport.Heartbeat{
 		Cell: cwlayout.Cell(r.GetCell()), From: from, OwnedCells: int(r.GetOwned()),
-		Draining: r.GetLeaving(), StoreOK: r.GetStoreOk(), Capacity: r.GetCapacity(),
+		Draining: r.GetLeaving(), StoreOK: r.GetStoreOk(), Capacity: r.GetCapacity(), ConfigurationVersion: r.GetConfiguration(),
 	})
 	reply := &cwcellwire.PulseReply{
-		IsOwner: response.IsOwner, Unwell: response.RenewalFailing, LeaseVersion: response.LeaseVersion, Configuration: response.ConfigurationVersion,
+		IsOwner: response.IsOwner, Unwell: response.RenewalFailing, LeaseVersion: response.LeaseVersion, Configuration: response.ConfigurationVersion, StoreVersion: response.StoreVersion,
 		Counted: response.QueuesComplete, Cells: int32(response.Cells),
 	}
 	if response.Owner.ID != "" {
--- a/internal/app/cwconfigwatch/watch.go
+++ b/internal/app/cwconfigwatch/watch.go
@@ -1,9 +1,12 @@
-// Package cwconfigwatch applies the operator's latest configuration on one entry host.
+// Package cwconfigwatch keeps the operator's latest configuration in force on one entry host.
+//
+// A host watches the store. Where the store's response with the whole configuration takes long, because the host's link is narrow for the
+// size of the configuration, it follows the owner instead: it fetches the difference between two versions from it.
 package cwconfigwatch
 
 import (
 	"context"
-	"strings"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -21,42 +24,55 @@
 // Options configure a watcher.
 type Options struct {
 	Source cwcellport.ConfigurationSource
-	Timer  *cwtimer.Service
-	Log    *logrus.Logger
+	// FetchDifference returns the difference between a version and the one in force at a peer.
+	FetchDifference func(addr netip.AddrPort, version uint64) (*cwcellport.ConfigurationDifference, error)
+	Timer           *cwtimer.Service
+	Log             *logrus.Logger
 }
 
 // Timing of the watcher: a configuration is in force within 2 s of its acknowledgement to the operator, even if a connection
 // stalls.
 const (
-	readTimeout = 700 * time.Millisecond
+	readTimeout = 700 * time.Millisecond // for the first byte of the response
 	watchWait   = time.Second
 	retryPause  = 200 * time.Millisecond
+	// maxTransferTime is the time that the store's response with the whole configuration may take on a host that watches the store. Longer
+	// ones would take up the link for much of the time between changes.
+	maxTransferTime = 250 * time.Millisecond
+	// ownerExpiry is how long a host relies on the owner after its last report. It exceeds two heartbeats.
+	ownerExpiry = 1200 * time.Millisecond
+	// distrustTime is how long a host watches the store after a difference could not be fetched from a peer or applied.
+	distrustTime = 2 * time.Second
+	// storePrecedence is how long a host that watches the store waits for it, before it asks a peer for a version that the peer has reported.
+	storePrecedence = 300 * time.Millisecond
 )
 
-// Watcher keeps the latest configuration. One duty watches its source, another reads it after a peer has reported a newer
-// version.
+// Watcher keeps the latest configuration. One duty watches its source, another fetches versions that peers have reported.
 type Watcher struct {
-	opts             Options
-	current          atomic.Pointer[indexedConfig] // nil before the first configuration
-	reportedVersions *cwring.Ring[uint64]          // versions that peers have reported
-	callsInProgress  atomic.Int32                  // calls to the source
+	opts    Options
+	current atomic.Pointer[indexedConfig] // nil before the first configuration
+	reports *cwring.Ring[report]          // of newer versions at peers
+
+	confirmedVersion     atomic.Uint64 // of the store: it has no later configuration up to this version
+	transferTimePerQueue atomic.Int64  // of the last response of the store with a configuration, in nanoseconds
+	ownerReportedAt      atomic.Int64  // in Unix nanoseconds
+	distrustedUntil      atomic.Int64  // in Unix nanoseconds
 }
 
-// indexedConfig is one configuration with its queues indexed by name and by host.
-type indexedConfig struct {
-	*cwcellport.Configuration
-	byName map[cwwork.QueueName]*cwcellport.Queue
-	byHost map[string][]*cwcellport.Queue
+// report is the version of the configuration in force at a peer.
+type report struct {
+	version uint64
+	peer    netip.AddrPort
 }
 
 // New returns a watcher without a configuration; Start makes it read one.
-func New(opts Options) *Watcher { return &Watcher{opts: opts, reportedVersions: cwring.New[uint64](4)} }
+func New(opts Options) *Watcher { return &Watcher{opts: opts, reports: cwring.New[report](4)} }
 
 // Start runs the watcher and returns the function that stops it.
 func (w *Watcher) Start() (stop func()) {
 	stopWatch := cwduty.Start("configuration-watch", w.watch)
-	stopRefresh := cwduty.Start("configuration-hints", w.refreshOnReport)
-	return cwduty.Concurrent([]func(){stopWatch, stopRefresh})
+	stopReports := cwduty.Start("configuration-reports", w.fetchReported)
+	return cwduty.Concurrent([]func(){stopWatch, stopReports})
 }
 
 // Version returns the version in force, or 0 before the first configuration.
@@ -67,6 +83,12 @@
 	return 0
 }
 
+// Confirmed returns the version in force, and a version of the store up to which there is no later configuration.
+func (w *Watcher) Confirmed() (version, storeVersion uint64) {
+	storeVersion = w.confirmedVersion.Load() // before the configuration, which may be replaced meanwhile
+	return w.Version(), storeVersion
+}
+
 // Policy returns the current policy of a queue, or false if the queue is not configured.
 func (w *Watcher) Policy(name cwwork.QueueName) (cwwork.QueuePolicy, bool) {
 	c := w.current.Load()
@@ -87,12 +109,7 @@
 	if c == nil {
 		return nil, false
 	}
-	for _, candidate := range c.byHost[host] {
-		if strings.HasPrefix(path, candidate.Prefix) && (q == nil || len(candidate.Prefix) > len(q.Prefix)) {
-			q = candidate
-		}
-	}
-	return q, true
+	return c.route(host, path), true
 }
 
 // MaxBodyBytes returns the largest body that the configuration allows, or 0 before the first one.
@@ -103,26 +120,70 @@
 	return 0
 }
 
-// RefreshIfOlder makes the watcher read the configuration if the current one is older than version, which a peer has reported.
-func (w *Watcher) RefreshIfOlder(version uint64) {
+// Difference returns the difference between a version at a peer and the configuration in force. It fails with NotSupported if this host
+// has no later one.
+func (w *Watcher) Difference(version uint64) (*cwcellport.ConfigurationDifference, error) {
+	storeVersion := w.confirmedVersion.Load() // before the configuration, which may be replaced meanwhile
+	c := w.current.Load()
+	if c == nil || c.Version <= version {
+		return nil, cwfault.New(cwfault.NotSupported, "there is no configuration later than version %d", version)
+	}
+	d := c.since(version)
+	d.StoreVersion = storeVersion
+	return d, nil
+}
+
+// ReportPeer makes the watcher fetch the configuration of a peer if it has a later version.
+func (w *Watcher) ReportPeer(version uint64, peer netip.AddrPort) {
 	if version > w.Version() {
-		w.reportedVersions.Offer(version)
+		w.reports.Offer(report{version, peer})
+	}
+}
+
+// ReportOwner is ReportPeer for the owner of the first cell, which this host may follow. storeVersion is a version of the store up to which
+// there is no later configuration than the reported one.
+func (w *Watcher) ReportOwner(version, storeVersion uint64, owner netip.AddrPort) {
+	w.ownerReportedAt.Store(w.opts.Timer.Now().UnixNano())
+	if version == w.Version() {
+		w.confirm(storeVersion)
+	}
+	w.ReportPeer(version, owner)
+}
+
+// confirm records that the store has no later configuration than the one in force, up to a version of the store.
+func (w *Watcher) confirm(storeVersion uint64) {
+	for {
+		current := w.confirmedVersion.Load()
+		if storeVersion <= current || w.confirmedVersion.CompareAndSwap(current, storeVersion) {
+			return
+		}
 	}
 }
 
-// watch applies each new configuration of the source until ctx ends. While synced is false, it reads the configuration instead
-// of waiting for a change after a known version.
+// followsOwner reports whether this host gets changes from the owner instead of the store: the store's responses take too long, and the
+// owner reports its version regularly.
+func (w *Watcher) followsOwner() bool {
+	c, now := w.current.Load(), w.opts.Timer.Now().UnixNano()
+	return c != nil && time.Duration(w.transferTimePerQueue.Load()*int64(len(c.Queues))) > maxTransferTime &&
+		now-w.ownerReportedAt.Load() < int64(ownerExpiry) && now > w.distrustedUntil.Load()
+}
+
+// watch applies each new configuration of the store until ctx ends. While this host follows the owner, it only probes the store, so that
+// the host knows whether it reaches the store.
 func (w *Watcher) watch(ctx context.Context) {
-	after, synced := uint64(0), false
+	synced := false // the store is known to have the changes after the confirmed version
+	var probedAt time.Time
 	for ctx.Err() == nil {
-		cfg, version, err := w.fetch(after, synced)
-		switch {
-		case err == nil:
-			after, synced = max(after, version), true
-			w.apply(cfg)
-			continue
-		case cwfault.CodeOf(err) == cwfault.NotFound:
-			synced = false // no configuration yet, or the store has dropped the history
+		var err error
+		if !w.followsOwner() {
+			if synced, err = w.fetchFromStore(synced); err == nil {
+				continue
+			}
+		} else if now := w.opts.Timer.Now(); now.Sub(probedAt) >= watchWait {
+			probedAt = now
+			if err = w.opts.Source.Probe(readTimeout); err != nil {
+				w.logFailure(err, cwlog.Fields{"call": "probe"})
+			}
 		}
 		if !w.opts.Timer.Sleep(ctx.Done(), retryPause) {
 			return
@@ -130,68 +191,92 @@
 	}
 }
 
-// fetch reads the configuration, or if synced is set waits for one that was written after a version.
-func (w *Watcher) fetch(after uint64, synced bool) (*cwcellport.Configuration, uint64, error) {
+// fetchFromStore waits for a configuration that was written after the confirmed version, or if synced is false reads the latest one, and
+// applies it. It returns whether the next call can wait.
+func (w *Watcher) fetchFromStore(synced bool) (stillSynced bool, err error) {
+	call, startedAt := "read", w.opts.Timer.Now()
+	var cfg *cwcellport.Configuration
+	var storeVersion uint64
 	if synced {
-		return w.call("watch", func() (*cwcellport.Configuration, uint64, error) { return w.opts.Source.Watch(after, watchWait) })
+		call = "watch"
+		cfg, storeVersion, err = w.opts.Source.Watch(w.confirmedVersion.Load(), watchWait)
+	} else {
+		cfg, storeVersion, err = w.opts.Source.Read(readTimeout)
 	}
-	return w.read()
-}
-
-// read reads the configuration from its source.
-func (w *Watcher) read() (*cwcellport.Configuration, uint64, error) {
-	return w.call("read", func() (*cwcellport.Configuration, uint64, error) { return w.opts.Source.Read(readTimeout) })
-}
-
-// call calls the source, and logs a failure with the version that stays in force and the number of calls in progress.
-func (w *Watcher) call(name string, fetch func() (*cwcellport.Configuration, uint64, error)) (*cwcellport.Configuration, uint64, error) {
-	concurrent, startedAt := w.callsInProgress.Add(1), w.opts.Timer.Now()
-	cfg, version, err := fetch()
-	w.callsInProgress.Add(-1)
-	if err != nil && cwfault.CodeOf(err) != cwfault.NotFound {
-		w.opts.Log.WithFields(cwlog.Fields{
-			"call": name, "elapsed": w.opts.Timer.Now().Sub(startedAt), "in-progress": concurrent, "version": w.Version(), "error": err.Error(),
-		}).Warn("configuration-not-fetched")
+	if cwfault.CodeOf(err) == cwfault.NotFound {
+		return false, err // no configuration yet, or the store has dropped the history
+	}
+	if err != nil {
+		w.logFailure(err, cwlog.Fields{"call": call, "elapsed": w.opts.Timer.Now().Sub(startedAt)})
+		return synced, err
 	}
-	return cfg, version, err
+	if cfg != nil {
+		if cfg.TransferTime > 0 {
+			w.transferTimePerQueue.Store(int64(cfg.TransferTime) / int64(max(len(cfg.Queues), 1)))
+		}
+		index := func(current *indexedConfig) (*indexedConfig, error) { return newIndexedConfig(cfg, current), nil }
+		if err = w.apply(index, cfg.Version, call); err != nil {
+			return synced, err
+		}
+	}
+	w.confirm(storeVersion)
+	return true, nil
 }
 
-// refreshOnReport reads the configuration when a peer has reported a newer one, for instance if the watch's connection has
-// stalled.
-func (w *Watcher) refreshOnReport(ctx context.Context) {
+// fetchReported fetches later versions that peers have reported, until ctx ends.
+func (w *Watcher) fetchReported(ctx context.Context) {
 	for {
-		version, ok := w.reportedVersions.Take(ctx)
+		r, ok := w.reports.Take(ctx)
 		if !ok {
 			return
 		}
-		if version <= w.Version() {
-			continue
+		if r.version > w.Version() && !w.followsOwner() {
+			w.opts.Timer.Sleep(ctx.Done(), storePrecedence)
 		}
-		if cfg, _, err := w.read(); err == nil {
-			w.apply(cfg)
+		for r.version > w.Version() && ctx.Err() == nil && w.fetchFromPeer(r.peer) {
 		}
 	}
 }
 
-// apply puts a configuration in force unless the current one is at least as new. It ignores nil, which means no change.
-func (w *Watcher) apply(cfg *cwcellport.Configuration) {
-	if cfg == nil {
-		return
+// fetchFromPeer applies the difference between the version in force and that of a peer. It returns true if another version has come into
+// force meanwhile. After a failure this host watches the store for a while, since the peer may be unable to help it.
+func (w *Watcher) fetchFromPeer(peer netip.AddrPort) (superseded bool) {
+	startedAt := w.opts.Timer.Now()
+	d, err := w.opts.FetchDifference(peer, w.Version())
+	if err == nil {
+		err = w.apply(func(current *indexedConfig) (*indexedConfig, error) { return applyDifference(current, d) }, d.Version, "difference")
 	}
-	indexed := &indexedConfig{Configuration: cfg, byName: map[cwwork.QueueName]*cwcellport.Queue{}, byHost: map[string][]*cwcellport.Queue{}}
-	for n := range cfg.Queues {
-		q := &cfg.Queues[n]
-		indexed.byName[q.Name()] = q
-		indexed.byHost[q.Host] = append(indexed.byHost[q.Host], q)
+	switch {
+	case cwfault.CodeOf(err) == cwfault.Conflict:
+		return true
+	case err != nil:
+		w.distrustedUntil.Store(w.opts.Timer.Now().Add(distrustTime).UnixNano())
+		w.logFailure(err, cwlog.Fields{"call": "difference", "peer": peer, "elapsed": w.opts.Timer.Now().Sub(startedAt)})
+	default:
+		w.confirm(d.StoreVersion)
 	}
+	return false
+}
+
+// apply puts the configuration that next makes of the current one in force, unless the current one is at least as new as version.
+func (w *Watcher) apply(next func(current *indexedConfig) (*indexedConfig, error), version uint64, call string) error {
 	for {
 		current := w.current.Load()
-		if current != nil && current.Version >= cfg.Version {
-			return
+		if current != nil && current.Version >= version {
+			return nil
+		}
+		indexed, err := next(current)
+		if err != nil {
+			return err
 		}
 		if w.current.CompareAndSwap(current, indexed) {
-			w.opts.Log.WithFields(cwlog.Fields{"version": cfg.Version, "queues": len(cfg.Queues)}).Info("configuration-applied")
-			return
+			w.opts.Log.WithFields(cwlog.Fields{"version": version, "queues": len(indexed.Queues), "call": call}).Info("configuration-applied")
+			return nil
 		}
 	}
 }
+
+// logFailure logs that a configuration could not be fetched or applied, with the version that stays in force.
+func (w *Watcher) logFailure(err error, fields cwlog.Fields) {
+	w.opts.Log.WithFields(fields).WithFields(cwlog.Fields{"version": w.Version(), "error": err.Error()}).Warn("configuration-not-fetched")
+}
--- a/internal/app/cwnode/node.go
+++ b/internal/app/cwnode/node.go
@@ -84,7 +84,9 @@
 	cleanup.Add(pool.Release)
 	n = &Node{opts: opts, pool: pool}
 	n.roles.Store(&[]*cellRole{})
-	n.config = cwconfigwatch.New(cwconfigwatch.Options{Source: n.monitoredSource(), Timer: opts.Timer, Log: opts.Log})
+	n.config = cwconfigwatch.New(cwconfigwatch.Options{
+		Source: n.monitoredSource(), FetchDifference: opts.Peers.ConfigurationDifference, Timer: opts.Timer, Log: opts.Log,
+	})
 	n.Gateway = cwgateway.New(cwgateway.Options{
 		Self: opts.Self, Store: opts.Store, Peers: opts.Peers, Timer: opts.Timer, Log: opts.Log,
 		Owner: func(id cwmodel.JobID) (*cwcellowner.Owner, cwlease.View) {
@@ -191,6 +193,10 @@
 		Watch: func(after uint64, wait time.Duration) (*cwcellport.Configuration, uint64, error) {
 			return record(source.Watch(after, wait))
 		},
+		Probe: func(timeout time.Duration) error {
+			_, _, err := record(nil, 0, source.Probe(timeout))
+			return err
+		},
 	}
 }
 
@@ -212,6 +218,7 @@
 				r.elector.TakeOver()
 			}
 		},
+		ConfigurationDifference: n.config.Difference,
 	}
 }
 
@@ -221,7 +228,8 @@
 	if r := n.role(h.Cell); r != nil {
 		response = r.handleHeartbeat(h)
 	}
-	response.ConfigurationVersion = n.config.Version()
+	n.config.ReportPeer(h.ConfigurationVersion, h.From.Address)
+	response.ConfigurationVersion, response.StoreVersion = n.config.Confirmed()
 	return response
 }
 
--- a/internal/app/cwnode/node_test.go
+++ b/internal/app/cwnode/node_test.go
@@ -86,6 +86,7 @@
 			c.timer.Sleep(nil, min(wait, 50*time.Millisecond))
 			return nil, after, c.storeError(m)
 		},
+		Probe: func(time.Duration) error { return c.storeError(m) },
 	}
 	c.mu.Lock()
 	c.nodes[addr] = m
@@ -195,6 +196,13 @@
 			}
 			return server.StoreSubmission(s), nil
 		},
+		ConfigurationDifference: func(addr netip.AddrPort, version uint64) (*cwcellport.ConfigurationDifference, error) {
+			s, err := c.peer(from, addr)
+			if err != nil {
+				return nil, err
+			}
+			return s.ConfigurationDifference(version)
+		},
 		TakeOver: func(addr netip.AddrPort, cell cwlayout.Cell) error {
 			s, err := c.peer(from, addr)
 			if err != nil {
--- a/internal/app/cwnode/role.go
+++ b/internal/app/cwnode/role.go
@@ -38,9 +38,10 @@
 		Self: n.opts.Self, Store: n.opts.Store, Peers: n.opts.Peers, Timer: n.opts.Timer, Log: n.opts.Log, Capacity: n.opts.Capacity,
 		TaskLease: n.taskLease(), StartWindow: startWindow,
 		OnLeaseAcquired: r.activateOwner, OnLeaseLost: owner.Deactivate, OnHeartbeatResponse: r.handleHeartbeatResponse,
-		Successors:  func() []cwcellport.EntryHost { return r.latestResponse.Load().Peers },
-		OtherCells:  func() int { return n.otherOwnedCells(r) },
-		OnCellCount: func(cells int) { n.ensureRoles(cells) },
+		Successors:    func() []cwcellport.EntryHost { return r.latestResponse.Load().Peers },
+		OtherCells:    func() int { return n.otherOwnedCells(r) },
+		Configuration: n.config.Version,
+		OnCellCount:   func(cells int) { n.ensureRoles(cells) },
 	})
 	return r
 }
@@ -98,15 +99,20 @@
 	}
 }
 
-// handleHeartbeatResponse stores the owner's response and refreshes the configuration if the owner has a newer one. If the
-// queue lengths are incomplete, the previous ones are kept.
+// handleHeartbeatResponse stores the owner's response and reports its configuration. If the queue lengths are incomplete, the previous
+// ones are kept. Only the first cell's owner may be followed, since owners of several cells could otherwise follow each other.
 func (r *cellRole) handleHeartbeatResponse(resp cwcellport.HeartbeatResponse) {
-	r.node.recordContact(r.elector.View().Owner.DataCentre)
+	owner := r.elector.View().Owner
+	r.node.recordContact(owner.DataCentre)
 	if previous := r.latestResponse.Load(); !resp.QueuesComplete {
 		resp.Queues, resp.QueuesComplete = previous.Queues, previous.QueuesComplete
 	}
 	r.latestResponse.Store(&resp)
-	r.node.config.RefreshIfOlder(resp.ConfigurationVersion)
+	if r.cell == 0 && resp.IsOwner && !resp.RenewalFailing {
+		r.node.config.ReportOwner(resp.ConfigurationVersion, resp.StoreVersion, owner.Address)
+	} else {
+		r.node.config.ReportPeer(resp.ConfigurationVersion, owner.Address)
+	}
 }
 
 // queueLengths returns how many jobs of each queue in the cell have not started, from an owner's last complete counts; complete
--- a/internal/base/cwhttp/client.go
+++ b/internal/base/cwhttp/client.go
@@ -47,10 +47,12 @@
 	client  *fasthttp.Client
 	timeout time.Duration
 	token   string
+	rate    *receiveRate
 }
 
 // NewClient returns a client and a function that closes its idle connections.
 func NewClient(opts ClientOptions) (c *Client, stop func()) {
+	rate := &receiveRate{}
 	client := &fasthttp.Client{
 		MaxConnsPerHost:     opts.MaxConnsPerHost,
 		MaxConnWaitTimeout:  opts.MaxConnWait,
@@ -61,13 +63,16 @@
 		// No retries: a request must not be sent twice without the knowledge of its sender.
 		RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		NoDefaultUserAgentHeader: true,
-		Dial:                     dialer(opts),
+		Dial:                     dialer(opts, rate),
 	}
-	return &Client{client: client, timeout: opts.Timeout}, client.CloseIdleConnections
+	return &Client{client: client, timeout: opts.Timeout, rate: rate}, client.CloseIdleConnections
 }
 
-// dialer returns a function that connects to a host and counts the bytes of the connection.
-func dialer(opts ClientOptions) fasthttp.DialFunc {
+// ReceiveRate returns at how many bytes per second the latest large response arrived; 0 before there was one.
+func (c *Client) ReceiveRate() float64 { return c.rate.load() }
+
+// dialer returns a function that connects to a host and counts the bytes of the connection. The connections record their rate.
+func dialer(opts ClientOptions, rate *receiveRate) fasthttp.DialFunc {
 	return func(addr string) (net.Conn, error) {
 		conn, err := net.DialTimeout("tcp", addr, opts.DialTimeout)
 		if err != nil {
@@ -78,7 +83,7 @@
 				return nil, errors.Join(err, conn.Close())
 			}
 		}
-		return &responseConn{Conn: opts.Traffic.Conn(conn), stallTimeout: opts.StallTimeout}, nil
+		return &responseConn{Conn: opts.Traffic.Conn(conn), stallTimeout: opts.StallTimeout, rate: rate}, nil
 	}
 }
 
--- a/internal/base/cwhttp/progress.go
+++ b/internal/base/cwhttp/progress.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,8 +18,20 @@
 	stallTimeout time.Duration // longest pause within a response; zero: the deadlines of the caller bound the whole response
 	requestedAt  time.Time     // of the last write
 	received     int64         // bytes since then
+	firstReadAt  time.Time     // when the first of these arrived
+	rate         *receiveRate  // of all connections of the client
 }
 
+// minRateSample is the size from which a response counts as large, so that its rate is that of the link.
+const minRateSample = 128 << 10
+
+// receiveRate is the rate at which the latest large response arrived, in bytes per second.
+type receiveRate struct{ bits atomic.Uint64 }
+
+func (r *receiveRate) load() float64 { return math.Float64frombits(r.bits.Load()) }
+
+func (r *receiveRate) store(bytesPerSecond float64) { r.bits.Store(math.Float64bits(bytesPerSecond)) }
+
 // Write sends a part of a request.
 func (c *responseConn) Write(buf []byte) (n int, err error) {
 	c.requestedAt, c.received = time.Now(), 0
@@ -33,7 +47,12 @@
 		}
 	}
 	n, err = c.Conn.Read(buf)
-	c.received += int64(n)
+	if c.received == 0 {
+		c.firstReadAt = time.Now()
+	}
+	if c.received += int64(n); c.received >= minRateSample {
+		c.rate.store(float64(c.received) / max(time.Since(c.firstReadAt), time.Microsecond).Seconds())
+	}
 	if eris.Is(err, os.ErrDeadlineExceeded) {
 		err = &incompleteError{cause: err, received: c.received, elapsed: time.Since(c.requestedAt)}
 	}
--- a/internal/base/cwrpc/rpc.go
+++ b/internal/base/cwrpc/rpc.go
@@ -21,6 +21,9 @@
 	MaxConnsPerPeer int
 	UserTimeout     time.Duration       // closes connections whose sent data stays unacknowledged; zero selects the kernel's default
 	Traffic         *cwhttp.ByteCounter // nil: not counted
+	// StallTimeout bounds the pause before a response and each one within it. Each call then has a connection of its own. Zero: only the
+	// contexts of the calls bound them.
+	StallTimeout time.Duration
 }
 
 const (
@@ -42,6 +45,7 @@
 		IdleConnTimeout:     idleConnTimeout,
 		WriteBufferSize:     bufferSize,
 		ReadBufferSize:      bufferSize,
+		DisableKeepAlives:   opts.StallTimeout > 0,
 	}
 	return &http.Client{Transport: transport}, transport.CloseIdleConnections
 }
@@ -58,9 +62,26 @@
 			return nil, errors.Join(err, conn.Close())
 		}
 	}
+	if o.StallTimeout > 0 {
+		conn = &stallConn{Conn: conn, timeout: o.StallTimeout}
+	}
 	return o.Traffic.Conn(conn), nil
 }
 
+// stallConn is a connection on which a read that receives nothing for a time fails.
+type stallConn struct {
+	net.Conn
+	timeout time.Duration
+}
+
+// Read waits for bytes until the timeout.
+func (c *stallConn) Read(buf []byte) (n int, err error) {
+	if err = c.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(buf)
+}
+
 // IsDialError reports whether err means that no connection was established, so that the callee received nothing.
 func IsDialError(err error) bool {
 	var dial *net.OpError
--- a/internal/port/cwcellport/peers.go
+++ b/internal/port/cwcellport/peers.go
@@ -25,6 +25,8 @@
 	Draining   bool    // the sender will shut down and should own no cell
 	StoreOK    bool    // the sender reaches the platform's store
 	Capacity   float64 // share of a processor that the sender has
+
+	ConfigurationVersion uint64 // in force at the sender; 0 if it has none
 }
 
 // QueueLength is the length of a queue.
@@ -41,6 +43,7 @@
 	Fence                uint64        // of the owner
 	LeaseVersion         uint64        // version of the lease's row that the recipient knows; 0 if unknown
 	ConfigurationVersion uint64        // in force at the recipient; 0 if it has none
+	StoreVersion         uint64        // version of the store up to which there is no later configuration than that
 	Queues               []QueueLength // lengths of the cell's queues
 	QueuesComplete       bool          // the owner has loaded every job of its cell: Queues is usable, and a queue that it omits is empty
 	Cells                int           // number of cells of the deployment that the recipient knows; 0 or 1 for a single one
@@ -72,6 +75,9 @@
 	RequestAdvice func(addr netip.AddrPort, r *cwcell.AdviceRequest) (eligible []cwcell.EligibleWorker, validity time.Duration, err error)
 	// StoreSubmission makes a peer write a submission, for a host that cannot write to the store itself.
 	StoreSubmission func(addr netip.AddrPort, s *cwwork.Submission) (SubmitResult, error)
+	// ConfigurationDifference returns the difference between a version of the configuration and the one in force at the peer.
+	// NotSupported means that the peer has no later version. The call lasts as long as the response makes progress.
+	ConfigurationDifference func(addr netip.AddrPort, version uint64) (*ConfigurationDifference, error)
 	// TakeOver requests a peer to acquire the released lease of a cell.
 	TakeOver func(addr netip.AddrPort, cell cwlayout.Cell) error
 }
--- a/internal/port/cwcellport/port.go
+++ b/internal/port/cwcellport/port.go
@@ -122,6 +122,19 @@
 	Version      uint64
 	Queues       []Queue
 	MaxBodyBytes int
+	// TransferTime is how long the store's response with this configuration takes at the rate of the host's link; 0: not known.
+	TransferTime time.Duration
+}
+
+// ConfigurationDifference turns one version of the configuration into a later one.
+type ConfigurationDifference struct {
+	Base         uint64 // version to which it applies; 0: Put is the whole configuration
+	Version      uint64
+	StoreVersion uint64 // version of the store up to which there is no later configuration
+	MaxBodyBytes int
+	Put          []Queue // added or changed queues
+	Removed      []cwwork.QueueName
+	Checksum     uint64 // of all queues of the later version
 }
 
 // ConfigurationSource provides the configuration written by the operator.
@@ -132,4 +145,6 @@
 	// Watch returns the latest configuration that was written after a version, or nil if none is written within wait; errors
 	// are those of Store.Watch.
 	Watch func(after uint64, wait time.Duration) (cfg *Configuration, version uint64, err error)
+	// Probe makes a call whose response is small, to find out whether the store is reachable.
+	Probe func(timeout time.Duration) error
 }
--- a/internal/proof/cwprocess/proxy.go
+++ b/internal/proof/cwprocess/proxy.go
@@ -24,8 +24,8 @@
 	target        netip.AddrPort
 	mu            sync.Mutex
 	faults        NetFaults
-	bytesPerSec   int64     // capacity of the link in each direction; 0: unlimited
-	busyUntil     [2]time.Time // when each direction has sent the bytes that were given to it: to the target, from it
+	bytesPerSec   int64         // capacity of the link in each direction; 0: unlimited
+	busyUntil     [2]time.Time  // when each direction has sent the bytes that were given to it: to the target, from it
 	faultsChanged chan struct{} // closed and replaced when faults change
 	connections   map[*connection]struct{}
 }
