Answer 503 for an unknown queue while a later configuration is known

A caller of a host that lags behind was told with 404 that a queue which had been added did not exist, though the host knew from a heartbeat that there was a later configuration. A 404 is final for the caller; 503 with Retry-After sends it to a host that knows. TestRouteOfAnOutdatedHost failed before (404 for a queue that the later version may have).

--- a/internal/app/cwconfigwatch/watch.go
+++ b/internal/app/cwconfigwatch/watch.go
@@ -53,6 +53,7 @@
 	current atomic.Pointer[indexedConfig] // nil before the first configuration
 	reports *cwring.Ring[report]          // of newer versions at peers
 
+	reportedVersion      atomic.Uint64 // the latest one in force at a peer
 	confirmedVersion     atomic.Uint64 // of the store: it has no later configuration up to this version
 	transferTimePerQueue atomic.Int64  // of the last response of the store with a configuration, in nanoseconds
 	ownerReportedAt      atomic.Int64  // in Unix nanoseconds
@@ -102,14 +103,15 @@
 	return q.Policy, true
 }
 
-// Route returns the queue with the longest prefix of a path, or nil if no prefix matches; ready is false before the first
-// configuration.
+// Route returns the queue with the longest prefix of a path, or nil if no prefix matches. ready is false if this host can't tell: before
+// the first configuration, and if no prefix matches but a peer has a later version, which may have the queue.
 func (w *Watcher) Route(host, path string) (q *cwcellport.Queue, ready bool) {
 	c := w.current.Load()
 	if c == nil {
 		return nil, false
 	}
-	return c.route(host, path), true
+	q = c.route(host, path)
+	return q, q != nil || c.Version >= w.reportedVersion.Load()
 }
 
 // MaxBodyBytes returns the largest body that the configuration allows, or 0 before the first one.
@@ -136,6 +138,7 @@
 // ReportPeer makes the watcher fetch the configuration of a peer if it has a later version.
 func (w *Watcher) ReportPeer(version uint64, peer netip.AddrPort) {
 	if version > w.Version() {
+		raise(&w.reportedVersion, version)
 		w.reports.Offer(report{version, peer})
 	}
 }
@@ -151,10 +154,13 @@
 }
 
 // confirm records that the store has no later configuration than the one in force, up to a version of the store.
-func (w *Watcher) confirm(storeVersion uint64) {
+func (w *Watcher) confirm(storeVersion uint64) { raise(&w.confirmedVersion, storeVersion) }
+
+// raise sets a version unless it is at least as large already.
+func raise(version *atomic.Uint64, to uint64) {
 	for {
-		current := w.confirmedVersion.Load()
-		if storeVersion <= current || w.confirmedVersion.CompareAndSwap(current, storeVersion) {
+		current := version.Load()
+		if to <= current || version.CompareAndSwap(current, to) {
 			return
 		}
 	}
--- a/internal/app/cwconfigwatch/watch_test.go
+++ b/internal/app/cwconfigwatch/watch_test.go
@@ -157,6 +157,40 @@
 	}
 }
 
+// TestRouteOfAnOutdatedHost guards against a caller who is told that a queue does not exist, by a host that knows of a later configuration
+// but does not have it.
+func TestRouteOfAnOutdatedHost(t *testing.T) {
+	cases := []struct {
+		name             string
+		version          uint64 // in force; 0: none
+		reported         uint64 // by a peer
+		path             string
+		wantFound, ready bool
+	}{
+		{"without a configuration", 0, 0, "/a/", false, false},
+		{"a queue of the configuration in force", 3, 3, "/a/", true, true},
+		{"no such queue", 3, 3, "/b/", false, true},
+		{"no such queue in an older version than a peer's", 3, 4, "/b/", false, false},
+		{"a queue of an older version than a peer's", 3, 4, "/a/", true, true},
+		{"no such queue, and the peer is behind", 3, 2, "/b/", false, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness()
+			if tc.version > 0 {
+				h.store = config(tc.version, 0)
+				_, err := h.fetchFromStore(false)
+				is.NoErr(err)
+			}
+			h.ReportPeer(tc.reported, ownerAddr)
+			q, ready := h.Route("h", tc.path)
+			is.Equal(q != nil, tc.wantFound)
+			is.Equal(ready, tc.ready)
+		})
+	}
+}
+
 // TestDifferenceForPeers guards against a response to a peer that this host cannot help, and against a claim that the store has no later
 // configuration than one that has been replaced.
 func TestDifferenceForPeers(t *testing.T) {
--- a/internal/app/cwnode/node.go
+++ b/internal/app/cwnode/node.go
@@ -260,7 +260,7 @@
 	return n.opts.Advice.Request(r.Step, r.Workers, cwcellpeer.AdviceTimeout(r.Cost))
 }
 
-// Route returns the queue of a request, or nil if none is configured for it; ready is false before the first configuration.
+// Route returns the queue of a request, or nil if none is configured for it; ready is false if this host can't tell.
 func (n *Node) Route(host, path string) (r *cwcellport.Queue, ready bool) {
 	return n.config.Route(host, path)
 }
