Check in the soak that a large configuration is in force in time

The soak saw a node that returned to an older configuration, but none that applied one too late: its configuration had three queues, and its links no limit of bandwidth. Half of the nodes now reach the store over 10 Mbit/s, one change in three has 5,000 queues more, and after the faults four such changes, 0.6 s apart, must be in force on every node within 3 s.

--- a/internal/proof/cwsoak/fault.go
+++ b/internal/proof/cwsoak/fault.go
@@ -71,7 +71,7 @@
 		{name: "hanging-rack", inject: i.rackFault(cwstandin.RunnerFaults{HangTasks: true})},
 		{name: "unhealthy-rack", inject: i.rackFault(cwstandin.RunnerFaults{Unhealthy: true})},
 		{name: "draining-rack", inject: i.rackFault(cwstandin.RunnerFaults{Draining: true})},
-		{name: "configuration", inject: func(context.Context, *rand.Rand) error { return i.cluster.putNextConfiguration() }},
+		{name: "configuration", inject: i.changeConfiguration},
 		{name: "burst", inject: func(_ context.Context, r *rand.Rand) error { i.load.submitBurst(40, r); return nil }},
 		{name: "cancel-wave", inject: func(_ context.Context, r *rand.Rand) error { i.load.cancelWave(r); return nil }},
 	}
@@ -250,6 +250,12 @@
 	return i.withNode(r, func(n *node) error { return n.Reload() })
 }
 
+// changeConfiguration writes the next version of the configuration, which is large in one case of three.
+func (i *injector) changeConfiguration(_ context.Context, r *rand.Rand) error {
+	i.cluster.bulkQueues.Store([]int64{0, 0, largeConfigurationQueues}[r.IntN(3)])
+	return i.cluster.putNextConfiguration()
+}
+
 // storeFault returns a function that injects the faults of the store that choose returns, for a random time. Overlapping faults are
 // combined, and the first to end clears all of them.
 func (i *injector) storeFault(choose func(r *rand.Rand) cwstandin.Faults) func(context.Context, *rand.Rand) error {
--- a/internal/proof/cwsoak/run.go
+++ b/internal/proof/cwsoak/run.go
@@ -39,6 +39,13 @@
 	stopTimeout   = 5 * time.Second  // for runs of ended jobs to stop
 )
 
+// Changes of the configuration after the faults of a run, each of which must be in force in time.
+const (
+	largeConfigurationQueues = 5000 // 1.3 MB, 1 s on a narrow link
+	calmChanges              = 4
+	calmChangePause          = 600 * time.Millisecond
+)
+
 // RunSeeds runs one seed after the other and fails at the first one with a violation.
 func RunSeeds(a Arguments, out io.Writer) (err error) {
 	defer func() { err = eris.Wrap(err, "soak") }()
@@ -81,7 +88,7 @@
 	defer func() { _ = os.RemoveAll(folder) }()
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
-	cluster, stop, err := StartCluster(ctx, Options{Programs: programs, Folder: folder, Timer: timer, Nodes: a.Nodes, Racks: a.Racks, Runners: a.Runners})
+	cluster, stop, err := StartCluster(ctx, Options{Programs: programs, Folder: folder, Timer: timer, Nodes: a.Nodes, NarrowNodes: a.Nodes / 2, Racks: a.Racks, Runners: a.Runners})
 	if err != nil {
 		return nil, nil, err
 	}
@@ -103,7 +110,10 @@
 	outdated := load.awaitSettled()
 	report = checkGuarantees(cluster, load)
 	report.Violations = append(report.Violations, append(load.callerViolations, outdated...)...)
-	return report, i.injected, nil
+	cluster.bulkQueues.Store(largeConfigurationQueues)
+	late, err := cluster.changeConfiguration(calmChanges, calmChangePause)
+	report.Violations = append(report.Violations, late...)
+	return report, i.injected, err
 }
 
 // awaitSettled waits until every accepted job has ended, every node uses the newest configuration and the runs of ended jobs have
