--- a/test/cwsoak/configuration_test.go
+++ b/test/cwsoak/configuration_test.go
@@ -21,6 +21,7 @@
 	}{
 		{"a transfer takes longer than the timeout of a call", cwsoak.ConfigurationRun{Nodes: 5, NarrowNodes: 3, Queues: 9000, Changes: 4, Pause: 3 * time.Second}},
 		{"a transfer takes longer than the time between changes", cwsoak.ConfigurationRun{Nodes: 5, NarrowNodes: 3, Queues: 9000, Changes: 8, Pause: 700 * time.Millisecond}},
+		{"every link is narrow", cwsoak.ConfigurationRun{Nodes: 3, NarrowNodes: 3, Queues: 4000, Changes: 6, Pause: 700 * time.Millisecond}},
 	}
 	is := is.New(t)
 	programs, err := cwprocess.Build(t.TempDir())
