--- a/internal/app/cwnode/node_test.go
+++ b/internal/app/cwnode/node_test.go
@@ -374,6 +374,26 @@
 	c.waitUntil("a newer count", reportsCount(5))
 }
 
+// TestQueueLengthOfASilentOwner guards against a count of waiting jobs that is as old as the last response of an owner that is gone, while
+// no other host can take over.
+func TestQueueLengthOfASilentOwner(t *testing.T) {
+	c := newCluster(t, 2, 1, time.Hour)
+	owner, entry := c.owner(), c.nonOwner()
+	queue := submission(0).Queue
+	c.waitUntil("the count of the owner", func() bool {
+		_, known := entry.node.QueueLength(queue)
+		return known
+	})
+	c.storeDown.Store(true)
+	c.mu.Lock()
+	owner.stopped = true
+	c.mu.Unlock()
+	c.waitUntil("the count to expire", func() bool {
+		_, known := entry.node.QueueLength(queue)
+		return !known
+	})
+}
+
 // TestCellsAreDivided checks that a deployment with too many workers for one owner is divided into cells with different owners.
 // Jobs of all cells must end, each task must start once, and another host must take over a cell whose owner fails.
 func TestCellsAreDivided(t *testing.T) {
--- a/internal/app/cwnode/role.go
+++ b/internal/app/cwnode/role.go
@@ -20,16 +20,26 @@
 	elector        *cwlease.Elector
 	owner          *cwcellowner.Owner
 	peers          *peerTable
-	latestResponse atomic.Pointer[cwcellport.HeartbeatResponse] // of the cell's owner; zero before the first one
-	ownerChangedAt atomic.Int64                                 // when this host last acquired or handed over the cell, in Unix nanoseconds
+	latestResponse atomic.Pointer[ownerResponse] // of the cell's owner; zero before the first one
+	ownerChangedAt atomic.Int64                  // when this host last acquired or handed over the cell, in Unix nanoseconds
 	cleanup        cwduty.Cleanup
 }
 
+// ownerResponse is the response of a cell's owner to a heartbeat, with the latest complete queue lengths of an owner.
+type ownerResponse struct {
+	cwcellport.HeartbeatResponse
+	countedAt time.Time // when the queue lengths were received
+}
+
+// maxQueueLengthAge is the age up to which queue lengths are reported to callers. It exceeds a takeover, so that they are known while the
+// next owner loads the jobs.
+const maxQueueLengthAge = 3 * time.Second
+
 // newRole returns the role in one cell with its idle owner; cells is the number of cells of the deployment, or 0 if only the first
 // cell's lease states it. The elector must be started once the node knows the role, since its events reach the role by the node.
 func (n *Node) newRole(cell cwlayout.Cell, cells int) *cellRole {
 	r := &cellRole{node: n, cell: cell, peers: &peerTable{timer: n.opts.Timer}}
-	r.latestResponse.Store(&cwcellport.HeartbeatResponse{})
+	r.latestResponse.Store(&ownerResponse{})
 	owner, stopOwner := cwcellowner.Start(r.ownerOptions())
 	r.owner = owner
 	r.cleanup.Add(stopOwner)
@@ -104,10 +114,11 @@
 func (r *cellRole) handleHeartbeatResponse(resp cwcellport.HeartbeatResponse) {
 	owner := r.elector.View().Owner
 	r.node.recordContact(owner.DataCentre)
+	latest := &ownerResponse{HeartbeatResponse: resp, countedAt: r.node.opts.Timer.Now()}
 	if previous := r.latestResponse.Load(); !resp.QueuesComplete {
-		resp.Queues, resp.QueuesComplete = previous.Queues, previous.QueuesComplete
+		latest.Queues, latest.QueuesComplete, latest.countedAt = previous.Queues, previous.QueuesComplete, previous.countedAt
 	}
-	r.latestResponse.Store(&resp)
+	r.latestResponse.Store(latest)
 	if r.cell == 0 && resp.IsOwner && !resp.RenewalFailing {
 		r.node.config.ReportOwner(resp.ConfigurationVersion, resp.StoreVersion, owner.Address)
 	} else {
@@ -116,13 +127,13 @@
 }
 
 // queueLengths returns how many jobs of each queue in the cell have not started, from an owner's last complete counts; complete
-// is false if this host has none.
+// is false if this host has none that are recent.
 func (r *cellRole) queueLengths() (list []cwcellport.QueueLength, complete bool) {
 	if list, complete = r.owner.QueueLengths(); complete {
 		return list, true
 	}
 	latest := r.latestResponse.Load()
-	return latest.Queues, latest.QueuesComplete
+	return latest.Queues, latest.QueuesComplete && r.node.opts.Timer.Now().Sub(latest.countedAt) <= maxQueueLengthAge
 }
 
 // adviceHosts returns the addresses of the hosts that send the cell's advice requests: the live peers that the layout assigns to the
