Renew the expired tickets of a step together

A renewal now covers the step's other workers with expired tickets, as many as add a third to its cost, if further tasks wait; a worker whose ticket is being renewed is not asked about again.

--- a/internal/core/cwcell/advice.go
+++ b/internal/core/cwcell/advice.go
@@ -30,6 +30,7 @@
 	text      string    // sent to the worker with the start order
 	boundTo   time.Time // incarnation of the worker for which it was issued
 	expiresAt time.Time
+	renewing  bool // a pending request renews it
 }
 
 // newEligibility returns the eligibility of a group that has received no advice.
@@ -106,6 +107,37 @@
 	}
 }
 
+// markRenewing records whether a pending request renews the tickets of workers.
+func (e *eligibility) markRenewing(workers []cwmodel.HostID, renewing bool) {
+	for _, id := range workers {
+		if t, ok := e.tickets[id]; ok {
+			t.renewing = renewing
+		}
+	}
+}
+
+// renewTicketsOfTasks requests new tickets for workers on which tasks of a group are planned, except those that a pending request renews.
+// If further tasks wait, the request also covers other workers of the group, as many as add little to its cost: capacity that they free
+// while their tickets are valid needs no request of its own.
+func (c *Cell) renewTicketsOfTasks(g *group, policy cwwork.QueuePolicy, planned []*worker, now time.Time) {
+	workers := slices.DeleteFunc(planned, func(w *worker) bool { return g.advice.tickets[w.ID].renewing })
+	if len(workers) == 0 {
+		return
+	}
+	answerAt := now.Add(policy.Advice.Cost(len(workers)) + renewalOverhead)
+	most := cheapRequestWorkers(policy.Advice)
+	for _, t := range g.advice.eligible {
+		if g.waiting == 0 || len(workers) >= most {
+			break
+		}
+		w := t.worker
+		if !t.renewing && t.isCurrent() && w.usable(now) && !g.advice.hasValidTicket(w, answerAt) && !slices.Contains(workers, w) {
+			workers = append(workers, w)
+		}
+	}
+	c.renewTickets(g, policy, workers)
+}
+
 // enqueueRequest queues a request about workers. renewal is true for eligible workers whose tickets must be renewed, and
 // false for workers that no advice covers yet.
 func (c *Cell) enqueueRequest(g *group, policy cwwork.QueuePolicy, workers []*worker, renewal bool) {
@@ -119,6 +151,7 @@
 	}
 	if renewal {
 		g.advice.pendingRenewals++
+		g.advice.markRenewing(req.Workers, true)
 	} else {
 		g.advice.pendingEvaluations++
 	}
@@ -159,6 +192,7 @@
 	g, e := req.group, req.group.advice
 	if req.Renewal {
 		e.pendingRenewals--
+		e.markRenewing(req.Workers, false)
 	} else {
 		e.pendingEvaluations--
 	}
--- a/internal/core/cwcell/cell_test.go
+++ b/internal/core/cwcell/cell_test.go
@@ -148,6 +148,58 @@
 	is.Equal(starts[0].Ticket, "new")
 }
 
+// TestExpiredTicketsOfAStepAreRenewedTogether guards against a request for each task of a wide step that starts as capacity is freed. Such
+// requests precede those of steps without advice, which then wait while most of the capacity is free.
+func TestExpiredTicketsOfAStepAreRenewedTogether(t *testing.T) {
+	is := is.New(t)
+	workers := []cwmodel.HostID{"a", "b", "c", "d"}
+	var tickets []EligibleWorker
+	for _, id := range workers {
+		tickets = append(tickets, EligibleWorker{ID: id, Ticket: "t"})
+	}
+	f := newFixture(workers, advisedPolicy)
+	f.admit(step(8, 8000, false))
+	req := f.decide().AdviceRequests[0]
+	f.HandleAdvice(req.ID, tickets, true, f.now.Add(time.Second), f.now)
+	starts := f.decide().Starts
+	is.Equal(len(starts), 4)
+	f.decideAfter(2 * time.Second) // the tickets expire
+	end := func(o StartOrder) {
+		f.HandleReport(&Report{
+			Worker: o.Worker, Incarnation: time.Unix(1000, 0), RequestedAt: f.now, Ended: []RunEnd{{Sequence: 1, Task: o.Task, Run: o.Run, Kind: EndDone}},
+		}, f.now)
+	}
+	end(starts[0])
+	renewals := f.decideAfter(time.Millisecond).AdviceRequests
+	is.Equal(len(renewals), 1)
+	is.Equal(len(renewals[0].Workers), 4) // all workers of the step, though one task waits for its ticket
+
+	end(starts[1]) // before the response arrives
+	e := f.decideAfter(time.Millisecond)
+	is.Equal(len(e.AdviceRequests), 0)
+	is.Equal(len(e.Starts), 0)
+	f.HandleAdvice(renewals[0].ID, tickets, true, f.now.Add(time.Second), f.now)
+	is.Equal(len(f.decideAfter(time.Millisecond).Starts), 2)
+
+	end(starts[2]) // within the validity of the new tickets
+	e = f.decideAfter(time.Millisecond)
+	is.Equal(len(e.AdviceRequests), 0)
+	is.Equal(len(e.Starts), 1)
+}
+
+// TestUnansweredRenewalIsRepeated guards against a task that waits for a renewal which got no response.
+func TestUnansweredRenewalIsRepeated(t *testing.T) {
+	is := is.New(t)
+	f := newFixture([]cwmodel.HostID{"a"}, advisedPolicy)
+	f.admit(step(2, 8000, false))
+	req := f.decide().AdviceRequests[0]
+	f.HandleAdvice(req.ID, []EligibleWorker{{ID: "a", Ticket: "old"}}, true, f.now.Add(time.Millisecond), f.now)
+	renewal := f.decide().AdviceRequests
+	is.Equal(len(renewal), 1)
+	f.HandleAdvice(renewal[0].ID, nil, false, f.now, f.now)
+	is.Equal(len(f.decide().AdviceRequests), 1)
+}
+
 // TestGangStartsDespiteOtherPendingRequests asserts that a gang starts once its tickets are renewed, even while a
 // request about other workers is pending.
 func TestGangStartsDespiteOtherPendingRequests(t *testing.T) {
--- a/internal/core/cwcell/place.go
+++ b/internal/core/cwcell/place.go
@@ -194,7 +194,7 @@
 			candidates = slices.Delete(candidates, best, best+1)
 		}
 	}
-	c.renewTickets(g, policy, renew)
+	c.renewTicketsOfTasks(g, policy, renew, now)
 	if g.waiting > 0 && g.step.LongRunning {
 		c.preempt(g, policy, now)
 	}
