--- a/internal/base/cwhttp/progress.go
+++ b/internal/base/cwhttp/progress.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"currantward/internal/base/cwtimer"
 )
 
 // responseConn is a client's connection that bounds the pauses within a response rather than its whole transfer, so that a response of
@@ -34,7 +36,7 @@
 
 // Write sends a part of a request.
 func (c *responseConn) Write(buf []byte) (n int, err error) {
-	c.requestedAt, c.received = time.Now(), 0
+	c.requestedAt, c.received = cwtimer.RuntimeTime(), 0
 	return c.Conn.Write(buf)
 }
 
@@ -42,13 +44,13 @@
 // the response has arrived.
 func (c *responseConn) Read(buf []byte) (n int, err error) {
 	if c.received > 0 && c.stallTimeout > 0 {
-		if err = c.SetReadDeadline(time.Now().Add(c.stallTimeout)); err != nil {
+		if err = c.SetReadDeadline(cwtimer.RuntimeTime().Add(c.stallTimeout)); err != nil {
 			return 0, err
 		}
 	}
 	n, err = c.Conn.Read(buf)
 	if c.received == 0 {
-		c.firstReadAt = time.Now()
+		c.firstReadAt = cwtimer.RuntimeTime()
 	}
 	if c.received += int64(n); c.received >= minRateSample {
 		c.rate.store(float64(c.received) / max(time.Since(c.firstReadAt), time.Microsecond).Seconds())
--- a/internal/base/cwrpc/rpc.go
+++ b/internal/base/cwrpc/rpc.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"currantward/internal/base/cwhttp"
+	"currantward/internal/base/cwtimer"
 )
 
 // ClientOptions configure the connections of a client.
@@ -76,7 +77,7 @@
 
 // Read waits for bytes until the timeout.
 func (c *stallConn) Read(buf []byte) (n int, err error) {
-	if err = c.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
+	if err = c.SetReadDeadline(cwtimer.RuntimeTime().Add(c.timeout)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Read(buf)
--- a/internal/base/cwtimer/monotonic.go
+++ b/internal/base/cwtimer/monotonic.go
@@ -22,5 +22,9 @@
 	return time.Duration(ts.Nano())
 }
 
+// RuntimeTime returns the time of the runtime's clock, for deadlines of connections and for short durations. Steps of the time of day do not
+// affect either.
+func RuntimeTime() time.Time { return time.Now() }
+
 // WallTime returns the current time of day, which may be stepped.
 func WallTime() time.Time { return time.Now().Round(0) }
--- a/internal/proof/cwprocess/proxy.go
+++ b/internal/proof/cwprocess/proxy.go
@@ -24,9 +24,9 @@
 	target        netip.AddrPort
 	mu            sync.Mutex
 	faults        NetFaults
-	bytesPerSec   int64         // capacity of the link in each direction; 0: unlimited
-	busyUntil     [2]time.Time  // when each direction has sent the bytes that were given to it: to the target, from it
-	faultsChanged chan struct{} // closed and replaced when faults change
+	bytesPerSec   int64                   // capacity of the link in each direction; 0: unlimited
+	busyUntil     map[direction]time.Time // when each direction has sent the bytes that were given to it
+	faultsChanged chan struct{}           // closed and replaced when faults change
 	connections   map[*connection]struct{}
 }
 
@@ -40,11 +40,12 @@
 }
 
 // direction is a direction of a forwarded connection.
-type direction int
+type direction string
 
+// Directions of a connection.
 const (
-	toTarget direction = iota
-	fromTarget
+	toTarget   direction = "to-target"
+	fromTarget direction = "from-target"
 )
 
 // NewProxy starts a TCP proxy without faults on a free port of the loopback interface, and returns the function that stops it.
@@ -55,7 +56,7 @@
 	}
 	p = &Proxy{
 		Address: netip.MustParseAddrPort(listener.Addr().String()), timer: timer, target: target,
-		faultsChanged: make(chan struct{}), connections: map[*connection]struct{}{},
+		faultsChanged: make(chan struct{}), connections: map[*connection]struct{}{}, busyUntil: map[direction]time.Time{},
 	}
 	go p.acceptConnections(listener)
 	return p, func() {
@@ -95,11 +96,13 @@
 		return 0
 	}
 	now := p.timer.Now()
-	if p.busyUntil[d].Before(now) {
-		p.busyUntil[d] = now
+	sentAt := p.busyUntil[d]
+	if sentAt.Before(now) {
+		sentAt = now
 	}
-	p.busyUntil[d] = p.busyUntil[d].Add(time.Duration(n) * time.Second / time.Duration(p.bytesPerSec))
-	return p.busyUntil[d].Sub(now)
+	sentAt = sentAt.Add(time.Duration(n) * time.Second / time.Duration(p.bytesPerSec))
+	p.busyUntil[d] = sentAt
+	return sentAt.Sub(now)
 }
 
 // SetDisconnected resets all connections and refuses new ones, or accepts new ones again. It replaces all other faults.
