Let the measured time of a transfer expire

A host that was slow when it fetched the configuration would have followed the owner for as long as it ran.

--- a/internal/app/cwconfigwatch/watch.go
+++ b/internal/app/cwconfigwatch/watch.go
@@ -39,6 +39,8 @@
 	// maxTransferTime is the time that the store's response with the whole configuration may take on a host that watches the store. Longer
 	// ones would take up the link for much of the time between changes.
 	maxTransferTime = 250 * time.Millisecond
+	// transferTimeExpiry is how long the measured time of a transfer counts. A host that was slow for a while then watches the store again.
+	transferTimeExpiry = 10 * time.Minute
 	// ownerExpiry is how long a host relies on the owner after its last report. It exceeds two heartbeats.
 	ownerExpiry = 1200 * time.Millisecond
 	// distrustTime is how long a host watches the store after a difference could not be fetched from a peer or applied.
@@ -56,6 +58,7 @@
 	reportedVersion      atomic.Uint64 // the latest one in force at a peer
 	confirmedVersion     atomic.Uint64 // of the store: it has no later configuration up to this version
 	transferTimePerQueue atomic.Int64  // of the last response of the store with a configuration, in nanoseconds
+	transferMeasuredAt   atomic.Int64  // in Unix nanoseconds
 	ownerReportedAt      atomic.Int64  // in Unix nanoseconds
 	distrustedUntil      atomic.Int64  // in Unix nanoseconds
 }
@@ -170,8 +173,9 @@
 // owner reports its version regularly.
 func (w *Watcher) followsOwner() bool {
 	c, now := w.current.Load(), w.opts.Timer.Now().UnixNano()
-	return c != nil && time.Duration(w.transferTimePerQueue.Load()*int64(len(c.Queues))) > maxTransferTime &&
-		now-w.ownerReportedAt.Load() < int64(ownerExpiry) && now > w.distrustedUntil.Load()
+	isSlow := c != nil && time.Duration(w.transferTimePerQueue.Load()*int64(len(c.Queues))) > maxTransferTime &&
+		now-w.transferMeasuredAt.Load() < int64(transferTimeExpiry)
+	return isSlow && now-w.ownerReportedAt.Load() < int64(ownerExpiry) && now > w.distrustedUntil.Load()
 }
 
 // watch applies each new configuration of the store until ctx ends. While this host follows the owner, it only probes the store, so that
@@ -219,6 +223,7 @@
 	if cfg != nil {
 		if cfg.TransferTime > 0 {
 			w.transferTimePerQueue.Store(int64(cfg.TransferTime) / int64(max(len(cfg.Queues), 1)))
+			w.transferMeasuredAt.Store(w.opts.Timer.Now().UnixNano())
 		}
 		index := func(current *indexedConfig) (*indexedConfig, error) { return newIndexedConfig(cfg, current), nil }
 		if err = w.apply(index, cfg.Version, call); err != nil {
@@ -239,7 +244,8 @@
 		if r.version > w.Version() && !w.followsOwner() {
 			w.opts.Timer.Sleep(ctx.Done(), storePrecedence)
 		}
-		for r.version > w.Version() && ctx.Err() == nil && w.fetchFromPeer(r.peer) {
+		for superseded := true; superseded && r.version > w.Version() && ctx.Err() == nil; {
+			superseded = w.fetchFromPeer(r.peer)
 		}
 	}
 }
--- a/internal/app/cwconfigwatch/watch_test.go
+++ b/internal/app/cwconfigwatch/watch_test.go
@@ -105,6 +105,21 @@
 	is.True(h.followsOwner())
 }
 
+// TestTransferTimeExpires guards against a host that a slow minute keeps from watching the store for good.
+func TestTransferTimeExpires(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	h.store = config(3, 2*maxTransferTime)
+	_, err := h.fetchFromStore(false)
+	is.NoErr(err)
+	h.timer.Advance(transferTimeExpiry - time.Second)
+	h.ReportOwner(3, 300, ownerAddr)
+	is.True(h.followsOwner())
+	h.timer.Advance(2 * time.Second)
+	h.ReportOwner(3, 300, ownerAddr)
+	is.True(!h.followsOwner())
+}
+
 // TestWatchContinuesAfterADifference guards against a second transfer of a configuration that a peer has already given, when the host
 // watches the store again.
 func TestWatchContinuesAfterADifference(t *testing.T) {
--- a/internal/app/cwlease/follow.go
+++ b/internal/app/cwlease/follow.go
@@ -203,7 +203,7 @@
 	return cwcellport.Heartbeat{
 		Cell: e.opts.Cell, From: e.opts.Self, OwnedCells: e.opts.OtherCells(),
 		Draining: e.resigned.Load(), StoreOK: e.storeOK.Load(), Capacity: e.opts.Capacity,
-		ConfigurationVersion: e.opts.Configuration(),
+		ConfigurationVersion: e.opts.ConfigurationVersion(),
 	}
 }
 
--- a/internal/app/cwlease/lease.go
+++ b/internal/app/cwlease/lease.go
@@ -43,8 +43,8 @@
 	Successors func() []cwcellport.EntryHost
 	// OtherCells returns how many cells this host owns besides this one.
 	OtherCells func() int
-	// Configuration returns the version of the configuration in force on this host.
-	Configuration func() uint64
+	// ConfigurationVersion returns the version of the configuration in force on this host.
+	ConfigurationVersion func() uint64
 	// OnCellCount is called with the number of cells in the known lease, if it records several, whenever that lease is updated.
 	OnCellCount func(cells int)
 	// OnHeartbeatResponse is called with the owner's response to each heartbeat.
--- a/internal/app/cwlease/lease_test.go
+++ b/internal/app/cwlease/lease_test.go
@@ -47,8 +47,8 @@
 		Peers:           cwcellport.Peers{Heartbeat: func(a netip.AddrPort, _ cwcellport.Heartbeat) (cwcellport.HeartbeatResponse, error) { return h.peer(a) }},
 		OnLeaseAcquired: func(t Grant) { h.grants[id] = t }, OnLeaseLost: func() { delete(h.grants, id) },
 		OnHeartbeatResponse: func(cwcellport.HeartbeatResponse) {}, Successors: func() []cwcellport.EntryHost { return h.successors },
-		Configuration: func() uint64 { return 0 },
-		OtherCells:    func() int { return h.otherCells[id] }, OnCellCount: func(cells int) { h.cells = cells },
+		ConfigurationVersion: func() uint64 { return 0 },
+		OtherCells:           func() int { return h.otherCells[id] }, OnCellCount: func(cells int) { h.cells = cells },
 	}}
 	e.view.Store(&View{})
 	return e
--- a/internal/app/cwnode/role.go
+++ b/internal/app/cwnode/role.go
@@ -48,10 +48,10 @@
 		Self: n.opts.Self, Store: n.opts.Store, Peers: n.opts.Peers, Timer: n.opts.Timer, Log: n.opts.Log, Capacity: n.opts.Capacity,
 		TaskLease: n.taskLease(), StartWindow: startWindow,
 		OnLeaseAcquired: r.activateOwner, OnLeaseLost: owner.Deactivate, OnHeartbeatResponse: r.handleHeartbeatResponse,
-		Successors:    func() []cwcellport.EntryHost { return r.latestResponse.Load().Peers },
-		OtherCells:    func() int { return n.otherOwnedCells(r) },
-		Configuration: n.config.Version,
-		OnCellCount:   func(cells int) { n.ensureRoles(cells) },
+		Successors:           func() []cwcellport.EntryHost { return r.latestResponse.Load().Peers },
+		OtherCells:           func() int { return n.otherOwnedCells(r) },
+		ConfigurationVersion: n.config.Version,
+		OnCellCount:          func(cells int) { n.ensureRoles(cells) },
 	})
 	return r
 }
