Log how long a lost run lived, and that another worker answers at a silent worker's address

Cause of the gap: worker-silent has no reason, and run-lost no age, so the log could not tell a task that crashes its workers, a bystander of a crash, and a worker that was given up while it lived. No decision changes.

--- a/internal/app/cwcellowner/link.go
+++ b/internal/app/cwcellowner/link.go
@@ -102,6 +102,8 @@
 		return
 	case cwfault.CodeOf(err) == cwfault.StaleEpoch:
 		s.owner.opts.OnSuperseded()
+	case cwfault.CodeOf(err) == cwfault.NotFound:
+		s.cell.MarkReplaced(l.entry.ID, now)
 	default:
 		s.cell.MarkUnreachable(l.entry.ID, now)
 	}
--- a/internal/app/cwcellowner/session.go
+++ b/internal/app/cwcellowner/session.go
@@ -181,6 +181,9 @@
 	if entry.Detail != "" {
 		fields["detail"] = entry.Detail
 	}
+	if entry.Survived != "" {
+		fields["survived"] = entry.Survived
+	}
 	s.owner.opts.Log.WithFields(fields).Info(entry.Event)
 	s.owner.opts.Observe(Observation{Event: entry.Event})
 }
--- a/internal/core/cwcell/cell.go
+++ b/internal/core/cwcell/cell.go
@@ -113,6 +113,9 @@
 	Worker cwmodel.HostID
 	Run    int
 	Detail string
+	// Survived is how long a lost run is known to have lived: from its confirmed start to the last response of its worker. Empty: the
+	// entry is not about a lost run.
+	Survived string
 }
 
 // New returns a cell without jobs and workers.
--- a/internal/core/cwcell/job.go
+++ b/internal/core/cwcell/job.go
@@ -96,6 +96,7 @@
 	startUnanswered bool      // the start order got no response
 	startResolvedAt time.Time // when the result of the start order was received; zero: it is in flight, or the run was adopted
 	incarnation     time.Time // incarnation of the worker that reported the run; zero: none has
+	orderedTo       time.Time // incarnation of the worker that was known when the run was planned or adopted
 }
 
 // orderInFlight reports whether a start order was issued whose result has not been received.
@@ -109,6 +110,12 @@
 	return r.orderInFlight() || (r.state != runPlanned && r.incarnation.IsZero())
 }
 
+// belongsToEarlierIncarnation reports whether the run was ordered before its worker restarted, and the present incarnation has not
+// reported it.
+func (r *run) belongsToEarlierIncarnation() bool {
+	return !r.orderedTo.Equal(r.worker.Incarnation) && !r.incarnation.Equal(r.worker.Incarnation)
+}
+
 // key returns the key of the run's task.
 func (r *run) key() cwwork.TaskKey { return cwwork.TaskKey{StepKey: r.group.key, Index: r.taskIndex} }
 
--- a/internal/core/cwcell/order.go
+++ b/internal/core/cwcell/order.go
@@ -26,6 +26,11 @@
 	StartWorkerRestarted  StartResult = "restarted"   // the worker's incarnation has changed
 )
 
+// isResponse reports whether the worker to which the order was sent has responded.
+func (r StartResult) isResponse() bool {
+	return r != StartUnanswered && r != StartNotSent && r != StartWorkerRestarted
+}
+
 // stopRun releases a run whose start order was not issued, and issues a stop order for any other run, unless one was issued
 // before.
 func (c *Cell) stopRun(r *run) {
@@ -60,6 +65,9 @@
 	}
 	g, t := r.group, &r.group.tasks[r.taskIndex]
 	r.startResolvedAt = now
+	if result.isResponse() {
+		w.lastResponse = now
+	}
 	if result == StartAccepted {
 		r.confirmedAt, r.progressedAt = now, now
 		if r.state == runOrdered {
@@ -148,7 +156,7 @@
 	}
 	if r := w.runs[o.Task]; r != nil && r.number == o.Run && r.state == runStopping {
 		if confirmed {
-			r.stopConfirmedAt = now
+			r.stopConfirmedAt, w.lastResponse = now, now
 			return
 		}
 		c.expireLeases(w, now)
--- a/internal/core/cwcell/place.go
+++ b/internal/core/cwcell/place.go
@@ -251,7 +251,7 @@
 // planRun allocates capacity on a worker for a run, whose start order is not issued yet. The run gets the given number, or a
 // higher one if the job was adopted.
 func (c *Cell) planRun(g *group, index int, w *worker, number int, now time.Time) *run {
-	r := &run{group: g, taskIndex: index, number: max(number, g.job.runNumberBase+1), worker: w, state: runPlanned, orderedAt: now}
+	r := &run{group: g, taskIndex: index, number: max(number, g.job.runNumberBase+1), worker: w, state: runPlanned, orderedAt: now, orderedTo: w.Incarnation}
 	g.tasks[index].highestRun = max(g.tasks[index].highestRun, r.number)
 	w.allocate(r)
 	return r
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -87,7 +87,7 @@
 		c.log(LogEntry{Event: "worker-answers", Worker: w.ID})
 	}
 	c.setReported(w, true)
-	w.unreachable, w.pollFailedAt, w.lastContact = false, time.Time{}, now
+	w.unreachable, w.replaced, w.pollFailedAt, w.lastContact, w.lastResponse = false, false, time.Time{}, now, now
 	for n := range rep.Ended {
 		c.handleEnd(w, &rep.Ended[n], now)
 	}
@@ -153,7 +153,7 @@
 // the outcome of the job is decided.
 func (c *Cell) adoptRun(w *worker, g *group, rep *RunStatus, now time.Time) {
 	t := &g.tasks[rep.Task.Index]
-	r := &run{group: g, taskIndex: rep.Task.Index, number: rep.Run, worker: w, state: runRunning, adopted: true, confirmedAt: now, orderedAt: now, progressedAt: now, percent: rep.Percent, incarnation: w.Incarnation}
+	r := &run{group: g, taskIndex: rep.Task.Index, number: rep.Run, worker: w, state: runRunning, adopted: true, confirmedAt: now, orderedAt: now, progressedAt: now, percent: rep.Percent, incarnation: w.Incarnation, orderedTo: w.Incarnation}
 	// Dependencies are not checked here: they were done when the run started, even if their ends are not reported yet.
 	keep := !t.done && len(t.runs) == 0 && g.job.outcome == ""
 	w.allocate(r)
@@ -351,13 +351,26 @@
 // loseRun releases a run that has certainly ended although its end was not reported, and stops the other members of its
 // gang.
 func (c *Cell) loseRun(r *run, reason lossReason, now time.Time) {
-	c.log(LogEntry{Event: "run-lost", Job: r.group.job.ID, Task: r.key(), Worker: r.worker.ID, Run: r.number, Detail: string(reason)})
+	c.log(LogEntry{Event: "run-lost", Job: r.group.job.ID, Task: r.key(), Worker: r.worker.ID, Run: r.number, Detail: string(reason), Survived: r.survived().String()})
 	c.releaseRun(r, now)
 	if g := r.group; g.step.Gang && !g.tasks[r.taskIndex].done {
 		c.stopMembers(g, r.number)
 	}
 }
 
+// survived returns how long the run is known to have lived: from its confirmed start to the last response of its worker; 0 if no
+// response shows that it has started.
+func (r *run) survived() time.Duration {
+	if r.confirmedAt.IsZero() {
+		return 0
+	}
+	lastResponse := r.worker.lastResponse
+	if r.belongsToEarlierIncarnation() {
+		lastResponse = r.worker.priorLastResponse
+	}
+	return max(0, lastResponse.Sub(r.confirmedAt))
+}
+
 // stopMembers stops all members of the gang's run with the given number.
 func (c *Cell) stopMembers(g *group, number int) {
 	for n := range g.tasks {
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -35,6 +35,9 @@
 	unreachable       bool      // did not answer the last call
 	pollFailedAt      time.Time // first poll without a response since the latest report; zero: there is none
 	lastContact       time.Time // time of the latest report, or when the worker was added
+	lastResponse      time.Time // time of the latest response of its present incarnation to any call; zero: there is none
+	priorLastResponse time.Time // the same of the incarnation before; zero: there is none
+	replaced          bool      // the process of another worker answers at its address
 	lastSequence      uint64    // sequence number of the latest end that was processed
 	ackSequence       uint64    // sequence number of the latest end whose effect is durable
 	pendingEnds       []pendingEnd
@@ -235,6 +238,7 @@
 	c.log(LogEntry{Event: "worker-restarted", Worker: w.ID})
 	w.Incarnation = incarnation
 	w.lastSequence, w.ackSequence, w.pendingEnds = 0, 0, nil
+	w.priorLastResponse, w.lastResponse = w.lastResponse, time.Time{}
 	c.setReported(w, false)
 	w.breaker = breaker{}
 	for _, r := range w.sortedRuns() {
@@ -312,6 +316,15 @@
 	c.expireLeases(w, now)
 }
 
+// MarkReplaced marks a worker at whose address the process of another worker answers: its own process has ended.
+func (c *Cell) MarkReplaced(id cwmodel.HostID, now time.Time) {
+	if w, ok := c.workers[id]; ok && !w.replaced {
+		w.replaced = true
+		c.log(LogEntry{Event: "worker-replaced", Worker: id})
+	}
+	c.MarkUnreachable(id, now)
+}
+
 // leaseGrace is the time that a worker may take to end a task after its lease has expired.
 const leaseGrace = 100 * time.Millisecond
 
--- a/internal/port/cwcellport/port.go
+++ b/internal/port/cwcellport/port.go
@@ -88,7 +88,8 @@
 
 // Workers calls workers. The adapter tracks when leases expire, since only it knows the workers' clocks.
 type Workers struct {
-	// RenewLeases returns the worker's report. StaleEpoch means that a later owner has called the worker.
+	// RenewLeases returns the worker's report. StaleEpoch means that a later owner has called the worker, NotFound that the process of
+	// another worker answers at its address.
 	RenewLeases func(w WorkerEntry, r LeaseRenewal) (*cwcell.Report, error)
 	// Start requests a worker to start a run; the worker refuses an order that arrives after the window.
 	Start func(w WorkerEntry, o *cwcell.StartOrder, fence uint64, window time.Duration) cwcell.StartResult
