Add a failing test of tasks that crash their workers, and one of bystanders that must not be given up

The simulation of the cell gets tasks that crash their worker, workers that are down for a while, and workers that return as another worker at the same address.

--- a/internal/core/cwcell/cluster_test.go
+++ b/internal/core/cwcell/cluster_test.go
@@ -39,6 +39,7 @@
 	number int
 	endsAt time.Time
 	fails  bool      // it ends as failed
+	kills  time.Time // when it crashes its worker; zero: never
 	stopAt time.Time // when an ordered stop takes effect; zero: not ordered
 }
 
@@ -56,6 +57,7 @@
 	highestStopped map[cwwork.TaskKey]int // highest run number of each task that has ended or was ordered to stop
 	restartedAt    time.Time
 	resetPolls     map[*simOwner]bool // owners whose poll was in flight when the worker crashed
+	replaced       bool               // its process has ended, and that of another worker has its address
 }
 
 // delayedCall is a call that is carried out late.
@@ -97,6 +99,7 @@
 	failures     map[cwwork.TaskKey]map[int]bool
 	delayedCalls []delayedCall
 	term         int
+	crashes      simCrashes
 	policy       cwwork.QueuePolicy
 	intN         func(n int) int // returns a number below n
 	faults       bool
@@ -113,6 +116,7 @@
 		ended:     map[cwmodel.JobID]cwwork.JobState{},
 		ackedDone: map[cwwork.TaskKey]bool{}, reportedDone: map[cwwork.TaskKey]bool{},
 		failures: map[cwwork.TaskKey]map[int]bool{},
+		crashes:  newSimCrashes(),
 		policy:   policy,
 		intN:     intN,
 	}
@@ -258,6 +262,9 @@
 		r, ok := w.runs[key]
 		switch {
 		case !ok:
+		case !r.kills.IsZero() && !c.now.Before(r.kills):
+			c.crashUnder(w, key)
+			return
 		case c.now.After(w.lease):
 			c.finish(w, key, EndLeaseExpired)
 		case !r.stopAt.IsZero() && !c.now.Before(r.stopAt):
@@ -428,6 +435,10 @@
 
 // poll polls a worker for an owner, under a random fault, and passes the report or its absence to the owner's cell.
 func (c *cluster) poll(o *simOwner, w *simWorker) {
+	if w.replaced && !o.cutOff[w.info.ID] {
+		o.cell.MarkReplaced(w.info.ID, c.now)
+		return
+	}
 	ack, _ := o.cell.AckWatermark(w.info.ID)
 	var deadline time.Time
 	clock := o.clocks[w.info.ID]
@@ -601,7 +612,10 @@
 	c.record("%s: starts %s run %d of owner %d", w.info.ID, order.Task, order.Run, o.fence)
 	c.checkStart(o, w, order)
 	step := c.jobs[order.Task.Job].Steps[order.Task.Step]
-	r := &simRun{number: order.Run, endsAt: c.now.Add(step.Estimate), fails: c.intN(20) == 0}
+	r := &simRun{number: order.Run, endsAt: c.now.Add(step.Estimate), fails: !c.crashes.noFailures && c.intN(20) == 0}
+	if delay, ok := c.crashes.deadly[order.Task]; ok {
+		r.kills = c.now.Add(delay)
+	}
 	if _, running := w.runs[order.Task]; running {
 		c.finish(w, order.Task, EndStopped)
 	}
@@ -632,6 +646,7 @@
 		}
 	}
 	c.checkCapacity(w, order, step)
+	c.checkCrashes(order.Task)
 	for _, other := range c.workers {
 		if _, running := other.runs[order.Task]; running && other != w && other.alive {
 			c.reportViolation("run twice: %s starts on %s while running on %s", order.Task, w.info.ID, other.info.ID)
--- /dev/null
+++ b/internal/core/cwcell/crash_test.go
@@ -0,0 +1,224 @@
+package cwcell
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+)
+
+// simCrashes are the crashes of simulated workers that tasks cause, and what must hold about these tasks.
+type simCrashes struct {
+	deadly      map[cwwork.TaskKey]time.Duration // tasks that crash their worker, and the time from their start to the crash
+	under       map[cwwork.TaskKey]int           // crashes of workers while the task ran there
+	caused      map[cwwork.TaskKey]int           // crashes that the task has caused
+	startsAfter map[cwwork.TaskKey]int           // starts of the task after maxCrashes of these
+	downTime    time.Duration
+	otherID     bool // a crashed worker returns as another worker at its address
+	noFailures  bool // no run ends as failed
+}
+
+func newSimCrashes() simCrashes {
+	return simCrashes{
+		deadly: map[cwwork.TaskKey]time.Duration{}, under: map[cwwork.TaskKey]int{}, caused: map[cwwork.TaskKey]int{}, startsAfter: map[cwwork.TaskKey]int{},
+		downTime: 3 * time.Second,
+	}
+}
+
+// The users' rule: after maxCrashes crashes under a task, it may be started fewer than maxFurtherStarts times.
+const (
+	maxCrashes       = 3
+	maxFurtherStarts = 3
+)
+
+// crashUnder crashes a worker because of the task that it runs.
+func (c *cluster) crashUnder(w *simWorker, key cwwork.TaskKey) {
+	c.record("%s: %s crashes it", w.info.ID, key)
+	c.crashes.caused[key]++
+	c.crashFor(w, c.crashes.downTime, c.crashes.otherID)
+}
+
+// crashFor crashes a worker, which returns after some time, under its ID or as another worker at its address.
+func (c *cluster) crashFor(w *simWorker, downTime time.Duration, otherID bool) {
+	c.record("%s: down for %s", w.info.ID, downTime)
+	for key := range w.runs {
+		c.crashes.under[key]++
+	}
+	w.alive, w.runs, w.ended = false, map[cwwork.TaskKey]*simRun{}, nil
+	c.delayedCalls = append(c.delayedCalls, delayedCall{c.now.Add(downTime), func() {
+		if !otherID {
+			w.alive = true
+			c.crash(w)
+			return
+		}
+		w.replaced = true
+		info := w.info
+		info.ID, info.Incarnation = cwmodel.HostID(fmt.Sprintf("%s-%d", strings.SplitN(string(info.ID), "-", 2)[0], c.now.UnixMilli())), c.now
+		c.workers = append(c.workers, &simWorker{info: info, alive: true, runs: map[cwwork.TaskKey]*simRun{}, highestStopped: map[cwwork.TaskKey]int{}})
+		c.record("%s: replaces %s", info.ID, w.info.ID)
+		for _, o := range c.owners {
+			if !o.superseded {
+				o.cell.UpdateWorker(info, c.now)
+				o.cell.MarkMembersDurable([]cwmodel.HostID{info.ID})
+			}
+		}
+	}})
+}
+
+// checkCrashes checks that a task which crashes its workers is not started for ever.
+func (c *cluster) checkCrashes(key cwwork.TaskKey) {
+	if c.crashes.caused[key] < maxCrashes {
+		return
+	}
+	if c.crashes.startsAfter[key]++; c.crashes.startsAfter[key] == maxFurtherStarts {
+		c.reportViolation("crashes: %s is started %d times more after %d crashes under it", key, maxFurtherStarts, maxCrashes)
+	}
+}
+
+// crashingJob returns a job of n tasks, of which those in deadly crash their workers some time after their start.
+func (c *cluster) crashingJob(id cwmodel.JobID, n int, gang bool, delay time.Duration, deadly ...int) *cwwork.Submission {
+	s := &cwwork.Submission{ID: id, Queue: "q", Steps: []cwwork.Step{step(n, 1000, gang)}}
+	s.Steps[0].Estimate = 600 * time.Millisecond
+	for _, index := range deadly {
+		c.crashes.deadly[cwwork.TaskKey{StepKey: cwwork.StepKey{Job: id}, Index: index}] = delay
+	}
+	return s
+}
+
+// isDeadly reports whether a task of the job crashes its workers.
+func (c *cluster) isDeadly(id cwmodel.JobID) bool {
+	for key := range c.crashes.deadly {
+		if key.Job == id {
+			return true
+		}
+	}
+	return false
+}
+
+// TestTaskThatCrashesItsWorkersIsGivenUp guards against a task that is started on one worker after another and crashes each, because a run
+// that ends with its worker leaves no trace on its task. Other jobs, which lose runs to the same crashes, must not be given up.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	cases := []struct {
+		name      string
+		otherID   bool
+		downTime  time.Duration
+		delay     time.Duration   // from the start of the task to the crash
+		takeOvers []time.Duration // times at which another owner takes over
+		silence   time.Duration   // time at which a worker is cut off for 5 s; zero: never
+		gang      bool
+	}{
+		{name: "returns under its ID", downTime: 3 * time.Second, delay: 10 * time.Millisecond},
+		{name: "returns as another worker", otherID: true, downTime: 3 * time.Second, delay: 10 * time.Millisecond},
+		{name: "returns at once", downTime: 40 * time.Millisecond, delay: 10 * time.Millisecond},
+		{name: "returns after the leases are over", downTime: 9 * time.Second, delay: 10 * time.Millisecond},
+		{name: "returns as another worker after the leases are over", otherID: true, downTime: 9 * time.Second, delay: 10 * time.Millisecond},
+		{name: "crashes before the order is answered", downTime: 3 * time.Second},
+		{name: "crashes some time after its start", downTime: 3 * time.Second, delay: 400 * time.Millisecond},
+		{name: "another owner after each crash", otherID: true, downTime: 3 * time.Second, delay: 10 * time.Millisecond, takeOvers: []time.Duration{
+			500 * time.Millisecond, 5 * time.Second, 9 * time.Second, 14 * time.Second, 19 * time.Second,
+		}},
+		{name: "another owner after each crash, under its ID", downTime: 3 * time.Second, delay: 10 * time.Millisecond, takeOvers: []time.Duration{
+			500 * time.Millisecond, 5 * time.Second, 9 * time.Second, 14 * time.Second, 19 * time.Second,
+		}},
+		{name: "beside a worker that is cut off", downTime: 3 * time.Second, delay: 10 * time.Millisecond, silence: time.Second},
+		{name: "in a gang", downTime: 3 * time.Second, delay: 10 * time.Millisecond, gang: true},
+	}
+	for _, tc := range cases {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprintf("%s, seed %d", tc.name, seed), func(t *testing.T) {
+				c := newCluster(8, crashPolicy, rand.New(rand.NewPCG(seed, 29)).IntN)
+				c.crashes.downTime, c.crashes.otherID, c.crashes.noFailures = tc.downTime, tc.otherID, true
+				c.takeOver()
+				c.advance(2 * time.Second)
+				start, takeOvers := c.now, tc.takeOvers
+				for n := range 150 {
+					if len(takeOvers) > 0 && c.now.Sub(start) >= takeOvers[0] {
+						takeOvers = takeOvers[1:]
+						c.takeOver()
+					}
+					c.workers[0].partitioned = tc.silence > 0 && c.now.Sub(start) >= tc.silence && c.now.Sub(start) < tc.silence+5*time.Second
+					id := cwmodel.JobID(fmt.Sprintf("job%03d", n))
+					if n%25 == 3 {
+						c.submit(c.crashingJob(id, 4, tc.gang, tc.delay, n/25%4))
+					} else {
+						c.submit(c.crashingJob(id, 1+n%6, n%9 == 0, 0))
+					}
+					c.advance(100 * time.Millisecond)
+				}
+				c.advance(60 * time.Second)
+				c.checkOutcomes(t)
+			})
+		}
+	}
+}
+
+// crashPolicy is the policy of the tests with crashing workers.
+var crashPolicy = cwwork.QueuePolicy{Service: "portal", MaxAttempts: 3, Stretch: 2, TargetLatency: time.Second}
+
+// checkOutcomes checks that the jobs with a deadly task have failed, that all others are completed, and that nothing was violated.
+func (c *cluster) checkOutcomes(t *testing.T) {
+	t.Helper()
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		state, want := c.ended[id], cwwork.StateCompleted
+		if c.isDeadly(id) {
+			want = cwwork.StateFailed
+		}
+		if state != want {
+			t.Errorf("%s is %q, not %s: %s", id, state, want, describeJob(c.currentOwner().cell, id))
+		}
+	}
+	if len(c.violations) > 0 || t.Failed() {
+		t.Fatalf("%s\n%s", strings.Join(c.violations, "\n"), lastLines(c.history, 400))
+	}
+}
+
+// lastLines joins the last n lines.
+func lastLines(lines []string, n int) string { return strings.Join(lines[max(0, len(lines)-n):], "\n") }
+
+// TestBystandersOfCrashesAreNotGivenUp guards against tasks that are taken for the cause of crashes which have another one: workers crash
+// in series by themselves, several at once.
+func TestBystandersOfCrashesAreNotGivenUp(t *testing.T) {
+	cases := []struct {
+		name    string
+		otherID bool
+		workers int // that crash at once
+	}{
+		{"one after another", false, 1},
+		{"three at once", false, 3},
+		{"three at once, and return as other workers", true, 3},
+	}
+	for _, tc := range cases {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprintf("%s, seed %d", tc.name, seed), func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 30))
+				c := newCluster(10, crashPolicy, random.IntN)
+				c.crashes.noFailures = true
+				c.takeOver()
+				c.advance(2 * time.Second)
+				for n := range 200 {
+					c.submit(c.crashingJob(cwmodel.JobID(fmt.Sprintf("job%03d", n)), 1+n%6, n%9 == 0, 0))
+					if n%(40/tc.workers) == 20/tc.workers {
+						c.crashSome(tc.workers, tc.otherID, random)
+					}
+					c.advance(100 * time.Millisecond)
+				}
+				c.advance(40 * time.Second)
+				c.checkOutcomes(t)
+			})
+		}
+	}
+}
+
+// crashSome crashes up to n of the live workers at once.
+func (c *cluster) crashSome(n int, otherID bool, random *rand.Rand) {
+	up := slices.DeleteFunc(slices.Clone(c.workers), func(w *simWorker) bool { return !w.alive })
+	for _, k := range random.Perm(len(up))[:min(n, len(up))] {
+		c.crashFor(up[k], 3*time.Second, otherID)
+	}
+}
