Give up a task that crashes its workers, and start a suspect in isolation

Cause: a run that ends with its worker left no trace on its task, only ends reported as failed counted; a new owner started from zero; and nothing told a crashed worker from a silent one where it returns as another worker at its address. Ruled out: workers given up while they live (52 of 55 silent ones were replaced), and crashes without a task that causes them (tasks lost three times or more survived 0.00 s in the median, others over 1 s). Change: a run that may have ended with its worker is a loss of its task; early if it is not known to have outlived 0.3 s. It is proven by another incarnation under the ID, or by another worker that answers at the address; a later answer of the same incarnation clears it. Losses are stored before the next start. A suspect starts on a worker whose other runs have outlived their 0.3 s, nothing else starts there until it has, and its possible loss is stored first. It is given up after two crashes that it has caused alone, after one where two other tasks of its queue were given up shortly before, and after five in any case; a crash without a culprit makes the evidence weaker. Members of gangs, which can't be isolated, need four early crashes. A replaced worker's runs are released at once. Four tests of restarts now complete the writes before they expect the start of a lost task, or let its run outlive the window.

--- a/internal/adapter/cwcellcodec/codec.go
+++ b/internal/adapter/cwcellcodec/codec.go
@@ -129,10 +129,21 @@
 }
 
 type stepProgress struct {
-	Occurrence int      `json:"occurrence,omitempty"`
-	Step       int      `json:"step,omitempty"`
-	Done       []int    `json:"done,omitempty"`
-	Failed     [][2]int `json:"failed,omitempty"`
+	Occurrence int       `json:"occurrence,omitempty"`
+	Step       int       `json:"step,omitempty"`
+	Done       []int     `json:"done,omitempty"`
+	Failed     [][2]int  `json:"failed,omitempty"`
+	Lost       []lostRun `json:"lost,omitempty"`
+}
+
+type lostRun struct {
+	Index       int            `json:"task"`
+	Run         int            `json:"run"`
+	Worker      cwmodel.HostID `json:"worker"`
+	Incarnation int64          `json:"incarnation"` // milliseconds since 1970
+	Early       bool           `json:"early,omitempty"`
+	Alone       bool           `json:"alone,omitempty"`
+	Crashed     bool           `json:"crashed,omitempty"`
 }
 
 // EncodeProgress returns the stored form of a job's progress.
@@ -143,6 +154,9 @@
 		for _, f := range s.Failed {
 			out.Failed = append(out.Failed, [2]int{f.Index, f.Run})
 		}
+		for _, l := range s.Lost {
+			out.Lost = append(out.Lost, lostRun{l.Index, l.Run, l.Worker, l.Incarnation.UnixMilli(), l.Early, l.Alone, l.Crashed})
+		}
 		w.Steps = append(w.Steps, out)
 	}
 	return json.Marshal(w)
@@ -160,6 +174,12 @@
 		for _, f := range s.Failed {
 			out.Failed = append(out.Failed, cwwork.TaskRun{Index: f[0], Run: f[1]})
 		}
+		for _, l := range s.Lost {
+			out.Lost = append(out.Lost, cwwork.LostRun{
+				TaskRun: cwwork.TaskRun{Index: l.Index, Run: l.Run}, Worker: l.Worker, Incarnation: time.UnixMilli(l.Incarnation),
+				Early: l.Early, Alone: l.Alone, Crashed: l.Crashed,
+			})
+		}
 		p.Steps = append(p.Steps, out)
 	}
 	return p, nil
--- a/internal/app/cwcellowner/link.go
+++ b/internal/app/cwcellowner/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"currantward/internal/base/cwduty"
@@ -17,9 +18,10 @@
 type workerLink struct {
 	entry      cwcellport.WorkerEntry
 	calls      *cwring.Ring[renewalCall]
-	stop       func()    // stops the duty that makes the calls
-	nextCallAt time.Time // the next call starts at this time, or earlier once the ended runs of the last one are durable
-	failures   int       // consecutive calls without a response
+	stop       func()         // stops the duty that makes the calls
+	nextCallAt time.Time      // the next call starts at this time, or earlier once the ended runs of the last one are durable
+	failures   int            // consecutive calls without a response
+	answeredAt netip.AddrPort // address of the latest response; invalid: there is none
 }
 
 // renewalCall is one lease renewal with the worker's current registry entry.
@@ -32,6 +34,8 @@
 const (
 	// longPollWait is how long a worker without a new ended run delays its response to wait for one.
 	longPollWait = time.Second
+	// shortPollWait is the same for a worker on which nothing may be started before it has responded.
+	shortPollWait = 300 * time.Millisecond
 	// maxCallInterval is the longest pause before the next call after a response. The next call starts earlier if the ended runs of the
 	// last one are durable, to acknowledge them.
 	maxCallInterval = 300 * time.Millisecond
@@ -90,19 +94,20 @@
 
 // handleReport passes a worker's report to the cell and repeats the stop orders that the worker has not confirmed. After a
 // failed call, for which report is nil, it sets a backoff that doubles with each failure. The worker then counts as unreachable,
-// unless it refused this owner's fence, which is evidence of a later owner.
+// unless it refused this owner's fence, which is evidence of a later owner. If another worker answers at the address at which the
+// worker has answered, its process has ended. At another address, its entry may be wrong.
 func (s *session) handleReport(l *workerLink, report *cwcell.Report, err error, now time.Time) {
 	s.idleLinks = append(s.idleLinks, l)
 	l.nextCallAt = now.Add(maxCallInterval)
 	switch {
 	case err == nil:
-		l.failures = 0
+		l.failures, l.answeredAt = 0, l.entry.Address
 		s.cell.HandleReport(report, now)
 		s.cell.ResendStops(l.entry.ID, now)
 		return
 	case cwfault.CodeOf(err) == cwfault.StaleEpoch:
 		s.owner.opts.OnSuperseded()
-	case cwfault.CodeOf(err) == cwfault.NotFound:
+	case cwfault.CodeOf(err) == cwfault.NotFound && (!l.answeredAt.IsValid() || l.answeredAt == l.entry.Address):
 		s.cell.MarkReplaced(l.entry.ID, now)
 	default:
 		s.cell.MarkUnreachable(l.entry.ID, now)
@@ -131,6 +136,9 @@
 		}
 		if allDurable && l.failures == 0 {
 			renewal.Wait = longPollWait
+			if s.cell.AwaitsSurvival(l.entry.ID) {
+				renewal.Wait = shortPollWait
+			}
 		}
 		l.calls.Offer(renewalCall{entry: l.entry, renewal: renewal})
 	}
--- a/internal/core/cwcell/advice.go
+++ b/internal/core/cwcell/advice.go
@@ -203,6 +203,7 @@
 		}
 		c.recordAdvice(req, eligible, validUntil)
 	}
+	c.startIsolatedOf(g, now)
 	c.resolvePlanned(g, req, now)
 }
 
@@ -238,7 +239,7 @@
 	var planned []*run
 	for index := range g.tasks {
 		for _, r := range g.tasks[index].runs {
-			if r.state != runPlanned || (!g.step.Gang && !slices.Contains(req.Workers, r.worker.ID)) {
+			if r.state != runPlanned || r.isolated || (!g.step.Gang && !slices.Contains(req.Workers, r.worker.ID)) {
 				continue
 			}
 			planned = append(planned, r)
--- a/internal/core/cwcell/cell.go
+++ b/internal/core/cwcell/cell.go
@@ -64,6 +64,9 @@
 	placementDue       bool      // an event may allow a waiting task to start
 	nextFullPass       time.Time // time at which every waiting group is considered again
 	queues             map[cwwork.QueueName]*queueStatistics
+	doubts             map[cwmodel.HostID][]doubt // by worker: losses of which it is not known whether the worker has crashed
+	suspectedCrashes   map[crashKey]*suspectedCrash
+	unrelatedCrashAt   time.Time // latest crash that no task has caused; zero: none is known
 }
 
 // finalState is the final state of a job whose end is durable, kept for lookups until the retention period ends.
@@ -77,6 +80,7 @@
 	waiting       int // jobs of which no task has started
 	predictor     predictor
 	eligibleShare eligibleShare
+	givenUpAt     []time.Time // when the last givenUpInQueue tasks were given up that had crashed their workers
 }
 
 // Effects are the results of a decision.
@@ -121,14 +125,16 @@
 // New returns a cell without jobs and workers.
 func New(opts Options) *Cell {
 	return &Cell{
-		opts:            opts,
-		random:          rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
-		reserved:        newReservations(),
-		pendingRequests: map[uint64]*pendingRequest{},
-		jobs:            map[cwmodel.JobID]*job{},
-		finalStates:     map[cwmodel.JobID]finalState{},
-		workers:         map[cwmodel.HostID]*worker{},
-		queues:          map[cwwork.QueueName]*queueStatistics{},
+		opts:             opts,
+		random:           rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
+		reserved:         newReservations(),
+		pendingRequests:  map[uint64]*pendingRequest{},
+		jobs:             map[cwmodel.JobID]*job{},
+		finalStates:      map[cwmodel.JobID]finalState{},
+		workers:          map[cwmodel.HostID]*worker{},
+		queues:           map[cwwork.QueueName]*queueStatistics{},
+		doubts:           map[cwmodel.HostID][]doubt{},
+		suspectedCrashes: map[crashKey]*suspectedCrash{},
 	}
 }
 
@@ -146,6 +152,8 @@
 		c.placementDue = false
 		c.nextFullPass = now.Add(fullPassPeriod)
 		c.reserved = newReservations()
+		c.expireDoubts(now)
+		c.cordonWorkers(now, wall)
 		c.place(now, wall, fullPass)
 	case c.placementDue:
 		c.placementDue = false
--- a/internal/core/cwcell/cell_test.go
+++ b/internal/core/cwcell/cell_test.go
@@ -56,6 +56,14 @@
 	return f.Decide(f.now, f.now)
 }
 
+// decideDurably decides, completes all writes and decides again. It returns the starts: that of a suspect waits until its possible loss is
+// durable.
+func (f *fixture) decideDurably() (starts []StartOrder) {
+	starts = f.decide().Starts
+	f.CompleteWrites(f.NextWrites(100, func(cwmodel.JobID) bool { return true }), true, f.now)
+	return append(starts, f.decide().Starts...)
+}
+
 // admit adds the job "job" with the given steps, which no earlier owner has run.
 func (f *fixture) admit(steps ...cwwork.Step) {
 	s := &cwwork.Submission{ID: "job", Queue: "q", Steps: steps, AcceptedAt: f.now, Policy: cwwork.QueuePolicy{Service: "portal", Stretch: 2}}
--- a/internal/core/cwcell/cluster_test.go
+++ b/internal/core/cwcell/cluster_test.go
@@ -377,6 +377,9 @@
 	for _, w := range c.workers {
 		if !c.now.Before(o.nextPollAt[w.info.ID]) {
 			o.nextPollAt[w.info.ID] = c.now.Add(simPollPeriod + time.Duration(c.intN(int(simPollJitter))))
+			if o.cell.AwaitsSurvival(w.info.ID) {
+				o.nextPollAt[w.info.ID] = c.now.Add(simPollPeriod)
+			}
 			c.poll(o, w)
 		}
 	}
--- a/internal/core/cwcell/gang.go
+++ b/internal/core/cwcell/gang.go
@@ -52,6 +52,9 @@
 		return
 	}
 	g.incompleteSince = time.Time{}
+	if slices.ContainsFunc(g.tasks, func(t task) bool { return t.awaitsProof() }) {
+		return
+	}
 	candidates := c.candidates(g, policy, now, func(*worker) bool { return true })
 	assigned := c.assignTicketed(g, r, candidates, now)
 	if len(assigned) < len(g.tasks) {
@@ -70,6 +73,9 @@
 	for index := range g.tasks {
 		runs = append(runs, c.planRun(g, index, assigned[index], number, now))
 	}
+	if c.isSuspectGang(g) {
+		c.holdWorkers(runs)
+	}
 	if renew := g.ticketsToRenew(assigned, policy, now); len(renew) > 0 {
 		c.renewTickets(g, policy, renew)
 		return
--- /dev/null
+++ b/internal/core/cwcell/isolate.go
@@ -0,0 +1,270 @@
+package cwcell
+
+import (
+	"slices"
+	"time"
+
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
+)
+
+// A task that may crash its workers is a suspect: it is started in isolation, on a worker whose other runs have all outlived their
+// crashWindow, and nothing else is started there until it has, too. A crash meanwhile is then its own.
+const (
+	// isolatedShareDivisor limits the workers that are kept for suspects to 1/isolatedShareDivisor of the usable ones.
+	isolatedShareDivisor = 6
+	// silentShareDivisor limits the silent workers that suspects may have crashed to 1/silentShareDivisor of all.
+	silentShareDivisor = 4
+	// longProbation is the run time after which a suspect with crashesOfSuspect crashes is cleared.
+	longProbation = 10 * time.Second
+)
+
+// isSuspectGang reports whether a member of the gang may have crashed its worker. Such a gang is not started in isolation, which it would wait for
+// too long, but nothing else is started on its workers until it has outlived its crashWindow.
+func (c *Cell) isSuspectGang(g *group) bool {
+	return g.hasLosses && slices.ContainsFunc(g.tasks, func(t task) bool {
+		early, _ := t.countLosses()
+		return early >= c.earlyCrashesOfSuspect()
+	})
+}
+
+// holdWorkers keeps further tasks off the workers of a gang's planned runs.
+func (c *Cell) holdWorkers(runs []*run) {
+	for _, r := range runs {
+		r.worker.heldBy = r
+	}
+}
+
+// canIsolate reports whether a task of the group can be started in isolation: the members of a gang start together.
+func (g *group) canIsolate() bool { return !g.step.Gang || len(g.tasks) == 1 }
+
+// isSuspect reports whether the task may have crashed its workers and must be started in isolation.
+func (c *Cell) isSuspect(g *group, index int) bool {
+	if !g.hasLosses || !g.canIsolate() {
+		return false
+	}
+	early, crashes := g.tasks[index].countLosses()
+	return early >= c.earlyCrashesOfSuspect() || crashes >= crashesOfSuspect
+}
+
+// countLosses returns the numbers of losses within the crashWindow, whether their workers are known to have crashed or not, and of proven
+// crashes at any time.
+func (t *task) countLosses() (early, crashes int) {
+	for n := range t.losses {
+		l := &t.losses[n]
+		if l.Early {
+			early++
+		}
+		if l.Crashed {
+			crashes++
+		}
+	}
+	return early, crashes
+}
+
+// awaitsProof reports whether the task must not be started before it is known whether its earlier runs have crashed their workers.
+func (t *task) awaitsProof() bool {
+	proven, open := 0, 0
+	for n := range t.losses {
+		switch l := &t.losses[n]; {
+		case l.Crashed:
+			proven++
+		default:
+			open++
+		}
+	}
+	return open > 0 && proven+open >= maxUnprovenCrashes
+}
+
+// waitingSuspects returns the number of waiting tasks of the group that are suspects and may be started.
+func (c *Cell) waitingSuspects(g *group) (n int) {
+	if !g.hasLosses || !g.canIsolate() {
+		return 0
+	}
+	for index := range g.tasks {
+		if t := &g.tasks[index]; !t.done && len(t.runs) == 0 && c.isSuspect(g, index) && !t.awaitsProof() {
+			n++
+		}
+	}
+	return n
+}
+
+// isOpen reports whether the worker takes tasks that are not suspects.
+func (w *worker) isOpen() bool { return w.heldBy == nil && w.cordonedFor == nil }
+
+// mayIsolate reports whether a suspect may be started on the worker now. One that stays isolated while it runs needs an empty worker.
+func (w *worker) mayIsolate(g *group, index int) bool {
+	if _, crashes := g.tasks[index].countLosses(); crashes >= crashesOfSuspect {
+		return len(w.runs) == 0
+	}
+	for _, r := range w.runs {
+		if r.state == runPlanned || r.orderInFlight() || r.survived() < crashWindow {
+			return false
+		}
+	}
+	return g.step.Demand.FitsIn(w.free()) && !g.atAntiAffinityLimit(w)
+}
+
+// cordonWorkers keeps workers for the waiting suspects, those that will be empty soonest, and opens those of the last call.
+func (c *Cell) cordonWorkers(now, wall time.Time) {
+	usable, isolated, silent := 0, 0, 0
+	for _, w := range c.sortedWorkers() {
+		if w.cordonedFor != nil {
+			w.cordonedFor = nil
+			c.markNewCapacity(w)
+		}
+		if w.usable(now) {
+			usable++
+		}
+		switch {
+		case w.heldBy == nil || !w.heldBy.isolated:
+		case w.unreachable:
+			silent++
+		default:
+			isolated++
+			c.startIsolated(w.heldBy, now)
+		}
+	}
+	vacancies := min(max(1, usable/isolatedShareDivisor)-isolated, max(1, len(c.workers)/silentShareDivisor)-silent-isolated)
+	for _, g := range c.waitingGroups {
+		n := c.waitingSuspects(g)
+		if n == 0 || !g.mayStart(now, wall) || !c.runsReconciled(g.job, now) {
+			continue
+		}
+		for ; n > 0 && vacancies > 0; n-- {
+			w := c.soonestEmpty(g, now)
+			if w == nil {
+				break
+			}
+			w.cordonedFor = g
+			vacancies--
+		}
+	}
+}
+
+// soonestEmpty returns the open worker that may run the group and will be empty soonest, or nil if there is none.
+func (c *Cell) soonestEmpty(g *group, now time.Time) (best *worker) {
+	policy := c.policy(g.job)
+	var bestAt time.Time
+	for _, w := range c.sortedWorkers() {
+		if !w.isOpen() || !w.usable(now) || !c.isCompatibleEmpty(w, g, policy) || (g.advice != nil && !g.advice.isEligible(w)) {
+			continue
+		}
+		if at, ok := c.emptyAt(w, now); ok && (best == nil || at.Before(bestAt)) {
+			best, bestAt = w, at
+		}
+	}
+	return best
+}
+
+// emptyAt estimates when the worker will be empty if nothing more is started there; ok is false if that is not foreseeable.
+func (c *Cell) emptyAt(w *worker, now time.Time) (at time.Time, ok bool) {
+	at = now
+	for _, r := range w.runs {
+		if r.group.step.LongRunning {
+			return at, false
+		}
+		at = later(at, c.expectedEnd(r, now))
+	}
+	return at, true
+}
+
+// placeSuspects plans the waiting suspects of a group on the workers that are kept for it. Each is started once its possible loss is
+// durable, so that a later owner knows of it.
+func (c *Cell) placeSuspects(g *group, policy cwwork.QueuePolicy, now time.Time) {
+	if c.waitingSuspects(g) == 0 {
+		return
+	}
+	index := 0
+	for _, w := range c.sortedWorkers() {
+		if w.cordonedFor != g || !w.usable(now) || !c.isCompatible(w, g, policy) {
+			continue
+		}
+		for ; index < len(g.tasks); index++ {
+			t := &g.tasks[index]
+			if t.done || len(t.runs) > 0 || !c.isSuspect(g, index) || t.awaitsProof() {
+				continue
+			}
+			if w.mayIsolate(g, index) {
+				c.isolate(g, index, w, now)
+				index++
+			}
+			break
+		}
+	}
+}
+
+// isolate plans an isolated run of a suspect on a worker, and records its possible loss.
+func (c *Cell) isolate(g *group, index int, w *worker, now time.Time) {
+	t := &g.tasks[index]
+	r := c.planRun(g, index, w, t.highestRun+1, now)
+	r.isolated = true
+	w.heldBy, w.cordonedFor = r, nil
+	t.losses = append(t.losses, loss{recordedAt: now, LostRun: cwwork.LostRun{
+		TaskRun: cwwork.TaskRun{Index: index, Run: r.number}, Worker: w.ID, Incarnation: r.orderedTo, Early: true, Alone: true,
+	}})
+	c.addDoubt(g, index, r.number, w.ID)
+	c.markDirty(g.job)
+	r.requiredVersion = g.job.version
+	c.log(LogEntry{Event: "task-isolated", Job: g.job.ID, Task: r.key(), Worker: w.ID, Run: r.number, Detail: describeLosses(t.losses[:len(t.losses)-1])})
+	c.startIsolated(r, now)
+}
+
+// startIsolated orders a planned run of a suspect once its possible loss is durable and its ticket is valid, and releases it if its worker
+// can't be used any more. It ignores runs that were ordered.
+func (c *Cell) startIsolated(r *run, now time.Time) {
+	g, w := r.group, r.worker
+	switch {
+	case !r.isolated || r.state != runPlanned:
+	case c.paused || !w.usable(now):
+		c.releaseRun(r, now)
+	case g.advice != nil && !g.advice.hasValidTicket(w, now):
+		c.renewTicketsOfTasks(g, c.policy(g.job), []*worker{w}, now)
+	case g.job.durableVersion >= r.requiredVersion:
+		c.orderStart(r, now)
+	}
+}
+
+// startIsolatedOf orders the planned runs of the suspects of a group that may be ordered now.
+func (c *Cell) startIsolatedOf(g *group, now time.Time) {
+	if !g.hasLosses || !g.canIsolate() {
+		return
+	}
+	for index := range g.tasks {
+		for _, r := range slices.Clone(g.tasks[index].runs) { // startIsolated may remove it
+			c.startIsolated(r, now)
+		}
+	}
+}
+
+// noteSurvival clears the task of a run that has outlived its crashWindow, and ends its isolation. One with
+// crashesOfSuspect crashes stays isolated until longProbation.
+func (c *Cell) noteSurvival(r *run) {
+	if r.state != runRunning || r.survived() < crashWindow {
+		return
+	}
+	t := &r.group.tasks[r.taskIndex]
+	if _, crashes := t.countLosses(); r.isolated && crashes >= crashesOfSuspect {
+		if r.survived() < longProbation {
+			return
+		}
+		t.losses = slices.DeleteFunc(t.losses, func(l loss) bool { return !l.Early })
+	}
+	c.clearSurvivor(r.group, r.taskIndex)
+	r.isolated = false
+	c.endHold(r)
+}
+
+// endHold opens the worker of a run to other tasks if it is held by the run.
+func (c *Cell) endHold(r *run) {
+	if r.worker.heldBy == r {
+		r.worker.heldBy = nil
+		c.markNewCapacity(r.worker)
+	}
+}
+
+// AwaitsSurvival reports whether a worker should answer its next poll early, since nothing else is started there until it has.
+func (c *Cell) AwaitsSurvival(id cwmodel.HostID) bool {
+	w, ok := c.workers[id]
+	return ok && w.heldBy != nil
+}
--- a/internal/core/cwcell/job.go
+++ b/internal/core/cwcell/job.go
@@ -52,6 +52,7 @@
 	lastPreemption      time.Time        // when other tasks were last preempted for it
 	rejectionDelay      time.Duration    // latest delay after an order that was rejected as malformed; zero: none since the last accepted one
 	delayedUntil        time.Time        // end of that delay; no task starts earlier
+	hasLosses           bool             // some task has had a loss
 	incompleteSince     time.Time        // since when the current run of the gang has lacked members; zero: it does not
 }
 
@@ -64,6 +65,7 @@
 	checkpoint   string           // latest checkpoint; empty if there is none
 	percent      int              // latest reported progress
 	avoidWorkers []cwmodel.HostID // workers on which a run of the task has failed
+	losses       []loss           // runs that have ended with their workers, or may have
 	rejectedBy   []cwmodel.HostID // workers that rejected its orders as malformed since one was last accepted
 }
 
@@ -93,6 +95,10 @@
 	firstReportedAt time.Time // zero: not reported yet
 	progressedAt    time.Time // when the percentage last rose
 	adopted         bool      // started by an earlier owner
+	isolated        bool      // the run of a suspect; no other run of its worker is in its crashWindow
+	requiredVersion int       // version of the job that must be durable before an isolated run is ordered
+	resumed         bool      // its order has a checkpoint
+	lost            bool      // it has ended with its worker
 	startUnanswered bool      // the start order got no response
 	startResolvedAt time.Time // when the result of the start order was received; zero: it is in flight, or the run was adopted
 	incarnation     time.Time // incarnation of the worker that reported the run; zero: none has
@@ -146,6 +152,7 @@
 	c.openDueOccurrences(now, wall)
 	c.openOccurrencesWithProgress(j, now)
 	c.adoptRuns(j, now)
+	c.judgeRestored(now)
 	return true
 }
 
@@ -217,7 +224,7 @@
 		})
 	}
 	j.occurrences = append(j.occurrences, o)
-	c.restoreProgress(j, o)
+	c.restoreProgress(j, o, now)
 	for _, g := range o.groups {
 		c.enqueueGroup(g, now)
 	}
@@ -231,7 +238,7 @@
 }
 
 // restoreProgress applies the durable progress of a job to a new occurrence.
-func (c *Cell) restoreProgress(j *job, o *occurrence) {
+func (c *Cell) restoreProgress(j *job, o *occurrence, now time.Time) {
 	if j.progress == nil {
 		return
 	}
@@ -246,6 +253,7 @@
 				g.countFailure(f.Index, f.Run)
 			}
 		}
+		c.restoreLosses(g, p.Lost, now)
 		for _, index := range p.Done {
 			if index < len(g.tasks) {
 				c.finishTask(g, index, o)
--- a/internal/core/cwcell/place.go
+++ b/internal/core/cwcell/place.go
@@ -112,9 +112,12 @@
 		c.requestAdvice(g, policy, now)
 		return
 	}
-	if g.step.Gang {
+	switch {
+	case g.step.Gang && c.waitingSuspects(g) > 0:
+		c.placeSuspects(g, policy, now)
+	case g.step.Gang:
 		c.placeGang(g, policy, r, p, now)
-	} else {
+	default:
 		c.placeTasks(g, policy, r, p == incrementalPass && !wasChanged, now)
 	}
 	if g.waiting == 0 {
@@ -135,19 +138,19 @@
 	return g.step.RequiredLabel == "" || slices.Contains(w.Labels, g.step.RequiredLabel)
 }
 
-// candidates returns the usable, compatible workers that accept allows, which also has to test the free capacity if that
+// candidates returns the usable, compatible workers that are open and that accept allows, which also has to test the free capacity if that
 // matters. If the group needs advice, only eligible workers are considered. The result is valid until the next call.
 func (c *Cell) candidates(g *group, policy cwwork.QueuePolicy, now time.Time, accept func(*worker) bool) []*worker {
 	list := c.candidateBuffer[:0]
 	if g.advice != nil {
 		for _, t := range g.advice.eligible {
-			if accept(t.worker) && t.isCurrent() && t.worker.usable(now) && c.isCompatible(t.worker, g, policy) {
+			if accept(t.worker) && t.worker.isOpen() && t.isCurrent() && t.worker.usable(now) && c.isCompatible(t.worker, g, policy) {
 				list = append(list, t.worker)
 			}
 		}
 	} else {
 		for _, w := range c.sortedWorkers() {
-			if accept(w) && w.usable(now) && c.isCompatible(w, g, policy) {
+			if accept(w) && w.isOpen() && w.usable(now) && c.isCompatible(w, g, policy) {
 				list = append(list, w)
 			}
 		}
@@ -179,7 +182,7 @@
 	var renew []*worker
 	for index := 0; index < len(g.tasks) && len(candidates) > 0; index++ {
 		t := &g.tasks[index]
-		if t.done || len(t.runs) > 0 {
+		if t.done || len(t.runs) > 0 || c.isSuspect(g, index) || t.awaitsProof() {
 			continue
 		}
 		best := c.bestFit(g, t, candidates, now)
@@ -195,6 +198,7 @@
 		}
 	}
 	c.renewTicketsOfTasks(g, policy, renew, now)
+	c.placeSuspects(g, policy, now)
 	if g.waiting > 0 && g.step.LongRunning {
 		c.preempt(g, policy, now)
 	}
@@ -271,6 +275,7 @@
 	if g.advice != nil {
 		o.Ticket = g.advice.tickets[r.worker.ID].text
 	}
+	r.resumed = o.Checkpoint != ""
 	c.effects.Starts = append(c.effects.Starts, o)
 	c.log(LogEntry{Event: "run-ordered", Job: g.job.ID, Task: o.Task, Worker: o.Worker, Run: o.Run, Detail: r.worker.free().String()})
 }
--- a/internal/core/cwcell/preempt.go
+++ b/internal/core/cwcell/preempt.go
@@ -45,7 +45,7 @@
 	}
 	var best preemption
 	for _, w := range c.sortedWorkers() {
-		if !w.usable(now) || !c.isCompatibleEmpty(w, g, policy) || g.atAntiAffinityLimit(w) || (g.advice != nil && !g.advice.isEligible(w)) {
+		if !w.isOpen() || !w.usable(now) || !c.isCompatibleEmpty(w, g, policy) || g.atAntiAffinityLimit(w) || (g.advice != nil && !g.advice.isEligible(w)) {
 			continue
 		}
 		if found, ok := w.victimsFor(g.step, now); ok && (best.victims == nil || found.lostWork < best.lostWork) {
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -102,6 +102,12 @@
 	if !rep.Truncated {
 		c.releaseMissingRuns(w, reported, rep.RequestedAt, now)
 	}
+	c.judgeLosses(w, now)
+	for _, r := range w.runs {
+		if r.group.hasLosses {
+			c.noteSurvival(r)
+		}
+	}
 }
 
 // handleRunning processes one running run of a report: it updates a known run, adopts one of an earlier owner, and stops
@@ -226,6 +232,8 @@
 		case isReported || r.orderInFlight():
 		case r.state == runRunning && requestedAt.After(r.confirmedAt):
 			c.loseRun(r, lostMissing, now)
+		case stopIsOver && r.belongsToEarlierIncarnation():
+			c.loseRun(r, lostWorkerRestarted, now)
 		case stopIsOver:
 			c.releaseRun(r, now)
 		}
@@ -277,6 +285,7 @@
 		c.taskFailed(w, g, r, e, now)
 	case EndStopped, EndLeaseExpired, EndGangBroken, EndGangTimeout: // releaseRun makes the task wait again
 	}
+	c.dropLoss(g, e.Task.Index, e.Run)
 	if r != nil {
 		c.releaseRun(r, now)
 	}
@@ -345,6 +354,7 @@
 const (
 	lostLeaseExpired    lossReason = "leases-over"      // its worker was unreachable until its leases expired
 	lostWorkerRestarted lossReason = "worker-restarted" // it belonged to an earlier incarnation of its worker
+	lostWorkerReplaced  lossReason = "worker-replaced"  // the process of another worker answers at the address of its worker
 	lostMissing         lossReason = "vanished"         // its worker's report does not contain it
 )
 
@@ -352,6 +362,10 @@
 // gang.
 func (c *Cell) loseRun(r *run, reason lossReason, now time.Time) {
 	c.log(LogEntry{Event: "run-lost", Job: r.group.job.ID, Task: r.key(), Worker: r.worker.ID, Run: r.number, Detail: string(reason), Survived: r.survived().String()})
+	if reason != lostMissing || r.belongsToEarlierIncarnation() {
+		c.recordLoss(r, now)
+		r.lost = true
+	}
 	c.releaseRun(r, now)
 	if g := r.group; g.step.Gang && !g.tasks[r.taskIndex].done {
 		c.stopMembers(g, r.number)
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -42,6 +42,8 @@
 	ackSequence       uint64    // sequence number of the latest end whose effect is durable
 	pendingEnds       []pendingEnd
 	breaker           breaker
+	heldBy            *run        // the run of a suspect, beside which nothing is started on the worker; nil: there is none
+	cordonedFor       *group      // the worker is kept for a suspect of this group; nil: it is not
 	inStoredMembers   bool        // in the stored list of members, so that a later owner polls it
 	evicted           bool        // removed from the cell
 	latencySensitive  int         // number of runs whose step has a tail latency limit
@@ -281,6 +283,10 @@
 	if w.runs[r.key()] != r {
 		return
 	}
+	c.endHold(r)
+	if !r.lost {
+		c.dropLoss(g, r.taskIndex, r.number)
+	}
 	delete(w.runs, r.key())
 	w.allocated = w.allocated.Sub(g.step.Demand)
 	w.countRun(g.step, -1)
@@ -313,16 +319,30 @@
 	if w.pollFailedAt.IsZero() {
 		w.pollFailedAt = now
 	}
+	for _, r := range w.sortedRuns() {
+		if !r.orderInFlight() && r.survived() < crashWindow {
+			c.recordLoss(r, now)
+		}
+	}
 	c.expireLeases(w, now)
 }
 
-// MarkReplaced marks a worker at whose address the process of another worker answers: its own process has ended.
+// MarkReplaced marks a worker at whose address the process of another worker answers: its own process has ended, and so have its runs,
+// except those whose start order is in flight: its result decides.
 func (c *Cell) MarkReplaced(id cwmodel.HostID, now time.Time) {
 	if w, ok := c.workers[id]; ok && !w.replaced {
 		w.replaced = true
 		c.log(LogEntry{Event: "worker-replaced", Worker: id})
 	}
 	c.MarkUnreachable(id, now)
+	if w, ok := c.workers[id]; ok {
+		for _, r := range w.sortedRuns() {
+			if !r.orderInFlight() {
+				c.loseRun(r, lostWorkerReplaced, now)
+			}
+		}
+		c.judgeLosses(w, now)
+	}
 }
 
 // leaseGrace is the time that a worker may take to end a task after its lease has expired.
--- a/internal/core/cwcell/write.go
+++ b/internal/core/cwcell/write.go
@@ -82,6 +82,11 @@
 	for _, w := range c.workers {
 		w.advanceAck()
 	}
+	for _, w := range c.sortedWorkers() {
+		if w.heldBy != nil {
+			c.startIsolated(w.heldBy, now)
+		}
+	}
 	return ended
 }
 
@@ -111,12 +116,12 @@
 	delete(c.jobs, j.ID)
 }
 
-// snapshot returns the progress to store for a live job: the done tasks and failed runs of each step that has any.
+// snapshot returns the progress to store for a live job: the done tasks, failed runs and lost runs of each step that has any.
 func (j *job) snapshot() *cwwork.Progress {
 	p := &cwwork.Progress{}
 	for _, o := range j.occurrences {
 		for _, g := range o.groups {
-			if s := g.snapshot(); len(s.Done) > 0 || len(s.Failed) > 0 {
+			if s := g.snapshot(); len(s.Done) > 0 || len(s.Failed) > 0 || len(s.Lost) > 0 {
 				p.Steps = append(p.Steps, s)
 			}
 		}
@@ -124,13 +129,20 @@
 	return p
 }
 
-// snapshot returns the progress to store for the group: its done tasks and the failed runs that count towards the limit on
-// attempts; see countFailure.
+// snapshot returns the progress to store for the group: its done tasks, the failed runs that count towards the limit on attempts (see
+// countFailure), and the lost runs that count against their tasks.
 func (g *group) snapshot() cwwork.StepProgress {
 	s := cwwork.StepProgress{Occurrence: g.key.Occurrence, Step: g.key.Step}
 	for n := range g.tasks {
-		if g.tasks[n].done {
+		t := &g.tasks[n]
+		if t.done {
 			s.Done = append(s.Done, n)
+			continue
+		}
+		for k := range t.losses {
+			if t.losses[k].counts() {
+				s.Lost = append(s.Lost, t.losses[k].LostRun)
+			}
 		}
 	}
 	for key := range g.countedFailures {
--- a/internal/core/cwwork/work.go
+++ b/internal/core/cwwork/work.go
@@ -171,7 +171,8 @@
 	return "", fmt.Errorf("unknown job state %q", text)
 }
 
-// Progress is the part of a job's state that survives a change of owner: completed tasks and failed runs.
+// Progress is the part of a job's state that survives a change of owner: completed tasks, failed runs and runs that ended with their
+// workers.
 type Progress struct {
 	Steps []StepProgress
 }
@@ -182,6 +183,7 @@
 	Step       int
 	Done       []int     // indexes of completed tasks
 	Failed     []TaskRun // failed runs
+	Lost       []LostRun // runs that ended with their workers, or may have
 }
 
 // TaskRun identifies one run of a task of a step.
@@ -189,3 +191,13 @@
 	Index int
 	Run   int
 }
+
+// LostRun is a run that has ended with its worker, or may have.
+type LostRun struct {
+	TaskRun
+	Worker      cwmodel.HostID
+	Incarnation time.Time // of the worker that the run was ordered to
+	Early       bool      // the run is not known to have lived for long; it may have crashed its worker at its start
+	Alone       bool      // no other run could have crashed the worker at its start
+	Crashed     bool      // the worker's process has ended; false: not known
+}
