Look at a worker's capacity again when a planned task is ordered

What callers would see: a worker is overfilled (LIMIT). Cause: a task whose ticket has expired is planned, and is ordered when the new ticket comes, a gang when all have come. A capacity that shrank meanwhile was not looked at again. Change: planned runs are ordered only while what is allocated on their worker fits in its present capacity. Tests: TestCapacityShrinksWhileTicketsAreRenewed failed on its rows 'does not fit any more' and passes. The simulation of the cell changes capacities; 12,000 runs of TestNothingRunsTwiceUnderFaults keep the limit.

--- a/internal/core/cwcell/advice.go
+++ b/internal/core/cwcell/advice.go
@@ -232,7 +232,8 @@
 	}
 }
 
-// resolvePlanned orders the planned runs whose tickets are valid after a response and releases the others. A gang waits for
+// resolvePlanned orders the planned runs whose tickets are valid after a response and whose workers still have the capacity, and releases
+// the others. A gang waits for
 // all its renewals and is released as a whole if one member cannot start. While the cell is paused, all are released.
 func (c *Cell) resolvePlanned(g *group, req *pendingRequest, now time.Time) {
 	allReady := true
@@ -243,7 +244,7 @@
 				continue
 			}
 			planned = append(planned, r)
-			if !g.advice.hasValidTicket(r.worker, now) || !r.worker.usable(now) {
+			if !g.advice.hasValidTicket(r.worker, now) || !r.worker.mayOrder(now) {
 				allReady = false
 			}
 		}
@@ -252,7 +253,7 @@
 		return
 	}
 	for _, r := range planned {
-		if c.paused || (g.step.Gang && !allReady) || !g.advice.hasValidTicket(r.worker, now) || !r.worker.usable(now) {
+		if c.paused || (g.step.Gang && !allReady) || !g.advice.hasValidTicket(r.worker, now) || !r.worker.mayOrder(now) {
 			c.releaseRun(r, now)
 			continue
 		}
--- a/internal/core/cwcell/isolate.go
+++ b/internal/core/cwcell/isolate.go
@@ -216,7 +216,7 @@
 	g, w := r.group, r.worker
 	switch {
 	case !r.isolated || r.state != runPlanned:
-	case c.paused || !w.usable(now):
+	case c.paused || !w.mayOrder(now):
 		c.releaseRun(r, now)
 	case g.advice != nil && !g.advice.hasValidTicket(w, now):
 		c.renewTicketsOfTasks(g, c.policy(g.job), []*worker{w}, now)
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -86,6 +86,9 @@
 	return w.inStoredMembers && w.foreignRuns == 0 && !w.Draining && w.hasReported && !w.unreachable && !w.breaker.isOpen(now)
 }
 
+// mayOrder reports whether planned runs may be ordered on the worker: it is usable, and its capacity has not shrunk below what is allocated.
+func (w *worker) mayOrder(now time.Time) bool { return w.usable(now) && w.allocated.FitsIn(w.Capacity) }
+
 // free returns the capacity that is not allocated.
 func (w *worker) free() cwmodel.Resources { return w.Capacity.Sub(w.allocated) }
 
