Send no start order that is older than a second

What callers would see: a start on a worker that drains, or that has less capacity than at the decision (DRAIN, LIMIT). Cause: the orders of a decision to one worker are sent one after another, and the deadline of each is counted from its sending. A worker that answers slowly delays the last ones by seconds. Change: the orders that are left after a second are not sent; their tasks are placed anew. Test: TestOldOrdersAreNotSent failed on its row 'too slow' and passes.

--- a/internal/app/cwcellowner/link.go
+++ b/internal/app/cwcellowner/link.go
@@ -171,9 +171,9 @@
 	}
 	l, sent := s.links[id]
 	if sent {
-		entry := l.entry
+		entry, decidedAt := l.entry, s.owner.opts.Timer.Now()
 		sent = s.runOnPool("start", func() {
-			s.sendStartsInOrder(entry, batch, results)
+			s.sendStartsInOrder(entry, batch, results, decidedAt)
 			s.post(func(now time.Time) { s.handleStartResults(batch, results, now) })
 		})
 	}
@@ -182,10 +182,16 @@
 	}
 }
 
-// sendStartsInOrder sends orders until one gets no response, as the worker would not respond to the others either. The results
-// of the remaining orders keep their initial value, StartNotSent.
-func (s *session) sendStartsInOrder(w cwcellport.WorkerEntry, batch []cwcell.StartOrder, results []cwcell.StartResult) {
+// maxOrderAge bounds the time from a decision to the sending of its orders. Later the worker may drain, or have less capacity.
+const maxOrderAge = time.Second
+
+// sendStartsInOrder sends orders until one gets no response, as the worker would not respond to the others either, or until they are
+// older than maxOrderAge. The results of the remaining orders keep their initial value, StartNotSent.
+func (s *session) sendStartsInOrder(w cwcellport.WorkerEntry, batch []cwcell.StartOrder, results []cwcell.StartResult, decidedAt time.Time) {
 	for n := range batch {
+		if s.owner.opts.Timer.Now().Sub(decidedAt) > maxOrderAge {
+			return
+		}
 		if results[n] = s.sendStart(w, &batch[n]); results[n] == cwcell.StartUnanswered {
 			return
 		}
--- a/internal/app/cwcellowner/start_test.go
+++ b/internal/app/cwcellowner/start_test.go
@@ -1,6 +1,7 @@
 package cwcellowner
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -75,3 +76,39 @@
 	s.grant.Fence = 2
 	is.Equal(s.sendStart(cwcellport.WorkerEntry{}, &cwcell.StartOrder{}), cwcell.StartAccepted)
 }
+
+// TestOldOrdersAreNotSent guards against a start order that a slow worker delays, behind the others of its decision, until what the decision
+// relied on has changed: the worker drains, its capacity has shrunk, or the ticket has expired.
+func TestOldOrdersAreNotSent(t *testing.T) {
+	cases := []struct {
+		name string
+		took time.Duration // of each order
+		sent int           // of five
+	}{
+		{"prompt", 10 * time.Millisecond, 5},
+		{"slow", 200 * time.Millisecond, 5},
+		{"too slow", 400 * time.Millisecond, 3},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			clock := cwtimer.NewManual(time.Unix(1000, 0))
+			s := &session{owner: &Owner{opts: Options{
+				Timer:      clock.Service,
+				HoldsLease: func(time.Time) bool { return true },
+				OwnedUntil: func(uint64) time.Time { return time.Unix(1000, 0) },
+				Workers: cwcellport.Workers{
+					Start: func(cwcellport.WorkerEntry, *cwcell.StartOrder, uint64, time.Duration) cwcell.StartResult {
+						clock.Advance(tc.took)
+						return cwcell.StartAccepted
+					},
+				},
+			}}}
+			results := slices.Repeat([]cwcell.StartResult{cwcell.StartNotSent}, 5)
+			s.sendStartsInOrder(cwcellport.WorkerEntry{}, make([]cwcell.StartOrder, 5), results, clock.Now())
+			for n, result := range results {
+				is.Equal(result == cwcell.StartAccepted, n < tc.sent)
+			}
+		})
+	}
+}
