Start nothing by a state of the workers that is older than three seconds

What callers would see: a start on a worker that drains or has less capacity (DRAIN, LIMIT). Cause: an owner that holds its lease started tasks by the registry that it had last read, however long its watch had failed or it was suspended. Change: starts are paused until the registry is read again, and logged as starts-paused. The pause of a division goes the same way. Test: TestStartsNeedAFreshRegistry; its row 'stale' fails without the comparison of the age.

--- a/internal/app/cwcellowner/divide.go
+++ b/internal/app/cwcellowner/divide.go
@@ -53,7 +53,6 @@
 	case d.phaseStartedAt.IsZero():
 		log.Info("division-begins")
 		d.phaseStartedAt = now
-		s.cell.SetPaused(true)
 	case blocker == "" && cells > 1:
 		log.WithField("after", now.Sub(d.phaseStartedAt)).Info("cell-divided")
 		d.phaseStartedAt = now // The division ends this session. Until then each call repeats the request.
@@ -61,7 +60,6 @@
 	case cells == 1 || now.Sub(d.phaseStartedAt) > maxDivisionPause:
 		log.WithField("why", blocker).Warn("division-given-up")
 		d.phaseStartedAt, d.retryAt = time.Time{}, now.Add(divisionRetryPeriod)
-		s.cell.SetPaused(false)
 	}
 }
 
--- a/internal/app/cwcellowner/load.go
+++ b/internal/app/cwcellowner/load.go
@@ -32,7 +32,8 @@
 type workerSnapshot struct {
 	memberRows      []cwcellport.Row // rows that list the workers of the previous owner
 	workers         []cwcellport.WorkerEntry
-	registryVersion uint64 // version of the registry
+	registryVersion uint64    // version of the registry
+	registrySentAt  time.Time // when the registry was called
 }
 
 // loadRetryPause separates retries of the reads at a takeover.
@@ -58,6 +59,7 @@
 	if snapshot.memberRows, _, err = s.owner.opts.Store.Read(first.Table, first.Partition, first.Key, last.Key, loadTimeout); err != nil {
 		return nil, err
 	}
+	snapshot.registrySentAt = s.owner.opts.Timer.Now()
 	snapshot.workers, snapshot.registryVersion, err = s.owner.opts.Registry.List(loadTimeout)
 	return snapshot, err
 }
@@ -66,7 +68,7 @@
 // owner, which starts the calls to them. It also starts the duties that read the partitions, watch the jobs and the registry, and
 // delete the expired final states of ended jobs.
 func (s *session) startRecovery(snapshot *workerSnapshot, now time.Time) {
-	s.workersLoaded = true
+	s.workersLoaded, s.registrySentAt = true, snapshot.registrySentAt
 	for _, w := range snapshot.workers {
 		s.updateWorker(w, now)
 	}
@@ -258,11 +260,15 @@
 // was compacted, it reads the whole registry again.
 func (s *session) watchWorkers(ctx context.Context, after uint64) {
 	for {
+		sentAt := s.owner.opts.Timer.Now()
 		list, version, err := s.owner.opts.Registry.Watch(after, watchWait)
 		switch {
 		case err == nil:
 			after = max(after, version)
-			s.post(func(now time.Time) { s.applyWorkerChanges(list, now) })
+			s.post(func(now time.Time) {
+				s.registrySentAt = sentAt
+				s.applyWorkerChanges(list, now)
+			})
 		case cwfault.CodeOf(err) == cwfault.NotFound:
 			after = s.reloadWorkers(after)
 		}
@@ -276,12 +282,14 @@
 // Workers that the registry no longer lists are marked as unlisted. If the read fails, it returns after, so that the watch
 // repeats the reload.
 func (s *session) reloadWorkers(after uint64) uint64 {
+	sentAt := s.owner.opts.Timer.Now()
 	list, version, err := s.owner.opts.Registry.List(loadTimeout)
 	if err != nil {
 		return after
 	}
 	s.owner.opts.Log.WithFields(cwlog.Fields{"feed": "workers", "after": after, "version": version}).Info("feed-reread")
 	s.post(func(now time.Time) {
+		s.registrySentAt = sentAt
 		present := make(map[cwmodel.HostID]struct{}, len(list))
 		for _, w := range list {
 			present[w.ID] = struct{}{}
--- a/internal/app/cwcellowner/session.go
+++ b/internal/app/cwcellowner/session.go
@@ -23,6 +23,8 @@
 	partitions      map[string]*partition
 	partitionNames  []string // keys of partitions, sorted
 	division        division
+	registrySentAt  time.Time                          // when the latest successful call for the platform's registry was sent
+	paused          bool                               // the cell starts no tasks
 	jobProgress     map[cwmodel.JobID]*cwwork.Progress // of the jobs of the partition that is being applied; nil at other times
 	unconfirmedJobs []unconfirmedJob                   // jobs from rows that await a renewal of the lease
 	links           map[cwmodel.HostID]*workerLink
@@ -130,6 +132,7 @@
 		return
 	}
 	s.admitConfirmedJobs(now)
+	s.updatePause(now)
 	holdsLease := s.owner.opts.HoldsLease(now)
 	if holdsLease && !now.Before(s.nextDecisionAt) {
 		effects := s.cell.Decide(now, s.wallTime())
@@ -143,6 +146,23 @@
 	s.runMaintenance(now)
 }
 
+// maxRegistryAge is how old the state of the workers in the platform's registry may be for a start: they may drain, or have less capacity.
+const maxRegistryAge = 3 * time.Second
+
+// updatePause suspends the start of tasks during a division, and while the registry was not read for maxRegistryAge.
+func (s *session) updatePause(now time.Time) {
+	isStale := now.Sub(s.registrySentAt) > maxRegistryAge
+	paused := isStale || !s.division.phaseStartedAt.IsZero()
+	if paused == s.paused {
+		return
+	}
+	s.paused = paused
+	s.cell.SetPaused(paused)
+	s.owner.opts.Log.WithFields(cwlog.Fields{
+		"cell": s.owner.opts.Cell, "paused": paused, "registry-age": now.Sub(s.registrySentAt), "division": !s.division.phaseStartedAt.IsZero(),
+	}).Info("starts-paused")
+}
+
 // wallTime returns the wall-clock time, for the times that jobs record; all other times are readings of the host's timer.
 func (s *session) wallTime() time.Time { return wallClock() }
 
--- a/internal/app/cwcellowner/start_test.go
+++ b/internal/app/cwcellowner/start_test.go
@@ -7,8 +7,11 @@
 
 	"github.com/matryer/is"
 
+	"currantward/internal/base/cwlog"
 	"currantward/internal/base/cwtimer"
 	"currantward/internal/core/cwcell"
+	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
 	"currantward/internal/port/cwcellport"
 )
 
@@ -112,3 +115,43 @@
 		})
 	}
 }
+
+// TestStartsNeedAFreshRegistry guards against an owner that starts tasks by a registry which it could not read for long, because it was
+// suspended or its watch fails: the worker may drain or have less capacity meanwhile. A division pauses the starts too.
+func TestStartsNeedAFreshRegistry(t *testing.T) {
+	cases := []struct {
+		name     string
+		age      time.Duration // since the registry was called
+		dividing bool
+		starts   int
+	}{
+		{"fresh", time.Second, false, 1},
+		{"as old as allowed", maxRegistryAge, false, 1},
+		{"stale", maxRegistryAge + time.Millisecond, false, 0},
+		{"division", time.Second, true, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			policy := cwwork.QueuePolicy{Service: "portal", MaxAttempts: 3}
+			s := &session{owner: &Owner{opts: Options{Log: cwlog.Discard()}}, cell: cwcell.New(cwcell.Options{
+				Policy:      func(cwwork.QueueName) (cwwork.QueuePolicy, bool) { return policy, true },
+				LeaseExpiry: func(cwmodel.HostID) time.Time { return time.Time{} },
+			})}
+			s.cell.UpdateWorker(cwcell.WorkerInfo{ID: "a", Service: "portal", Capacity: cwmodel.Resources{MilliProcessors: 1000}, Incarnation: now}, now)
+			s.cell.MarkMembersDurable([]cwmodel.HostID{"a"})
+			s.cell.HandleReport(&cwcell.Report{Worker: "a", Incarnation: now, RequestedAt: now}, now)
+			s.cell.Admit(&cwwork.Submission{ID: "job", Queue: "q", Policy: policy, Steps: []cwwork.Step{{Count: 1}}, AcceptedAt: now}, nil, false, now, now)
+			s.registrySentAt = now.Add(-tc.age)
+			if tc.dividing {
+				s.division.phaseStartedAt = now
+			}
+			s.updatePause(now)
+			is.Equal(len(s.cell.Decide(now, now).Starts), tc.starts)
+			s.registrySentAt, s.division.phaseStartedAt = now, time.Time{}
+			s.updatePause(now)
+			is.Equal(len(s.cell.Decide(now, now).Starts), 1-tc.starts)
+		})
+	}
+}
