Play tasks that crash their runners in the soak

The stand-in of a runner ends with a task that is told to crash it, and starts again after 1.5 s, in turn as another runner at its address and under its ID. One of 60 jobs of the soak has such tasks. The soak checks that none is started three times more after three crashes, and that a job is shown as failed only for failed attempts or for a task under which two runners have crashed.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -205,7 +205,7 @@
 		if n < len(a.Addresses) {
 			entry.Address = a.Addresses[n]
 		}
-		addr, stop, err := cwstandin.NewRunner(cwstandin.RunnerOptions{
+		addr, stop, err := cwstandin.NewRestartingRunner(cwstandin.RunnerOptions{
 			Entry: entry, Kind: a.Kind, Listen: netip.AddrPortFrom(controlAddr.Addr(), 0), PlatformControl: a.Platform, Client: client,
 			ClockDrift: a.SlowClock, Faults: faults, Timer: timer, Log: log,
 		})
--- a/internal/proof/cwsoak/load.go
+++ b/internal/proof/cwsoak/load.go
@@ -31,6 +31,12 @@
 	maxTries    = 6
 )
 
+const (
+	// crashingJobPeriod is the number of jobs of which one has tasks that crash their runners, crashDelay after their start.
+	crashingJobPeriod = 60
+	crashDelay        = 10 * time.Millisecond
+)
+
 // job is the state that its caller keeps for one job.
 type job struct {
 	*cwwork.Submission
@@ -243,6 +249,9 @@
 	if r.IntN(4) == 0 {
 		j.queuePrefix, j.spec.RequiresTicket = prefixAdvised, true
 	}
+	if number%crashingJobPeriod == crashingJobPeriod/2 && !j.spec.RunForever {
+		j.spec.CrashAfter = crashDelay
+	}
 	payload, err := json.Marshal(j.spec)
 	if err != nil {
 		panic(err) // a struct of plain fields always encodes
