Narrow the suspects of a crash, and test more of them at once

What callers saw: with a tenth of a queue's jobs deadly, tasks that had started shortly before a crash waited for their isolated start, most of them innocent. Cause: a run counted as early until a response showed that it had lived, up to 1.3 s; suspects of other queues counted as much as those of a queue whose tasks had been given up; and a worker that was kept for a suspect answered its polls only once a second. Change: the end of a connection on which a poll waits is the last sign of life of its worker. If the early runs of a crash include one of a queue of which tasks were given up, those of other queues count as late.

--- a/internal/app/cwcellowner/link.go
+++ b/internal/app/cwcellowner/link.go
@@ -87,7 +87,12 @@
 		if !s.holdsLease() {
 			c.renewal.TaskLease = 0 // 0 leaves the leases unchanged
 		}
+		sentAt := s.owner.opts.Timer.Now()
 		report, err := s.owner.opts.Workers.RenewLeases(c.entry, c.renewal)
+		// A call that fails while the worker delays its response has lost its connection; later it may have timed out.
+		if cwfault.CodeOf(err) == cwfault.Indefinite && s.owner.opts.Timer.Now().Sub(sentAt) < c.renewal.Wait {
+			s.post(func(now time.Time) { s.cell.MarkDisconnected(c.entry.ID, now) })
+		}
 		s.post(func(now time.Time) { s.handleReport(l, report, err, now) })
 	}
 }
--- a/internal/core/cwcell/crash_test.go
+++ b/internal/core/cwcell/crash_test.go
@@ -54,7 +54,7 @@
 	w.alive, w.runs, w.ended = false, map[cwwork.TaskKey]*simRun{}, nil
 	for _, o := range c.owners {
 		if !c.crashes.dark && !o.superseded && !o.cutOff[w.info.ID] && !w.partitioned {
-			c.delayedCalls = append(c.delayedCalls, delayedCall{c.now.Add(20 * time.Millisecond), func() { o.cell.MarkUnreachable(w.info.ID, c.now) }})
+			c.delayedCalls = append(c.delayedCalls, delayedCall{c.now.Add(20 * time.Millisecond), func() { o.cell.MarkDisconnected(w.info.ID, c.now) }})
 		}
 	}
 	c.delayedCalls = append(c.delayedCalls, delayedCall{c.now.Add(downTime), func() {
--- a/internal/core/cwcell/isolate.go
+++ b/internal/core/cwcell/isolate.go
@@ -12,9 +12,9 @@
 // crashWindow, and nothing else is started there until it has, too. A crash meanwhile is then its own.
 const (
 	// isolatedShareDivisor limits the workers that are kept for suspects to 1/isolatedShareDivisor of the usable ones.
-	isolatedShareDivisor = 6
+	isolatedShareDivisor = 4
 	// silentShareDivisor limits the silent workers that suspects may have crashed to 1/silentShareDivisor of all.
-	silentShareDivisor = 4
+	silentShareDivisor = 3
 	// longProbation is the run time after which a suspect with crashesOfSuspect crashes is cleared.
 	longProbation = 10 * time.Second
 )
@@ -263,8 +263,9 @@
 	}
 }
 
-// AwaitsSurvival reports whether a worker should answer its next poll early, since nothing else is started there until it has.
+// AwaitsSurvival reports whether a worker should answer its next poll early: it is kept for a suspect until its runs have outlived their
+// crashWindow.
 func (c *Cell) AwaitsSurvival(id cwmodel.HostID) bool {
 	w, ok := c.workers[id]
-	return ok && w.heldBy != nil
+	return ok && !w.isOpen()
 }
--- a/internal/core/cwcell/loss.go
+++ b/internal/core/cwcell/loss.go
@@ -159,9 +159,13 @@
 // convictCrashed counts a proven crash against the runs that it has ended, and gives up the tasks with enough evidence against them.
 func (c *Cell) convictCrashed(w *worker, crashed []doubt, now time.Time) {
 	early := 0
+	likely := slices.ContainsFunc(crashed, func(d doubt) bool { return d.loss().Early && c.queue(d.group.job.Queue).hasGivenUp(now) })
 	for _, d := range crashed {
 		l := d.loss()
 		l.Crashed = true
+		if likely && !c.queue(d.group.job.Queue).hasGivenUp(now) {
+			l.Early = false // a task of the other queue is the likely cause
+		}
 		if l.Early {
 			early++
 		}
--- a/internal/core/cwcell/loss_test.go
+++ b/internal/core/cwcell/loss_test.go
@@ -17,14 +17,17 @@
 		name     string
 		confirm  bool          // the worker accepts the start order
 		lived    time.Duration // from the confirmation to the last response of the worker
+		ends     time.Duration // from the confirmation to the end of a connection on which a call waits; zero: a call times out
 		restart  bool          // the worker restarts under its ID; else its leases expire
 		survived string
 	}{
-		{"order without an answer", false, 0, false, "0s"},
-		{"lost at its start", true, 0, false, "0s"},
-		{"lost later", true, 1500 * time.Millisecond, false, "1.5s"},
-		{"lost at its start, by a restart", true, 0, true, "0s"},
-		{"lost later, by a restart", true, 1500 * time.Millisecond, true, "1.5s"},
+		{"order without an answer", false, 0, 0, false, "0s"},
+		{"lost at its start", true, 0, 0, false, "0s"},
+		{"lost later", true, 1500 * time.Millisecond, 0, false, "1.5s"},
+		{"lost at its start, by a restart", true, 0, 0, true, "0s"},
+		{"lost later, by a restart", true, 1500 * time.Millisecond, 0, true, "1.5s"},
+		{"its connection ends at its start", true, 0, 10 * time.Millisecond, true, "10ms"},
+		{"its connection ends later", true, 0, time.Second, true, "1s"},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -42,6 +45,12 @@
 				f.now = f.now.Add(tc.lived)
 				f.HandleReport(&Report{Worker: "a", Incarnation: incarnation, RequestedAt: f.now, Running: []RunStatus{{Task: o.Task, Run: o.Run}}}, f.now)
 			}
+			if tc.ends > 0 {
+				f.now = f.now.Add(tc.ends)
+				f.MarkDisconnected("a", f.now)
+				f.now = f.now.Add(tc.ends)
+				f.MarkDisconnected("a", f.now) // of a call that was sent to a worker that has ended
+			}
 			f.now = f.now.Add(10 * time.Second)
 			if tc.restart {
 				f.HandleReport(&Report{Worker: "a", Incarnation: f.now, RequestedAt: f.now}, f.now)
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -35,7 +35,7 @@
 	unreachable       bool      // did not answer the last call
 	pollFailedAt      time.Time // first poll without a response since the latest report; zero: there is none
 	lastContact       time.Time // time of the latest report, or when the worker was added
-	lastResponse      time.Time // time of the latest response of its present incarnation to any call; zero: there is none
+	lastResponse      time.Time // time of the latest response of its present incarnation to any call, or of its end; zero: there is none
 	priorLastResponse time.Time // the same of the incarnation before; zero: there is none
 	replaced          bool      // the process of another worker answers at its address
 	lastSequence      uint64    // sequence number of the latest end that was processed
@@ -330,6 +330,14 @@
 	c.expireLeases(w, now)
 }
 
+// MarkDisconnected marks a worker that ended the connection on which a call waited. Its process has lived until then, or has ended just now.
+func (c *Cell) MarkDisconnected(id cwmodel.HostID, now time.Time) {
+	if w, ok := c.workers[id]; ok && !w.unreachable {
+		w.lastResponse = now
+	}
+	c.MarkUnreachable(id, now)
+}
+
 // MarkReplaced marks a worker at whose address the process of another worker answers: its own process has ended, and so have its runs,
 // except those whose start order is in flight: its result decides.
 func (c *Cell) MarkReplaced(id cwmodel.HostID, now time.Time) {
