--- a/internal/core/cwcell/fuzz_test.go
+++ b/internal/core/cwcell/fuzz_test.go
@@ -77,7 +77,7 @@
 // n is the number of the event and names the job.
 func injectEvent(t *rapid.T, c *cluster, n int) {
 	w := c.workers[rapid.IntRange(0, len(c.workers)-1).Draw(t, "worker")]
-	switch rapid.IntRange(0, 10).Draw(t, "event") {
+	switch rapid.IntRange(0, 11).Draw(t, "event") {
 	case 0, 1, 2:
 		s := &cwwork.Submission{ID: cwmodel.JobID(fmt.Sprintf("job%02d", n)), Queue: "q"}
 		for step := range rapid.IntRange(1, 3).Draw(t, "steps") {
@@ -100,6 +100,10 @@
 		c.workers[0].alive = false // permanently
 	case 8:
 		c.cutOffOwner(w)
+	case 11:
+		if w.alive {
+			c.crashFor(w, 3*time.Second, rapid.Bool().Draw(t, "replaced"))
+		}
 	case 9, 10:
 		c.resize(w, int64(rapid.IntRange(1, 8).Draw(t, "capacity"))*1000)
 	}
--- a/internal/proof/cwsoak/check.go
+++ b/internal/proof/cwsoak/check.go
@@ -108,13 +108,7 @@
 		indexOf[runKey{record.runner, line.Get("task"), record.runNumber}] = len(runs)
 		runs = append(runs, record)
 	}
-	for _, line := range p.EventLines(cwstandin.EventRunnerCrashed) {
-		for n := range runs {
-			if run := &runs[n]; run.runner == line.Get("worker") && run.incarnation == intValue(line, "born") {
-				run.endedAt, run.isRunning = timestamp(line), false
-			}
-		}
-	}
+	endCrashedRuns(runs, p.EventLines(cwstandin.EventRunnerCrashed))
 	for _, line := range p.EventLines(cwstandin.EventRunEnded) {
 		index, ok := indexOf[runKey{line.Get("worker"), line.Get("task"), int(intValue(line, "run"))}]
 		if !ok {
@@ -132,6 +126,17 @@
 	return runs
 }
 
+// endCrashedRuns ends the runs of the runners that a task has crashed, which the given lines name.
+func endCrashedRuns(runs []runRecord, crashes []cwprocess.LogLine) {
+	for _, line := range crashes {
+		for n := range runs {
+			if run := &runs[n]; run.runner == line.Get("worker") && run.incarnation == intValue(line, "born") {
+				run.endedAt, run.isRunning = timestamp(line), false
+			}
+		}
+	}
+}
+
 // timestamp returns the time of a log line.
 func timestamp(line cwprocess.LogLine) time.Time { return time.Unix(0, intValue(line, "at")) }
 
