Count no crash against a job that has ended

What callers would see: nothing; the owner would write the end of a job a second time and remove rows that are gone. Cause: a run in doubt at the end of its job stayed so, and a crash that was proven later made the job dirty again. Change: doubts of decided jobs and done tasks are dropped. The functions that weigh losses have plainer names. Test: TestCrashAfterTheEndOfAJob failed with one pending write and passes.

--- a/internal/core/cwcell/isolate.go
+++ b/internal/core/cwcell/isolate.go
@@ -19,7 +19,7 @@
 	longProbation = 10 * time.Second
 )
 
-// isSuspectGang reports whether a member of the gang may have crashed its worker. Such a gang is not started in isolation, which it would wait for
+// isSuspectGang reports whether a member of the gang may have crashed its worker. Such a gang is not started in isolation, for which it would wait
 // too long, but nothing else is started on its workers until it has outlived its crashWindow.
 func (c *Cell) isSuspectGang(g *group) bool {
 	return g.hasLosses && slices.ContainsFunc(g.tasks, func(t task) bool {
@@ -66,10 +66,9 @@
 func (t *task) awaitsProof() bool {
 	proven, open := 0, 0
 	for n := range t.losses {
-		switch l := &t.losses[n]; {
-		case l.Crashed:
+		if t.losses[n].Crashed {
 			proven++
-		default:
+		} else {
 			open++
 		}
 	}
--- a/internal/core/cwcell/job.go
+++ b/internal/core/cwcell/job.go
@@ -152,7 +152,7 @@
 	c.openDueOccurrences(now, wall)
 	c.openOccurrencesWithProgress(j, now)
 	c.adoptRuns(j, now)
-	c.judgeRestored(now)
+	c.resolveRestoredLosses(now)
 	return true
 }
 
--- a/internal/core/cwcell/loss.go
+++ b/internal/core/cwcell/loss.go
@@ -47,7 +47,7 @@
 // crashKey identifies a crash by the incarnation that it has ended.
 type crashKey struct {
 	worker      cwmodel.HostID
-	incarnation int64 // in Unix nanoseconds
+	incarnation int64 // its start, in Unix nanoseconds
 }
 
 // suspectedCrash is a crash that a run in its crashWindow may have caused.
@@ -112,7 +112,7 @@
 	}
 }
 
-// addDoubt registers a loss until judgeLosses decides whether the worker has crashed.
+// addDoubt registers a loss until resolveLosses decides whether the worker has crashed.
 func (c *Cell) addDoubt(g *group, index, run int, worker cwmodel.HostID) {
 	g.hasLosses = true
 	c.doubts[worker] = append(c.doubts[worker], doubt{g, index, run})
@@ -133,15 +133,15 @@
 	c.markChanged(g)
 }
 
-// judgeLosses decides about the runs that were lost on a worker which has answered, or whose process has been replaced: those of an
+// resolveLosses decides about the runs that were lost on a worker which has answered, or whose process has been replaced: those of an
 // earlier process have ended by its crash, unless it left as announced. Those of the present one have not.
-func (c *Cell) judgeLosses(w *worker, now time.Time) {
+func (c *Cell) resolveLosses(w *worker, now time.Time) {
 	var crashed, open []doubt
 	for _, d := range c.doubts[w.ID] {
 		l, r := d.loss(), w.runs[cwwork.TaskKey{StepKey: d.group.key, Index: d.index}]
 		isTracked := r != nil && r.number == d.run
 		switch {
-		case l == nil:
+		case l == nil || d.group.job.outcome != "" || d.group.tasks[d.index].done: // the loss does not matter any more
 		case isTracked && (r.isolated || !r.incarnation.Equal(w.Incarnation)):
 			open = append(open, d) // it may still run
 		case isTracked || w.Draining || (!w.replaced && l.Incarnation.Equal(w.Incarnation)):
@@ -153,18 +153,18 @@
 	if c.doubts[w.ID] = open; len(open) == 0 {
 		delete(c.doubts, w.ID)
 	}
-	c.convictCrashed(w, crashed, now)
+	c.countCrash(w, crashed, now)
 }
 
-// convictCrashed counts a proven crash against the runs that it has ended, and gives up the tasks with enough evidence against them.
-func (c *Cell) convictCrashed(w *worker, crashed []doubt, now time.Time) {
+// countCrash counts a proven crash against the tasks whose runs it has ended, and gives up those with enough evidence against them.
+func (c *Cell) countCrash(w *worker, crashed []doubt, now time.Time) {
 	early := 0
-	likely := slices.ContainsFunc(crashed, func(d doubt) bool { return d.loss().Early && c.queue(d.group.job.Queue).hasGivenUp(now) })
+	hasLikelyCause := slices.ContainsFunc(crashed, func(d doubt) bool { return d.loss().Early && c.queue(d.group.job.Queue).hasGivenUp(now) })
 	for _, d := range crashed {
 		l := d.loss()
 		l.Crashed = true
-		if likely && !c.queue(d.group.job.Queue).hasGivenUp(now) {
-			l.Early = false // a task of the other queue is the likely cause
+		if hasLikelyCause && !c.queue(d.group.job.Queue).hasGivenUp(now) {
+			l.Early = false // a task of the queue with culprits is the likely cause
 		}
 		if l.Early {
 			early++
@@ -183,7 +183,7 @@
 		c.unrelatedCrashAt = now
 	}
 	for _, d := range crashed {
-		c.considerGivingUp(d.group, d.index, now)
+		c.giveUpCulprit(d.group, d.index, now)
 	}
 }
 
@@ -210,8 +210,8 @@
 	}
 }
 
-// considerGivingUp fails the job of a task that has crashed its workers. A task outside gangs must have been alone on one of them.
-func (c *Cell) considerGivingUp(g *group, index int, now time.Time) {
+// giveUpCulprit fails the job of a task if the evidence suffices that it has crashed its workers.
+func (c *Cell) giveUpCulprit(g *group, index int, now time.Time) {
 	if g.job.outcome != "" || g.tasks[index].done {
 		return
 	}
@@ -239,7 +239,7 @@
 	q.givenUpAt = append(q.givenUpAt, now)
 	q.givenUpAt = q.givenUpAt[max(0, len(q.givenUpAt)-givenUpInQueue):]
 	for n := range evidence {
-		c.explainCrash(&evidence[n])
+		c.attributeCrash(&evidence[n])
 	}
 }
 
@@ -255,9 +255,9 @@
 	return early >= requiredInGang && !c.hasUnrelatedCrash()
 }
 
-// explainCrash weakens the evidence of a crash against other tasks than the one that was given up for it: the crash counts as a late one,
-// and not at all if that task has caused it alone.
-func (c *Cell) explainCrash(cause *loss) {
+// attributeCrash weakens the evidence of a crash against other tasks than the one that was given up for it: it counts as a late one, and not
+// at all if that task has caused it alone.
+func (c *Cell) attributeCrash(cause *loss) {
 	s, ok := c.suspectedCrashes[cause.crash()]
 	if !ok {
 		return
@@ -383,11 +383,11 @@
 	}
 }
 
-// judgeRestored judges the losses on the workers that have reported before the job with these losses was loaded.
-func (c *Cell) judgeRestored(now time.Time) {
+// resolveRestoredLosses resolves the losses on the workers that have reported before the job with these losses was loaded.
+func (c *Cell) resolveRestoredLosses(now time.Time) {
 	for _, w := range c.sortedWorkers() {
 		if len(c.doubts[w.ID]) > 0 && (w.replaced || (w.hasReported && !w.unreachable)) {
-			c.judgeLosses(w, now)
+			c.resolveLosses(w, now)
 		}
 	}
 }
--- a/internal/core/cwcell/loss_test.go
+++ b/internal/core/cwcell/loss_test.go
@@ -81,3 +81,23 @@
 	}
 	is.Equal(n, 1)
 }
+
+// TestCrashAfterTheEndOfAJob guards against a second write of a job's end, which removes rows that are gone: one of its runs was in doubt, and
+// its worker proves to have crashed later.
+func TestCrashAfterTheEndOfAJob(t *testing.T) {
+	is := is.New(t)
+	f := newFixture([]cwmodel.HostID{"a"}, plainPolicy)
+	f.admit(step(1, 1000, false))
+	o := f.decide().Starts[0]
+	f.HandleStartResult(&o, StartAccepted, f.now)
+	f.MarkUnreachable("a", f.now)
+	f.Cancel("job")
+	all := func(cwmodel.JobID) bool { return true }
+	f.CompleteWrites(f.NextWrites(10, all), true, f.now)
+	is.Equal(f.PendingWrites(), 0)
+	f.now = f.now.Add(10 * time.Second)
+	f.MarkUnreachable("a", f.now) // its leases are over
+	f.now = f.now.Add(time.Second)
+	f.HandleReport(&Report{Worker: "a", Incarnation: f.now, RequestedAt: f.now}, f.now)
+	is.Equal(f.PendingWrites(), 0)
+}
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -102,7 +102,7 @@
 	if !rep.Truncated {
 		c.releaseMissingRuns(w, reported, rep.RequestedAt, now)
 	}
-	c.judgeLosses(w, now)
+	c.resolveLosses(w, now)
 	for _, r := range w.runs {
 		if r.group.hasLosses {
 			c.noteSurvival(r)
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -352,7 +352,7 @@
 				c.loseRun(r, lostWorkerReplaced, now)
 			}
 		}
-		c.judgeLosses(w, now)
+		c.resolveLosses(w, now)
 	}
 }
 
