Weigh losses in the order of workers and runs

The same events gave decisions in an order that depended on the iteration of maps: the cell is to be deterministic. Losses are resolved after an admission only if the job has stored progress.

--- a/internal/core/cwcell/job.go
+++ b/internal/core/cwcell/job.go
@@ -152,7 +152,9 @@
 	c.openDueOccurrences(now, wall)
 	c.openOccurrencesWithProgress(j, now)
 	c.adoptRuns(j, now)
-	c.resolveRestoredLosses(now)
+	if p != nil {
+		c.resolveRestoredLosses(now)
+	}
 	return true
 }
 
--- a/internal/core/cwcell/loss.go
+++ b/internal/core/cwcell/loss.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -347,9 +348,9 @@
 			delete(c.suspectedCrashes, key)
 		}
 	}
-	for id, list := range c.doubts {
-		open := list[:0]
-		for _, d := range list {
+	for _, id := range slices.Sorted(maps.Keys(c.doubts)) {
+		open := c.doubts[id][:0]
+		for _, d := range c.doubts[id] {
 			l := d.loss()
 			w, known := c.workers[id]
 			isTracked := known && w.runs[cwwork.TaskKey{StepKey: d.group.key, Index: d.index}] != nil
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -103,7 +103,7 @@
 		c.releaseMissingRuns(w, reported, rep.RequestedAt, now)
 	}
 	c.resolveLosses(w, now)
-	for _, r := range w.runs {
+	for _, r := range w.sortedRuns() {
 		if r.group.hasLosses {
 			c.noteSurvival(r)
 		}
