--- a/internal/core/cwcell/crash_test.go
+++ b/internal/core/cwcell/crash_test.go
@@ -114,7 +114,7 @@
 		name      string
 		otherID   bool
 		downTime  time.Duration
-		delay     time.Duration   // from the start of the task to the crash
+		delay     time.Duration   // from the start of the task to the crash; zero: before the start order is answered
 		takeOvers []time.Duration // times at which another owner takes over
 		silence   time.Duration   // time at which a worker is cut off for 5 s; zero: never
 		dark      bool            // a crash resets no connection
@@ -157,7 +157,7 @@
 					} else {
 						c.submit(c.crashingJob(id, 1+n%6, n%9 == 0, 0))
 					}
-					c.advance(100 * time.Millisecond)
+					c.advance(submitPeriod)
 				}
 				c.advance(60 * time.Second)
 				c.checkOutcomes(t)
@@ -166,6 +166,9 @@
 	}
 }
 
+// submitPeriod separates the jobs of the tests with crashing workers.
+const submitPeriod = 100 * time.Millisecond
+
 // crashPolicy is the policy of the tests with crashing workers.
 var crashPolicy = cwwork.QueuePolicy{Service: "portal", MaxAttempts: 3, Stretch: 2, TargetLatency: time.Second}
 
@@ -193,17 +196,17 @@
 // in series by themselves, several at once.
 func TestBystandersOfCrashesAreNotGivenUp(t *testing.T) {
 	cases := []struct {
-		name      string
-		otherID   bool
-		workers   int           // that crash at once, of ten
-		period    time.Duration // of these crashes
-		mayGiveUp bool          // jobs with a task under which four workers have crashed
+		name    string
+		otherID bool
+		workers int           // that crash at once, of ten
+		first   time.Duration // time of the first of these crashes
+		period  time.Duration // of the further ones
 	}{
-		{"one after another", false, 1, 4 * time.Second, false},
-		{"three at once", false, 3, 4 * time.Second, false},
-		{"three at once, and return as other workers", true, 3, 4 * time.Second, false},
-		{"seven are down on average", false, 3, 1300 * time.Millisecond, true},
-		{"seven are down on average, and return as other workers", true, 3, 1300 * time.Millisecond, true},
+		{"one after another", false, 1, 2 * time.Second, 4 * time.Second},
+		{"three at once", false, 3, 2 * time.Second, 4 * time.Second},
+		{"three at once, and return as other workers", true, 3, 2 * time.Second, 4 * time.Second},
+		{"seven are down on average", false, 3, 600 * time.Millisecond, 1300 * time.Millisecond},
+		{"seven are down on average, and return as other workers", true, 3, 600 * time.Millisecond, 1300 * time.Millisecond},
 	}
 	for _, tc := range cases {
 		for seed := range uint64(5) {
@@ -215,15 +218,12 @@
 				c.advance(2 * time.Second)
 				for n := range 200 {
 					c.submit(c.crashingJob(cwmodel.JobID(fmt.Sprintf("job%03d", n)), 1+n%6, n%9 == 0, 0))
-					if period := int(tc.period / (100 * time.Millisecond)); n%period == period/2 {
+					if at := time.Duration(n) * submitPeriod; at >= tc.first && (at-tc.first)%tc.period == 0 {
 						c.crashSome(tc.workers, tc.otherID, random)
 					}
-					c.advance(100 * time.Millisecond)
+					c.advance(submitPeriod)
 				}
 				c.advance(40 * time.Second)
-				if tc.mayGiveUp {
-					c.excuseCrashed(2)
-				}
 				c.checkOutcomes(t)
 			})
 		}
@@ -237,12 +237,3 @@
 		c.crashFor(up[k], 3*time.Second, otherID)
 	}
 }
-
-// excuseCrashed allows the jobs to fail that have a task under which n workers have crashed: no rule tells such a task from a culprit.
-func (c *cluster) excuseCrashed(n int) {
-	for key, crashes := range c.crashes.under {
-		if crashes >= n && c.ended[key.Job] == cwwork.StateFailed {
-			c.crashes.deadly[key] = 0
-		}
-	}
-}
