Test that silence is no crash, that losses outlive their owner, and that changing capacities are kept to

TestSilenceIsNoCrash and TestLossesOutliveTheirOwner name each way in which a worker only seems to have crashed.

--- a/internal/core/cwcell/capacity_test.go
+++ b/internal/core/cwcell/capacity_test.go
@@ -1,6 +1,8 @@
 package cwcell
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -44,3 +46,42 @@
 		})
 	}
 }
+
+// TestCapacityThatChangesIsKeptTo guards against workers that are overfilled because their owner goes by a capacity that they had before: the
+// capacities of busy workers shrink and grow all the time. Jobs that fit on no worker for a while must still end.
+func TestCapacityThatChangesIsKeptTo(t *testing.T) {
+	cases := []struct {
+		name      string
+		takeOvers time.Duration // period of changes of the owner; zero: none
+		faults    bool          // calls to the workers fail at random
+	}{
+		{"one owner", 0, false},
+		{"owners that follow each other", 4 * time.Second, false},
+		{"calls that fail", 0, true},
+	}
+	for _, tc := range cases {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprintf("%s, seed %d", tc.name, seed), func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 31))
+				c := newCluster(6, crashPolicy, random.IntN)
+				c.crashes.noFailures = true
+				c.takeOver()
+				c.advance(2 * time.Second)
+				c.faults = tc.faults
+				for n := range 300 {
+					c.submit(c.crashingJob(cwmodel.JobID(fmt.Sprintf("job%03d", n)), 1+n%6, n%9 == 0, 0))
+					if n%10 == 0 {
+						c.resize(c.workers[random.IntN(len(c.workers))], 1000*int64(1+random.IntN(8)))
+					}
+					if tc.takeOvers > 0 && (time.Duration(n+1)*submitPeriod)%tc.takeOvers == 0 {
+						c.takeOver()
+					}
+					c.advance(submitPeriod)
+				}
+				c.faults = false
+				c.advance(60 * time.Second)
+				c.checkOutcomes(t)
+			})
+		}
+	}
+}
--- a/internal/core/cwcell/cell_test.go
+++ b/internal/core/cwcell/cell_test.go
@@ -47,6 +47,13 @@
 	}, f.now)
 }
 
+// drain lists a worker as draining.
+func (f *fixture) drain(id cwmodel.HostID) {
+	info := f.workers[id].WorkerInfo
+	info.Draining = true
+	f.UpdateWorker(info, f.now)
+}
+
 // decide advances the clock by 200 ms and returns the effects of a decision.
 func (f *fixture) decide() Effects { return f.decideAfter(200 * time.Millisecond) }
 
--- a/internal/core/cwcell/loss_test.go
+++ b/internal/core/cwcell/loss_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"currantward/internal/core/cwmodel"
+	"currantward/internal/core/cwwork"
 )
 
 // TestLostRunsAreLoggedWithTheirAge guards against a log that can't tell a task which crashes its workers from a bystander of a crash: the
@@ -101,3 +102,121 @@
 	f.HandleReport(&Report{Worker: "a", Incarnation: f.now, RequestedAt: f.now}, f.now)
 	is.Equal(f.PendingWrites(), 0)
 }
+
+// TestSilenceIsNoCrash guards against a run that counts as a crash of its worker because the worker was only silent, cut off, slow or suspended,
+// or left as announced.
+func TestSilenceIsNoCrash(t *testing.T) {
+	cases := []struct {
+		name    string
+		happens func(f *fixture, o *StartOrder)
+		answers bool // the same incarnation answers afterwards
+		crashes int
+	}{
+		{"silent, then answers", func(f *fixture, o *StartOrder) { f.MarkUnreachable(o.Worker, f.now) }, true, 0},
+		{"connection ends, then answers", func(f *fixture, o *StartOrder) { f.MarkDisconnected(o.Worker, f.now) }, true, 0},
+		{"silent until its leases are over, then answers", func(f *fixture, o *StartOrder) {
+			f.MarkUnreachable(o.Worker, f.now)
+			f.now = f.now.Add(10 * time.Second)
+			f.MarkUnreachable(o.Worker, f.now)
+		}, true, 0},
+		{"unlisted while it is silent", func(f *fixture, o *StartOrder) {
+			f.MarkUnreachable(o.Worker, f.now)
+			f.UnlistWorker(o.Worker, f.now)
+			f.now = f.now.Add(10 * time.Second)
+			f.MarkUnreachable(o.Worker, f.now)
+		}, true, 0},
+		{"drains, then falls silent", func(f *fixture, o *StartOrder) {
+			f.drain(o.Worker)
+			f.MarkUnreachable(o.Worker, f.now)
+		}, false, 0},
+		{"falls silent, drains, and another worker has its address", func(f *fixture, o *StartOrder) {
+			f.MarkUnreachable(o.Worker, f.now)
+			f.drain(o.Worker)
+			f.MarkReplaced(o.Worker, f.now)
+		}, false, 0},
+		{"another worker has its address", func(f *fixture, o *StartOrder) { f.MarkReplaced(o.Worker, f.now) }, false, 1},
+		{"another incarnation", func(f *fixture, o *StartOrder) {
+			f.MarkUnreachable(o.Worker, f.now)
+			f.now = f.now.Add(10 * time.Second)
+			f.MarkUnreachable(o.Worker, f.now)
+			f.HandleReport(&Report{Worker: o.Worker, Incarnation: f.now, RequestedAt: f.now}, f.now)
+		}, false, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture([]cwmodel.HostID{"a"}, plainPolicy)
+			incarnation := f.now
+			f.admit(step(1, 1000, false))
+			o := f.decide().Starts[0]
+			f.HandleStartResult(&o, StartAccepted, f.now)
+			tc.happens(f, &o)
+			if tc.answers {
+				f.now = f.now.Add(time.Second)
+				f.HandleReport(&Report{Worker: "a", Incarnation: incarnation, RequestedAt: f.now}, f.now)
+			}
+			crashes := 0
+			for _, l := range f.jobs["job"].occurrences[0].groups[0].tasks[0].losses {
+				is.True(l.Crashed) // nothing is left in doubt
+				crashes++
+			}
+			is.Equal(crashes, tc.crashes)
+		})
+	}
+}
+
+// TestLossesOutliveTheirOwner guards against a task that crashes its workers and is counted from zero by each owner, and against a worker that
+// counts as crashed because its owner has changed while it was silent.
+func TestLossesOutliveTheirOwner(t *testing.T) {
+	earlier, later := time.Unix(900, 0), time.Unix(950, 0)
+	lost := func(crashed bool) []cwwork.LostRun {
+		return []cwwork.LostRun{{TaskRun: cwwork.TaskRun{Run: 3}, Worker: "a", Incarnation: earlier, Early: true, Alone: true, Crashed: crashed}}
+	}
+	cases := []struct {
+		name        string
+		stored      []cwwork.LostRun
+		incarnation time.Time // that answers the new owner; zero: none
+		before      bool      // it answers before the job is loaded
+		replaced    bool      // another worker has its address
+		losses      int       // that count afterwards
+	}{
+		{"proven", lost(true), earlier, false, false, 1},
+		{"in doubt, and the same incarnation answers", lost(false), earlier, false, false, 0},
+		{"in doubt, and the same incarnation has answered", lost(false), earlier, true, false, 0},
+		{"in doubt, and another incarnation answers", lost(false), later, false, false, 1},
+		{"in doubt, and another incarnation has answered", lost(false), later, true, false, 1},
+		{"in doubt, and another worker has its address", lost(false), time.Time{}, false, true, 1},
+		{"in doubt, and nothing is learned", lost(false), time.Time{}, false, false, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(nil, plainPolicy)
+			f.RestoreMember("a", f.now)
+			answer := func() {
+				if !tc.incarnation.IsZero() {
+					f.HandleReport(&Report{Worker: "a", Incarnation: tc.incarnation, RequestedAt: f.now}, f.now)
+				}
+			}
+			if tc.before {
+				answer()
+			}
+			s := &cwwork.Submission{ID: "job", Queue: "q", Steps: []cwwork.Step{step(1, 1000, false)}, AcceptedAt: f.now, Policy: plainPolicy}
+			f.Admit(s, &cwwork.Progress{Steps: []cwwork.StepProgress{{Lost: tc.stored}}}, true, f.now, f.now)
+			if !tc.before {
+				answer()
+			}
+			if tc.replaced {
+				f.MarkReplaced("a", f.now)
+			}
+			f.decideAfter(doubtExpiry)
+			p := f.jobs["job"].snapshot()
+			stored := 0
+			for _, step := range p.Steps {
+				stored += len(step.Lost)
+			}
+			is.Equal(stored, tc.losses)
+			is.Equal(f.group(cwwork.StepKey{Job: "job"}).tasks[0].highestRun, 3) // its number is not used again
+		})
+	}
+}
