Take a worker for replaced only at an address that is known to be its own

What callers would see: after a change of the owner, a worker that is alive counts as crashed, and its suspects' evidence is false, because an entry with a wrong address leads to another worker (421). Found by reading: the check of the address did not cover workers that had not answered the new owner. Change: the address at which the previous owner called the worker, from its list of members, counts; without either, nothing is concluded. Test: TestReplacementNeedsTheKnownAddress failed on 'at another address than the previous owner knew' and 'worker that nobody has called'.

--- a/internal/app/cwcellowner/link.go
+++ b/internal/app/cwcellowner/link.go
@@ -18,10 +18,11 @@
 type workerLink struct {
 	entry      cwcellport.WorkerEntry
 	calls      *cwring.Ring[renewalCall]
-	stop       func()         // stops the duty that makes the calls
-	nextCallAt time.Time      // the next call starts at this time, or earlier once the ended runs of the last one are durable
-	failures   int            // consecutive calls without a response
-	answeredAt netip.AddrPort // address of the latest response; invalid: there is none
+	stop       func()    // stops the duty that makes the calls
+	nextCallAt time.Time // the next call starts at this time, or earlier once the ended runs of the last one are durable
+	failures   int       // consecutive calls without a response
+	// knownAddress is where the worker has last answered this owner, or was called by the previous one; invalid: neither is known.
+	knownAddress netip.AddrPort
 }
 
 // renewalCall is one lease renewal with the worker's current registry entry.
@@ -99,20 +100,20 @@
 
 // handleReport passes a worker's report to the cell and repeats the stop orders that the worker has not confirmed. After a
 // failed call, for which report is nil, it sets a backoff that doubles with each failure. The worker then counts as unreachable,
-// unless it refused this owner's fence, which is evidence of a later owner. If another worker answers at the address at which the
-// worker has answered, its process has ended. At another address, its entry may be wrong.
+// unless it refused this owner's fence, which is evidence of a later owner. If another worker answers at its known address, its
+// process has ended. At another address, its entry may be wrong.
 func (s *session) handleReport(l *workerLink, report *cwcell.Report, err error, now time.Time) {
 	s.idleLinks = append(s.idleLinks, l)
 	l.nextCallAt = now.Add(maxCallInterval)
 	switch {
 	case err == nil:
-		l.failures, l.answeredAt = 0, l.entry.Address
+		l.failures, l.knownAddress = 0, l.entry.Address
 		s.cell.HandleReport(report, now)
 		s.cell.ResendStops(l.entry.ID, now)
 		return
 	case cwfault.CodeOf(err) == cwfault.StaleEpoch:
 		s.owner.opts.OnSuperseded()
-	case cwfault.CodeOf(err) == cwfault.NotFound && (!l.answeredAt.IsValid() || l.answeredAt == l.entry.Address):
+	case cwfault.CodeOf(err) == cwfault.NotFound && l.knownAddress == l.entry.Address:
 		s.cell.MarkReplaced(l.entry.ID, now)
 	default:
 		s.cell.MarkUnreachable(l.entry.ID, now)
--- a/internal/app/cwcellowner/load.go
+++ b/internal/app/cwcellowner/load.go
@@ -98,6 +98,7 @@
 			if _, ok := s.links[m.ID]; !ok {
 				s.addLink(cwcellport.WorkerEntry{WorkerInfo: cwcell.WorkerInfo{ID: m.ID, Rack: m.Rack}, Address: m.Address}, now)
 			}
+			s.links[m.ID].knownAddress = m.Address
 		}
 	}
 }
