--- a/internal/adapter/cwcellcodec/codec.go
+++ b/internal/adapter/cwcellcodec/codec.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -26,12 +27,20 @@
 	Policy     policy           `json:"policy"`
 }
 
-// milliseconds is a stored duration. Whole milliseconds are the precision of the users' protocol.
-type milliseconds int64
+// milliseconds is a duration that is stored in whole milliseconds, the precision of the users' protocol.
+type milliseconds time.Duration
 
-func toMilliseconds(d time.Duration) milliseconds { return milliseconds(d / time.Millisecond) }
+// MarshalJSON encodes the duration as a number.
+func (d milliseconds) MarshalJSON() ([]byte, error) {
+	return strconv.AppendInt(nil, time.Duration(d).Milliseconds(), 10), nil
+}
 
-func (d milliseconds) duration() time.Duration { return time.Duration(d) * time.Millisecond }
+// UnmarshalJSON decodes a number of milliseconds.
+func (d *milliseconds) UnmarshalJSON(data []byte) (err error) {
+	n, err := strconv.ParseInt(string(data), 10, 64)
+	*d = milliseconds(time.Duration(n) * time.Millisecond)
+	return eris.Wrap(err, "decode milliseconds")
+}
 
 type policy struct {
 	Service         string  `json:"service"`
@@ -67,7 +76,7 @@
 // EncodeSubmission returns the stored form of a job.
 func EncodeSubmission(s *cwwork.Submission) ([]byte, error) {
 	w := submission{
-		Queue: s.Queue, Payload: s.Payload, Repeats: s.Repeats, Interval: toMilliseconds(s.Interval), AcceptedAt: s.AcceptedAt.UnixMilli(),
+		Queue: s.Queue, Payload: s.Payload, Repeats: s.Repeats, Interval: milliseconds(s.Interval), AcceptedAt: s.AcceptedAt.UnixMilli(),
 		Policy: policy{
 			Service: s.Policy.Service, Priority: s.Policy.Priority, MaxAttempts: s.Policy.MaxAttempts, Stretch: s.Policy.Stretch,
 			TargetLatency: s.Policy.TargetLatency.Milliseconds(), AdviceBase: s.Policy.Advice.Base.Microseconds(),
@@ -81,9 +90,9 @@
 		t := &s.Steps[n]
 		w.Steps = append(w.Steps, step{
 			Count: t.Count, MilliProcessors: t.Demand.MilliProcessors, MemoryBytes: t.Demand.MemoryBytes, Accelerators: t.Demand.Accelerators,
-			Estimate: toMilliseconds(t.Estimate), DependsOn: t.DependsOn, Gang: t.Gang, SameRack: t.SameRack, RequiredLabel: t.RequiredLabel,
+			Estimate: milliseconds(t.Estimate), DependsOn: t.DependsOn, Gang: t.Gang, SameRack: t.SameRack, RequiredLabel: t.RequiredLabel,
 			RackAffinity: t.RackAffinity, MaxPerWorker: t.MaxPerWorker, Speculative: t.Speculative, LongRunning: t.LongRunning,
-			Image: t.Image, Checkpointable: t.Checkpointable, TailLatencyLimit: toMilliseconds(t.TailLatencyLimit), Opportunistic: t.Opportunistic,
+			Image: t.Image, Checkpointable: t.Checkpointable, TailLatencyLimit: milliseconds(t.TailLatencyLimit), Opportunistic: t.Opportunistic,
 		})
 	}
 	return json.Marshal(w)
@@ -97,7 +106,7 @@
 		return nil, err
 	}
 	s = &cwwork.Submission{
-		ID: id, Queue: w.Queue, Payload: w.Payload, Repeats: w.Repeats, Interval: w.Interval.duration(), AcceptedAt: time.UnixMilli(w.AcceptedAt),
+		ID: id, Queue: w.Queue, Payload: w.Payload, Repeats: w.Repeats, Interval: time.Duration(w.Interval), AcceptedAt: time.UnixMilli(w.AcceptedAt),
 		Policy: cwwork.QueuePolicy{
 			Service: w.Policy.Service, Priority: w.Policy.Priority, MaxAttempts: w.Policy.MaxAttempts, Stretch: w.Policy.Stretch,
 			TargetLatency: time.Duration(w.Policy.TargetLatency) * time.Millisecond,
@@ -115,9 +124,9 @@
 		s.Steps = append(s.Steps, cwwork.Step{
 			Count:    t.Count,
 			Demand:   cwmodel.Resources{MilliProcessors: t.MilliProcessors, MemoryBytes: t.MemoryBytes, Accelerators: t.Accelerators},
-			Estimate: t.Estimate.duration(), DependsOn: t.DependsOn, Gang: t.Gang, SameRack: t.SameRack, RequiredLabel: t.RequiredLabel,
+			Estimate: time.Duration(t.Estimate), DependsOn: t.DependsOn, Gang: t.Gang, SameRack: t.SameRack, RequiredLabel: t.RequiredLabel,
 			RackAffinity: t.RackAffinity, MaxPerWorker: t.MaxPerWorker, Speculative: t.Speculative, LongRunning: t.LongRunning,
-			Image: t.Image, Checkpointable: t.Checkpointable, TailLatencyLimit: t.TailLatencyLimit.duration(), Opportunistic: t.Opportunistic,
+			Image: t.Image, Checkpointable: t.Checkpointable, TailLatencyLimit: time.Duration(t.TailLatencyLimit), Opportunistic: t.Opportunistic,
 		})
 	}
 	return s, s.Validate()
@@ -201,13 +210,13 @@
 
 // SetPriorLeases sets PriorLeases, rounded up to a stored precision.
 func (l *Lease) SetPriorLeases(d time.Duration) {
-	l.PriorLeases = toMilliseconds(max(0, d) + time.Millisecond - 1)
+	l.PriorLeases = milliseconds((max(0, d) + time.Millisecond - 1).Truncate(time.Millisecond))
 }
 
 // PriorLeasesAfter returns the time by which all task leases of the owners before the holder have expired, if the row was written
 // before t.
 func (l *Lease) PriorLeasesAfter(t time.Time) time.Time {
-	return t.Add(max(0, l.PriorLeases.duration()))
+	return t.Add(max(0, time.Duration(l.PriorLeases)))
 }
 
 // EncodeLease returns the stored form of a lease.
--- a/internal/adapter/cwcellcodec/codec_test.go
+++ b/internal/adapter/cwcellcodec/codec_test.go
@@ -1,6 +1,7 @@
 package cwcellcodec
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -41,3 +42,41 @@
 	is.NoErr(err)
 	is.Equal(*p, cwwork.Progress{Steps: []cwwork.StepProgress{{Done: []int{1}, Failed: []cwwork.TaskRun{{Run: 2}}}}})
 }
+
+// TestDurationsAreStoredInMilliseconds guards against rows that programs of different versions read differently.
+func TestDurationsAreStoredInMilliseconds(t *testing.T) {
+	cases := []struct {
+		name     string
+		interval time.Duration
+		stored   string
+		decoded  time.Duration
+	}{
+		{"whole", 1500 * time.Millisecond, `"interval":1500`, 1500 * time.Millisecond},
+		{"fraction", 1500*time.Millisecond + 700*time.Microsecond, `"interval":1500`, 1500 * time.Millisecond},
+		{"none", 0, `"steps":[{"count":1}],"accepted"`, 0}, // left out
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			data, err := EncodeSubmission(&cwwork.Submission{ID: "job", Queue: "q", Steps: []cwwork.Step{{Count: 1}}, Interval: tc.interval, AcceptedAt: time.UnixMilli(5)})
+			is.NoErr(err)
+			is.True(strings.Contains(string(data), tc.stored))
+			s, err := DecodeSubmission("job", data)
+			is.NoErr(err)
+			is.Equal(s.Interval, tc.decoded)
+		})
+	}
+}
+
+// TestPriorLeasesAreRoundedUp guards against a successor that takes leases for expired a moment too early.
+func TestPriorLeasesAreRoundedUp(t *testing.T) {
+	is := is.New(t)
+	var l Lease
+	l.SetPriorLeases(1500*time.Millisecond + time.Nanosecond)
+	data, err := EncodeLease(l)
+	is.NoErr(err)
+	decoded, err := DecodeLease(data)
+	is.NoErr(err)
+	is.Equal(decoded, l)
+	is.Equal(decoded.PriorLeasesAfter(time.Unix(1, 0)), time.Unix(1, 0).Add(1501*time.Millisecond))
+}
--- a/internal/app/cwlease/lease_test.go
+++ b/internal/app/cwlease/lease_test.go
@@ -135,6 +135,12 @@
 	}
 }
 
+// withPriorLeases returns a lease that says how long the leases of the owners before its holder may last.
+func withPriorLeases(l cwcellcodec.Lease, d time.Duration) cwcellcodec.Lease {
+	l.SetPriorLeases(d)
+	return l
+}
+
 // TestPriorLeaseExpiry checks when runs that a previous owner may have left on unreachable workers count as ended.
 func TestPriorLeaseExpiry(t *testing.T) {
 	longest := time.Duration(float64(3*time.Second) * (1 + 2*ClockDrift)) // longest lease on a worker
@@ -150,9 +156,9 @@
 		{"released", cwcellcodec.Lease{Holder: "b", Released: true}, 0, longest},
 		{"held by the host's earlier life", cwcellcodec.Lease{Holder: "a", Address: netip.MustParseAddrPort("127.0.0.1:1")}, 0, longest},
 		{"held under the host's name at another address", cwcellcodec.Lease{Holder: "a"}, 0, TTL + longest},
-		{"released, earlier owner's leases last longer", cwcellcodec.Lease{Holder: "b", Released: true, PriorLeases: 6000}, 0, 6 * time.Second},
-		{"the same, seen a while ago", cwcellcodec.Lease{Holder: "b", Released: true, PriorLeases: 6000}, time.Second, 5 * time.Second},
-		{"stale, earlier owner's leases end sooner", cwcellcodec.Lease{Holder: "b", PriorLeases: 1000}, staleAfter, TTL - staleAfter + longest},
+		{"released, earlier owner's leases last longer", withPriorLeases(cwcellcodec.Lease{Holder: "b", Released: true}, 6*time.Second), 0, 6 * time.Second},
+		{"the same, seen a while ago", withPriorLeases(cwcellcodec.Lease{Holder: "b", Released: true}, 6*time.Second), time.Second, 5 * time.Second},
+		{"stale, earlier owner's leases end sooner", withPriorLeases(cwcellcodec.Lease{Holder: "b"}, time.Second), staleAfter, TTL - staleAfter + longest},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
