Weigh the evidence of crashes in a package of its own

No limit changes. Tasks that crash their workers have one name in the tests (crashing, not also deadly), a lost run's age is a duration in the log entry, and placeSuspects has one loop less.

--- a/internal/app/cwcellowner/session.go
+++ b/internal/app/cwcellowner/session.go
@@ -201,7 +201,7 @@
 	if entry.Detail != "" {
 		fields["detail"] = entry.Detail
 	}
-	if entry.Survived != "" {
+	if entry.Event == cwcell.EventRunLost {
 		fields["survived"] = entry.Survived
 	}
 	s.owner.opts.Log.WithFields(fields).Info(entry.Event)
--- a/internal/core/cwcell/cell.go
+++ b/internal/core/cwcell/cell.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"time"
 
+	"currantward/internal/core/cwevidence"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwwork"
 )
@@ -65,8 +66,8 @@
 	nextFullPass       time.Time // time at which every waiting group is considered again
 	queues             map[cwwork.QueueName]*queueStatistics
 	doubts             map[cwmodel.HostID][]doubt // by worker: losses of which it is not known whether the worker has crashed
-	suspectedCrashes   map[crashKey]*suspectedCrash
-	unrelatedCrashAt   time.Time // latest crash that no task has caused; zero: none is known
+	suspectedCrashes   map[cwevidence.CrashKey]*suspectedCrash
+	crashMemory        cwevidence.Memory
 }
 
 // finalState is the final state of a job whose end is durable, kept for lookups until the retention period ends.
@@ -80,7 +81,6 @@
 	waiting       int // jobs of which no task has started
 	predictor     predictor
 	eligibleShare eligibleShare
-	givenUpAt     []time.Time // when the last givenUpInQueue tasks were given up that had crashed their workers
 }
 
 // Effects are the results of a decision.
@@ -117,11 +117,13 @@
 	Worker cwmodel.HostID
 	Run    int
 	Detail string
-	// Survived is how long a lost run is known to have lived: from its confirmed start to the last response of its worker. Empty: the
-	// entry is not about a lost run.
-	Survived string
+	// Survived is how long a lost run (EventRunLost) is known to have lived: from its confirmed start to the last response of its worker.
+	Survived time.Duration
 }
 
+// EventRunLost is the event of a run that has ended without a reported end.
+const EventRunLost = "run-lost"
+
 // New returns a cell without jobs and workers.
 func New(opts Options) *Cell {
 	return &Cell{
@@ -134,7 +136,7 @@
 		workers:          map[cwmodel.HostID]*worker{},
 		queues:           map[cwwork.QueueName]*queueStatistics{},
 		doubts:           map[cwmodel.HostID][]doubt{},
-		suspectedCrashes: map[crashKey]*suspectedCrash{},
+		suspectedCrashes: map[cwevidence.CrashKey]*suspectedCrash{},
 	}
 }
 
--- a/internal/core/cwcell/cluster_test.go
+++ b/internal/core/cwcell/cluster_test.go
@@ -623,15 +623,15 @@
 	c.checkStart(o, w, order)
 	step := c.jobs[order.Task.Job].Steps[order.Task.Step]
 	r := &simRun{number: order.Run, endsAt: c.now.Add(step.Estimate), fails: !c.crashes.noFailures && c.intN(20) == 0}
-	delay, isDeadly := c.crashes.deadly[order.Task]
-	if isDeadly && delay > 0 {
+	delay, isCrashing := c.crashes.crashing[order.Task]
+	if isCrashing && delay > 0 {
 		r.kills = c.now.Add(delay)
 	}
 	if _, running := w.runs[order.Task]; running {
 		c.finish(w, order.Task, EndStopped)
 	}
 	w.runs[order.Task] = r
-	if isDeadly && delay == 0 {
+	if isCrashing && delay == 0 {
 		c.crashUnder(w, order.Task)
 		return StartUnanswered
 	}
--- a/internal/core/cwcell/crash_test.go
+++ b/internal/core/cwcell/crash_test.go
@@ -15,8 +15,7 @@
 
 // simCrashes are the crashes of simulated workers that tasks cause, and what must hold about these tasks.
 type simCrashes struct {
-	deadly      map[cwwork.TaskKey]time.Duration // tasks that crash their worker, and the time from their start to the crash
-	under       map[cwwork.TaskKey]int           // crashes of workers while the task ran there
+	crashing    map[cwwork.TaskKey]time.Duration // tasks that crash their worker, and the time from their start to the crash
 	caused      map[cwwork.TaskKey]int           // crashes that the task has caused
 	startsAfter map[cwwork.TaskKey]int           // starts of the task after crashesOfRule of these
 	downTime    time.Duration
@@ -27,7 +26,7 @@
 
 func newSimCrashes() simCrashes {
 	return simCrashes{
-		deadly: map[cwwork.TaskKey]time.Duration{}, under: map[cwwork.TaskKey]int{}, caused: map[cwwork.TaskKey]int{}, startsAfter: map[cwwork.TaskKey]int{},
+		crashing: map[cwwork.TaskKey]time.Duration{}, caused: map[cwwork.TaskKey]int{}, startsAfter: map[cwwork.TaskKey]int{},
 		downTime: 3 * time.Second,
 	}
 }
@@ -48,9 +47,6 @@
 // crashFor crashes a worker, which returns after some time, under its ID or as another worker at its address.
 func (c *cluster) crashFor(w *simWorker, downTime time.Duration, otherID bool) {
 	c.record("%s: down for %s", w.info.ID, downTime)
-	for key := range w.runs {
-		c.crashes.under[key]++
-	}
 	w.alive, w.runs, w.ended = false, map[cwwork.TaskKey]*simRun{}, nil
 	for _, o := range c.owners {
 		if !c.crashes.dark && !o.superseded && !o.cutOff[w.info.ID] && !w.partitioned {
@@ -87,19 +83,19 @@
 	}
 }
 
-// crashingJob returns a job of n tasks, of which those in deadly crash their workers some time after their start.
-func (c *cluster) crashingJob(id cwmodel.JobID, n int, gang bool, delay time.Duration, deadly ...int) *cwwork.Submission {
+// crashingJob returns a job of n tasks. Those with the indexes in crashing crash their workers some time after their start.
+func (c *cluster) crashingJob(id cwmodel.JobID, n int, gang bool, delay time.Duration, crashing ...int) *cwwork.Submission {
 	s := &cwwork.Submission{ID: id, Queue: "q", Steps: []cwwork.Step{step(n, 1000, gang)}}
 	s.Steps[0].Estimate = 600 * time.Millisecond
-	for _, index := range deadly {
-		c.crashes.deadly[cwwork.TaskKey{StepKey: cwwork.StepKey{Job: id}, Index: index}] = delay
+	for _, index := range crashing {
+		c.crashes.crashing[cwwork.TaskKey{StepKey: cwwork.StepKey{Job: id}, Index: index}] = delay
 	}
 	return s
 }
 
-// isDeadly reports whether a task of the job crashes its workers.
-func (c *cluster) isDeadly(id cwmodel.JobID) bool {
-	for key := range c.crashes.deadly {
+// isCrashing reports whether a task of the job crashes its workers.
+func (c *cluster) isCrashing(id cwmodel.JobID) bool {
+	for key := range c.crashes.crashing {
 		if key.Job == id {
 			return true
 		}
@@ -172,12 +168,12 @@
 // crashPolicy is the policy of the tests with crashing workers.
 var crashPolicy = cwwork.QueuePolicy{Service: "portal", MaxAttempts: 3, Stretch: 2, TargetLatency: time.Second}
 
-// checkOutcomes checks that the jobs with a deadly task have failed, that all others are completed, and that nothing was violated.
+// checkOutcomes checks that the jobs with a crashing task have failed, that all others are completed, and that nothing was violated.
 func (c *cluster) checkOutcomes(t *testing.T) {
 	t.Helper()
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		state, want := c.ended[id], cwwork.StateCompleted
-		if c.isDeadly(id) {
+		if c.isCrashing(id) {
 			want = cwwork.StateFailed
 		}
 		if state != want {
--- a/internal/core/cwcell/isolate.go
+++ b/internal/core/cwcell/isolate.go
@@ -4,28 +4,26 @@
 	"slices"
 	"time"
 
+	"currantward/internal/core/cwevidence"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwwork"
 )
 
 // A task that may crash its workers is a suspect: it is started in isolation, on a worker whose other runs have all outlived their
-// crashWindow, and nothing else is started there until it has, too. A crash meanwhile is then its own.
+// CrashWindow, and nothing else is started there until it has, too. A crash meanwhile is then its own.
 const (
 	// isolatedShareDivisor limits the workers that are kept for suspects to 1/isolatedShareDivisor of the usable ones.
 	isolatedShareDivisor = 4
 	// silentShareDivisor limits the silent workers that suspects may have crashed to 1/silentShareDivisor of all.
 	silentShareDivisor = 3
-	// longProbation is the run time after which a suspect with crashesOfSuspect crashes is cleared.
+	// longProbation is the run time after which a suspect is cleared that stays isolated while it runs.
 	longProbation = 10 * time.Second
 )
 
 // isSuspectGang reports whether a member of the gang may have crashed its worker. Such a gang is not started in isolation, for which it would wait
-// too long, but nothing else is started on its workers until it has outlived its crashWindow.
+// too long, but nothing else is started on its workers until it has outlived its CrashWindow.
 func (c *Cell) isSuspectGang(g *group) bool {
-	return g.hasLosses && slices.ContainsFunc(g.tasks, func(t task) bool {
-		early, _ := t.countLosses()
-		return early >= c.earlyCrashesOfSuspect()
-	})
+	return g.hasLosses && slices.ContainsFunc(g.tasks, func(t task) bool { return c.crashMemory.IsSuspect(t.losses, c.now) })
 }
 
 // holdWorkers keeps further tasks off the workers of a gang's planned runs.
@@ -40,48 +38,22 @@
 
 // isSuspect reports whether the task may have crashed its workers and must be started in isolation.
 func (c *Cell) isSuspect(g *group, index int) bool {
-	if !g.hasLosses || !g.canIsolate() {
-		return false
-	}
-	early, crashes := g.tasks[index].countLosses()
-	return early >= c.earlyCrashesOfSuspect() || crashes >= crashesOfSuspect
-}
-
-// countLosses returns the numbers of losses within the crashWindow, whether their workers are known to have crashed or not, and of proven
-// crashes at any time.
-func (t *task) countLosses() (early, crashes int) {
-	for n := range t.losses {
-		l := &t.losses[n]
-		if l.Early {
-			early++
-		}
-		if l.Crashed {
-			crashes++
-		}
-	}
-	return early, crashes
+	return g.hasLosses && g.canIsolate() && c.crashMemory.IsSuspect(g.tasks[index].losses, c.now)
 }
 
-// awaitsProof reports whether the task must not be started before it is known whether its earlier runs have crashed their workers.
-func (t *task) awaitsProof() bool {
-	proven, open := 0, 0
-	for n := range t.losses {
-		if t.losses[n].Crashed {
-			proven++
-		} else {
-			open++
-		}
-	}
-	return open > 0 && proven+open >= maxUnprovenCrashes
+// isWaitingSuspect reports whether the task is a suspect that waits and may be started.
+func (c *Cell) isWaitingSuspect(g *group, index int) bool {
+	t := &g.tasks[index]
+	return !t.done && len(t.runs) == 0 && c.isSuspect(g, index) && !t.losses.AwaitsProof()
 }
 
-// waitingSuspects returns the number of waiting tasks of the group that are suspects and may be started.
+// waitingSuspects returns the number of suspects of the group that wait and may be started.
 func (c *Cell) waitingSuspects(g *group) (n int) {
-	if !g.hasLosses || !g.canIsolate() {
+	if !g.hasLosses {
 		return 0
 	}
 	for index := range g.tasks {
-		if t := &g.tasks[index]; !t.done && len(t.runs) == 0 && c.isSuspect(g, index) && !t.awaitsProof() {
+		if c.isWaitingSuspect(g, index) {
 			n++
 		}
 	}
@@ -93,11 +65,11 @@
 
 // mayIsolate reports whether a suspect may be started on the worker now. One that stays isolated while it runs needs an empty worker.
 func (w *worker) mayIsolate(g *group, index int) bool {
-	if _, crashes := g.tasks[index].countLosses(); crashes >= crashesOfSuspect {
+	if g.tasks[index].losses.StaysIsolated() {
 		return len(w.runs) == 0
 	}
 	for _, r := range w.runs {
-		if r.state == runPlanned || r.orderInFlight() || r.survived() < crashWindow {
+		if r.state == runPlanned || r.orderInFlight() || r.survived() < cwevidence.CrashWindow {
 			return false
 		}
 	}
@@ -174,21 +146,15 @@
 	if c.waitingSuspects(g) == 0 {
 		return
 	}
-	index := 0
 	for _, w := range c.sortedWorkers() {
 		if w.cordonedFor != g || !w.usable(now) || !c.isCompatible(w, g, policy) {
 			continue
 		}
-		for ; index < len(g.tasks); index++ {
-			t := &g.tasks[index]
-			if t.done || len(t.runs) > 0 || !c.isSuspect(g, index) || t.awaitsProof() {
-				continue
-			}
-			if w.mayIsolate(g, index) {
+		for index := range g.tasks {
+			if c.isWaitingSuspect(g, index) && w.mayIsolate(g, index) {
 				c.isolate(g, index, w, now)
-				index++
+				break
 			}
-			break
 		}
 	}
 }
@@ -199,13 +165,13 @@
 	r := c.planRun(g, index, w, t.highestRun+1, now)
 	r.isolated = true
 	w.heldBy, w.cordonedFor = r, nil
-	t.losses = append(t.losses, loss{recordedAt: now, LostRun: cwwork.LostRun{
+	t.losses = append(t.losses, cwevidence.Loss{RecordedAt: now, LostRun: cwwork.LostRun{
 		TaskRun: cwwork.TaskRun{Index: index, Run: r.number}, Worker: w.ID, Incarnation: r.orderedTo, Early: true, Alone: true,
 	}})
 	c.addDoubt(g, index, r.number, w.ID)
 	c.markDirty(g.job)
 	r.requiredVersion = g.job.version
-	c.log(LogEntry{Event: "task-isolated", Job: g.job.ID, Task: r.key(), Worker: w.ID, Run: r.number, Detail: describeLosses(t.losses[:len(t.losses)-1])})
+	c.log(LogEntry{Event: "task-isolated", Job: g.job.ID, Task: r.key(), Worker: w.ID, Run: r.number, Detail: t.losses[:len(t.losses)-1].String()})
 	c.startIsolated(r, now)
 }
 
@@ -236,18 +202,18 @@
 	}
 }
 
-// noteSurvival clears the task of a run that has outlived its crashWindow, and ends its isolation. One with
-// crashesOfSuspect crashes stays isolated until longProbation.
+// noteSurvival clears the task of a run that has outlived its CrashWindow, and ends its isolation. A suspect
+// that stays isolated is cleared after longProbation.
 func (c *Cell) noteSurvival(r *run) {
-	if r.state != runRunning || r.survived() < crashWindow {
+	if r.state != runRunning || r.survived() < cwevidence.CrashWindow {
 		return
 	}
 	t := &r.group.tasks[r.taskIndex]
-	if _, crashes := t.countLosses(); r.isolated && crashes >= crashesOfSuspect {
+	if r.isolated && t.losses.StaysIsolated() {
 		if r.survived() < longProbation {
 			return
 		}
-		t.losses = slices.DeleteFunc(t.losses, func(l loss) bool { return !l.Early })
+		t.losses = slices.DeleteFunc(t.losses, func(l cwevidence.Loss) bool { return !l.Early })
 	}
 	c.clearSurvivor(r.group, r.taskIndex)
 	r.isolated = false
@@ -263,7 +229,7 @@
 }
 
 // AwaitsSurvival reports whether a worker should answer its next poll early: it is kept for a suspect until its runs have outlived their
-// crashWindow.
+// CrashWindow.
 func (c *Cell) AwaitsSurvival(id cwmodel.HostID) bool {
 	w, ok := c.workers[id]
 	return ok && !w.isOpen()
--- a/internal/core/cwcell/job.go
+++ b/internal/core/cwcell/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"currantward/internal/core/cwevidence"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwwork"
 )
@@ -59,14 +60,14 @@
 // task is one task of a group.
 type task struct {
 	done         bool
-	highestRun   int              // highest number of a run that was started or reported
-	failedRuns   int              // not counted for members of gangs
-	runs         []*run           // runs with capacity allocated; empty while the task waits
-	checkpoint   string           // latest checkpoint; empty if there is none
-	percent      int              // latest reported progress
-	avoidWorkers []cwmodel.HostID // workers on which a run of the task has failed
-	losses       []loss           // runs that have ended with their workers, or may have
-	rejectedBy   []cwmodel.HostID // workers that rejected its orders as malformed since one was last accepted
+	highestRun   int               // highest number of a run that was started or reported
+	failedRuns   int               // not counted for members of gangs
+	runs         []*run            // runs with capacity allocated; empty while the task waits
+	checkpoint   string            // latest checkpoint; empty if there is none
+	percent      int               // latest reported progress
+	avoidWorkers []cwmodel.HostID  // workers on which a run of the task has failed
+	losses       cwevidence.Losses // runs that have ended with their workers, or may have
+	rejectedBy   []cwmodel.HostID  // workers that rejected its orders as malformed since one was last accepted
 }
 
 // runState is the state of a run's start or stop order.
@@ -95,7 +96,7 @@
 	firstReportedAt time.Time // zero: not reported yet
 	progressedAt    time.Time // when the percentage last rose
 	adopted         bool      // started by an earlier owner
-	isolated        bool      // the run of a suspect; no other run of its worker is in its crashWindow
+	isolated        bool      // the run of a suspect; no other run of its worker is in its CrashWindow
 	requiredVersion int       // version of the job that must be durable before an isolated run is ordered
 	resumed         bool      // its order has a checkpoint
 	lost            bool      // it has ended with its worker
--- a/internal/core/cwcell/loss_test.go
+++ b/internal/core/cwcell/loss_test.go
@@ -20,15 +20,15 @@
 		lived    time.Duration // from the confirmation to the last response of the worker
 		ends     time.Duration // from the confirmation to the end of a connection on which a call waits; zero: a call times out
 		restart  bool          // the worker restarts under its ID; else its leases expire
-		survived string
+		survived time.Duration
 	}{
-		{"order without an answer", false, 0, 0, false, "0s"},
-		{"lost at its start", true, 0, 0, false, "0s"},
-		{"lost later", true, 1500 * time.Millisecond, 0, false, "1.5s"},
-		{"lost at its start, by a restart", true, 0, 0, true, "0s"},
-		{"lost later, by a restart", true, 1500 * time.Millisecond, 0, true, "1.5s"},
-		{"its connection ends at its start", true, 0, 10 * time.Millisecond, true, "10ms"},
-		{"its connection ends later", true, 0, time.Second, true, "1s"},
+		{"order without an answer", false, 0, 0, false, 0},
+		{"lost at its start", true, 0, 0, false, 0},
+		{"lost later", true, 1500 * time.Millisecond, 0, false, 1500 * time.Millisecond},
+		{"lost at its start, by a restart", true, 0, 0, true, 0},
+		{"lost later, by a restart", true, 1500 * time.Millisecond, 0, true, 1500 * time.Millisecond},
+		{"its connection ends at its start", true, 0, 10 * time.Millisecond, true, 10 * time.Millisecond},
+		{"its connection ends later", true, 0, time.Second, true, time.Second},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -61,7 +61,7 @@
 			f.now = f.now.Add(10 * time.Second)
 			f.MarkUnreachable("a", f.now)
 			entries := f.decide().LogEntries
-			at := slices.IndexFunc(entries, func(e LogEntry) bool { return e.Event == "run-lost" })
+			at := slices.IndexFunc(entries, func(e LogEntry) bool { return e.Event == EventRunLost })
 			is.True(at >= 0)
 			is.Equal(entries[at].Survived, tc.survived)
 		})
--- a/internal/core/cwcell/restart_test.go
+++ b/internal/core/cwcell/restart_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"currantward/internal/core/cwevidence"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwwork"
 )
@@ -171,7 +172,7 @@
 		running = append(running, RunStatus{Task: orders[n].Task, Run: orders[n].Run})
 	}
 	gone := RunEnd{Sequence: 7, Task: cwwork.TaskKey{StepKey: cwwork.StepKey{Job: "gone"}}, Run: 1, Kind: EndDone}
-	f.now = f.now.Add(crashWindow) // the runs are no suspects, which would start one after the other
+	f.now = f.now.Add(cwevidence.CrashWindow) // the runs are no suspects, which would start one after the other
 	f.HandleReport(&Report{Worker: "a", Incarnation: time.Unix(1000, 0), RequestedAt: f.now, Running: running, Ended: []RunEnd{gone}}, f.now)
 
 	f.now = f.now.Add(time.Second)
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"currantward/internal/core/cwevidence"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwwork"
 )
@@ -323,7 +324,7 @@
 		w.pollFailedAt = now
 	}
 	for _, r := range w.sortedRuns() {
-		if !r.orderInFlight() && r.survived() < crashWindow {
+		if !r.orderInFlight() && r.survived() < cwevidence.CrashWindow {
 			c.recordLoss(r, now)
 		}
 	}
@@ -341,19 +342,22 @@
 // MarkReplaced marks a worker at whose address the process of another worker answers: its own process has ended, and so have its runs,
 // except those whose start order is in flight: its result decides.
 func (c *Cell) MarkReplaced(id cwmodel.HostID, now time.Time) {
-	if w, ok := c.workers[id]; ok && !w.replaced {
+	w, ok := c.workers[id]
+	if !ok {
+		return
+	}
+	c.now = now
+	if !w.replaced {
 		w.replaced = true
 		c.log(LogEntry{Event: "worker-replaced", Worker: id})
 	}
 	c.MarkUnreachable(id, now)
-	if w, ok := c.workers[id]; ok {
-		for _, r := range w.sortedRuns() {
-			if !r.orderInFlight() {
-				c.loseRun(r, lostWorkerReplaced, now)
-			}
+	for _, r := range w.sortedRuns() {
+		if !r.orderInFlight() {
+			c.loseRun(r, lostWorkerReplaced, now)
 		}
-		c.resolveLosses(w, now)
 	}
+	c.resolveLosses(w, now)
 }
 
 // leaseGrace is the time that a worker may take to end a task after its lease has expired.
--- a/internal/core/cwcell/write.go
+++ b/internal/core/cwcell/write.go
@@ -140,7 +140,7 @@
 			continue
 		}
 		for k := range t.losses {
-			if t.losses[k].counts() {
+			if t.losses[k].Counts() {
 				s.Lost = append(s.Lost, t.losses[k].LostRun)
 			}
 		}
