--- a/internal/app/cwcellowner/session.go
+++ b/internal/app/cwcellowner/session.go
@@ -201,8 +201,8 @@
 	if entry.Detail != "" {
 		fields["detail"] = entry.Detail
 	}
-	if entry.Event == cwcell.EventRunLost {
-		fields["survived"] = entry.Survived
+	if entry.Survived != nil {
+		fields["survived"] = *entry.Survived
 	}
 	s.owner.opts.Log.WithFields(fields).Info(entry.Event)
 	s.owner.opts.Observe(Observation{Event: entry.Event})
--- a/internal/core/cwcell/cell.go
+++ b/internal/core/cwcell/cell.go
@@ -117,13 +117,11 @@
 	Worker cwmodel.HostID
 	Run    int
 	Detail string
-	// Survived is how long a lost run (EventRunLost) is known to have lived: from its confirmed start to the last response of its worker.
-	Survived time.Duration
+	// Survived is how long a lost run is known to have lived: from its confirmed start to the last response of its worker. Nil: the entry is not
+	// about a lost run.
+	Survived *time.Duration
 }
 
-// EventRunLost is the event of a run that has ended without a reported end.
-const EventRunLost = "run-lost"
-
 // New returns a cell without jobs and workers.
 func New(opts Options) *Cell {
 	return &Cell{
--- a/internal/core/cwcell/loss_test.go
+++ b/internal/core/cwcell/loss_test.go
@@ -61,9 +61,9 @@
 			f.now = f.now.Add(10 * time.Second)
 			f.MarkUnreachable("a", f.now)
 			entries := f.decide().LogEntries
-			at := slices.IndexFunc(entries, func(e LogEntry) bool { return e.Event == EventRunLost })
+			at := slices.IndexFunc(entries, func(e LogEntry) bool { return e.Event == "run-lost" })
 			is.True(at >= 0)
-			is.Equal(entries[at].Survived, tc.survived)
+			is.Equal(*entries[at].Survived, tc.survived)
 		})
 	}
 }
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -361,7 +361,7 @@
 // loseRun releases a run that has certainly ended although its end was not reported, and stops the other members of its
 // gang.
 func (c *Cell) loseRun(r *run, reason lossReason, now time.Time) {
-	c.log(LogEntry{Event: EventRunLost, Job: r.group.job.ID, Task: r.key(), Worker: r.worker.ID, Run: r.number, Detail: string(reason), Survived: r.survived()})
+	c.log(LogEntry{Event: "run-lost", Job: r.group.job.ID, Task: r.key(), Worker: r.worker.ID, Run: r.number, Detail: string(reason), Survived: new(r.survived())})
 	if reason != lostMissing || r.belongsToEarlierIncarnation() {
 		c.recordLoss(r, now)
 		r.lost = true
