Let the capacities of the soak's runners shrink and grow

The runners of the soak had a fixed capacity, so its check of the limit could not see an owner that goes by a former one. They now have half of their processors for three quarters of the time, and a start counts on the largest capacity of the 6 s before: 3 s, a heartbeat, and the 2 s for which an order may arrive late.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alexflint/go-arg"
 	"github.com/sirupsen/logrus"
@@ -61,6 +62,7 @@
 	Processors int64            `arg:"--processors" default:"64" help:"processors of each runner"`
 	MemoryMiB  int64            `arg:"--memory-mib" default:"262144" help:"memory of each runner"`
 	SlowClock  float64          `arg:"--slow-clock" help:"part by which their clocks are slow"`
+	Shrinks    time.Duration    `arg:"--shrinks" help:"they have all of their processors in the first of four periods of this length, then half"`
 	Addresses  []netip.AddrPort `arg:"--addresses" help:"addresses that they register, in place of their own"`
 }
 
@@ -207,7 +209,7 @@
 		}
 		addr, stop, err := cwstandin.NewRestartingRunner(cwstandin.RunnerOptions{
 			Entry: entry, Kind: a.Kind, Listen: netip.AddrPortFrom(controlAddr.Addr(), 0), PlatformControl: a.Platform, Client: client,
-			ClockDrift: a.SlowClock, Faults: faults, Timer: timer, Log: log,
+			ClockDrift: a.SlowClock, ShrinkPeriod: a.Shrinks, Faults: faults, Timer: timer, Log: log,
 		})
 		if err != nil {
 			return err
--- a/internal/proof/cwsoak/check.go
+++ b/internal/proof/cwsoak/check.go
@@ -46,12 +46,25 @@
 	runs       []runRecord                    // of all runners, ordered by start time
 	runsByTask map[cwwork.TaskKey][]runRecord // ordered by start time
 	runsByStep map[cwwork.StepKey][]runRecord // ordered by start time
+	capacities map[runnerKey][]capacityRecord // ordered by time
+}
+
+// runnerKey identifies one incarnation of a runner.
+type runnerKey struct {
+	runner      string
+	incarnation int64 // start time, in nanoseconds since 1970
+}
+
+// capacityRecord is a capacity that a runner has reported.
+type capacityRecord struct {
+	since      time.Time
+	processors int64 // thousandths
 }
 
 // checkGuarantees looks for violations of the scheduler's guarantees. It must run after awaitSettled, when the runs of ended and
 // cancelled jobs have had time to stop. Another job may still run; checkJob reports it if it was accepted.
 func checkGuarantees(cluster *Cluster, l *load) *Report {
-	c := &checker{Report: &Report{}, jobs: l.jobs, runsByTask: map[cwwork.TaskKey][]runRecord{}, runsByStep: map[cwwork.StepKey][]runRecord{}}
+	c := &checker{Report: &Report{}, jobs: l.jobs, runsByTask: map[cwwork.TaskKey][]runRecord{}, runsByStep: map[cwwork.StepKey][]runRecord{}, capacities: map[runnerKey][]capacityRecord{}}
 	for _, rk := range cluster.racks {
 		for _, p := range rk.incarnations {
 			c.runs = append(c.runs, c.readRuns(rk, p)...)
@@ -109,6 +122,10 @@
 		runs = append(runs, record)
 	}
 	endCrashedRuns(runs, p.EventLines(cwstandin.EventRunnerCrashed))
+	for _, line := range p.EventLines(cwstandin.EventCapacityReported) {
+		key := runnerKey{line.Get("worker"), intValue(line, "born")}
+		c.capacities[key] = append(c.capacities[key], capacityRecord{timestamp(line), intValue(line, "processors")})
+	}
 	for _, line := range p.EventLines(cwstandin.EventRunEnded) {
 		index, ok := indexOf[runKey{line.Get("worker"), line.Get("task"), int(intValue(line, "run"))}]
 		if !ok {
@@ -211,12 +228,28 @@
 	return slices.ContainsFunc(runs, func(run runRecord) bool { return run.endKind == cwcell.EndDone && !run.endedAt.After(by) })
 }
 
-// checkCapacity asserts that the demands of the runs on a runner never exceed its capacity.
-func (c *checker) checkCapacity() {
-	type runnerKey struct {
-		runner      string
-		incarnation int64
+// shrinkGrace is how long a start may count on a capacity that has shrunk: 3 s and a heartbeat by the users' rule, and the 2 s for which a runner
+// accepts an order that arrives late.
+const shrinkGrace = 6 * time.Second
+
+// capacity returns the capacity on which a start at a time may count: the largest that the runner had within shrinkGrace.
+func (c *checker) capacity(key runnerKey, at time.Time) cwmodel.Resources {
+	records := c.capacities[key]
+	most := int64(0)
+	for n, r := range records {
+		isOver := n+1 < len(records) && at.Sub(records[n+1].since) > shrinkGrace
+		if !r.since.After(at) && !isOver {
+			most = max(most, r.processors)
+		}
+	}
+	if most == 0 {
+		most = runnerProcessors * 1000 // the platform has accepted no report of it yet
 	}
+	return cwmodel.Resources{MilliProcessors: most, MemoryBytes: runnerMemoryMiB << 20}
+}
+
+// checkCapacity asserts that no start brings the demands of the runs on a runner over its capacity.
+func (c *checker) checkCapacity() {
 	runsOf := map[runnerKey][]runRecord{}
 	for _, run := range c.runs {
 		key := runnerKey{run.runner, run.incarnation}
@@ -229,7 +262,7 @@
 				used = used.Add(j.Steps[o.task.Step].Demand)
 			}
 		}
-		if !used.FitsIn(cwmodel.Resources{MilliProcessors: runnerProcessors * 1000, MemoryBytes: runnerMemoryMiB << 20}) {
+		if !used.FitsIn(c.capacity(key, run.startedAt)) {
 			c.AddViolation("%s on %s at %s raises the total demand there to %s, above its capacity", run.task, run.runner, run.startedAt.Format(clockLayout), used)
 		}
 	}
--- a/internal/proof/cwsoak/cluster.go
+++ b/internal/proof/cwsoak/cluster.go
@@ -48,6 +48,8 @@
 	serviceName      = "portal"
 	queueHostname    = "jobs.example"
 	maxAttempts      = 3
+	// shrinkPeriod is the time for which a runner has all of its processors. It then has half for three times as long.
+	shrinkPeriod = 3 * time.Second
 )
 
 // narrowLinkBytesPerSec is the capacity of a narrow link, 10 Mbit/s.
@@ -248,7 +250,7 @@
 	args := []string{
 		"runners", "--platform", c.platformControlAddr.String(), "--data-centre", "z1", "--service", serviceName, "--rack", rk.name, "--kind", rk.label,
 		"--count", fmt.Sprint(c.opts.Runners), "--processors", fmt.Sprint(runnerProcessors), "--memory-mib", fmt.Sprint(runnerMemoryMiB),
-		"--slow-clock", fmt.Sprint(rk.clockSlowdown), "--addresses",
+		"--slow-clock", fmt.Sprint(rk.clockSlowdown), "--shrinks", shrinkPeriod.String(), "--addresses",
 	}
 	for _, proxy := range rk.proxies {
 		args = append(args, proxy.Address.String())
