Give a task up only after two workers have crashed under it

Cause: an order without an answer counted as a crash under its task. And the verdict had no lower bound of two crashes once other tasks of the queue had been given up. Change: a loss says whether its run is known to have started: accepted, reported, or isolated, where nothing else can have crashed the worker. Two such crashes are needed in any case. An order without an answer still makes its task a suspect.

--- a/internal/adapter/cwcellcodec/codec.go
+++ b/internal/adapter/cwcellcodec/codec.go
@@ -152,6 +152,7 @@
 	Incarnation int64          `json:"incarnation"` // milliseconds since 1970
 	Early       bool           `json:"early,omitempty"`
 	Alone       bool           `json:"alone,omitempty"`
+	Started     bool           `json:"started,omitempty"`
 	Crashed     bool           `json:"crashed,omitempty"`
 }
 
@@ -164,7 +165,7 @@
 			out.Failed = append(out.Failed, [2]int{f.Index, f.Run})
 		}
 		for _, l := range s.Lost {
-			out.Lost = append(out.Lost, lostRun{l.Index, l.Run, l.Worker, l.Incarnation.UnixMilli(), l.Early, l.Alone, l.Crashed})
+			out.Lost = append(out.Lost, lostRun{l.Index, l.Run, l.Worker, l.Incarnation.UnixMilli(), l.Early, l.Alone, l.Started, l.Crashed})
 		}
 		w.Steps = append(w.Steps, out)
 	}
@@ -186,7 +187,7 @@
 		for _, l := range s.Lost {
 			out.Lost = append(out.Lost, cwwork.LostRun{
 				TaskRun: cwwork.TaskRun{Index: l.Index, Run: l.Run}, Worker: l.Worker, Incarnation: time.UnixMilli(l.Incarnation),
-				Early: l.Early, Alone: l.Alone, Crashed: l.Crashed,
+				Early: l.Early, Alone: l.Alone, Started: l.Started, Crashed: l.Crashed,
 			})
 		}
 		p.Steps = append(p.Steps, out)
--- a/internal/adapter/cwcellcodec/codec_test.go
+++ b/internal/adapter/cwcellcodec/codec_test.go
@@ -20,7 +20,7 @@
 		{"done and failed", cwwork.Progress{Steps: []cwwork.StepProgress{{Occurrence: 2, Step: 1, Done: []int{0, 3}, Failed: []cwwork.TaskRun{{Index: 1, Run: 1004}}}}}},
 		{"lost", cwwork.Progress{Steps: []cwwork.StepProgress{{Lost: []cwwork.LostRun{
 			{TaskRun: cwwork.TaskRun{Index: 4, Run: 2}, Worker: "i-1", Incarnation: time.UnixMilli(1_700_000_000_123), Early: true},
-			{TaskRun: cwwork.TaskRun{Index: 4, Run: 1003}, Worker: "i-2", Incarnation: time.UnixMilli(1_700_000_004_000), Early: true, Alone: true, Crashed: true},
+			{TaskRun: cwwork.TaskRun{Index: 4, Run: 1003}, Worker: "i-2", Incarnation: time.UnixMilli(1_700_000_004_000), Early: true, Alone: true, Started: true, Crashed: true},
 		}}}}},
 	}
 	for _, tc := range cases {
--- a/internal/core/cwcell/crash_test.go
+++ b/internal/core/cwcell/crash_test.go
@@ -17,6 +17,7 @@
 type simCrashes struct {
 	crashing    map[cwwork.TaskKey]time.Duration // tasks that crash their worker, and the time from their start to the crash
 	caused      map[cwwork.TaskKey]int           // crashes that the task has caused
+	under       map[cwwork.TaskKey]int           // crashes of workers that ran the task
 	startsAfter map[cwwork.TaskKey]int           // starts of the task after crashesOfRule of these
 	downTime    time.Duration
 	otherID     bool // a crashed worker returns as another worker at its address
@@ -26,7 +27,7 @@
 
 func newSimCrashes() simCrashes {
 	return simCrashes{
-		crashing: map[cwwork.TaskKey]time.Duration{}, caused: map[cwwork.TaskKey]int{}, startsAfter: map[cwwork.TaskKey]int{},
+		crashing: map[cwwork.TaskKey]time.Duration{}, caused: map[cwwork.TaskKey]int{}, under: map[cwwork.TaskKey]int{}, startsAfter: map[cwwork.TaskKey]int{},
 		downTime: 3 * time.Second,
 	}
 }
@@ -37,6 +38,9 @@
 	maxFurtherStarts = 3
 )
 
+// crashesToGiveUp is the number of crashes under a task after which the users' rule lets it be given up.
+const crashesToGiveUp = 2
+
 // crashUnder crashes a worker because of the task that it runs.
 func (c *cluster) crashUnder(w *simWorker, key cwwork.TaskKey) {
 	c.record("%s: %s crashes it", w.info.ID, key)
@@ -47,6 +51,9 @@
 // crashFor crashes a worker, which returns after some time, under its ID or as another worker at its address.
 func (c *cluster) crashFor(w *simWorker, downTime time.Duration, otherID bool) {
 	c.record("%s: down for %s", w.info.ID, downTime)
+	for key := range w.runs {
+		c.crashes.under[key]++
+	}
 	w.alive, w.runs, w.ended = false, map[cwwork.TaskKey]*simRun{}, nil
 	for _, o := range c.owners {
 		if !c.crashes.dark && !o.superseded && !o.cutOff[w.info.ID] && !w.partitioned {
@@ -179,12 +186,25 @@
 		if state != want {
 			t.Errorf("%s is %q, not %s: %s", id, state, want, describeJob(c.currentOwner().cell, id))
 		}
+		if most := c.mostCrashes(id); state == cwwork.StateFailed && most < crashesToGiveUp {
+			t.Errorf("%s was given up after %d crashes under a task", id, most)
+		}
 	}
 	if len(c.violations) > 0 || t.Failed() {
 		t.Fatalf("%s\n%s", strings.Join(c.violations, "\n"), lastLines(c.history, 400))
 	}
 }
 
+// mostCrashes returns the highest number of crashes under a task of the job.
+func (c *cluster) mostCrashes(id cwmodel.JobID) (most int) {
+	for key, n := range c.crashes.under {
+		if key.Job == id {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
 // lastLines joins the last n lines.
 func lastLines(lines []string, n int) string { return strings.Join(lines[max(0, len(lines)-n):], "\n") }
 
--- a/internal/core/cwcell/job.go
+++ b/internal/core/cwcell/job.go
@@ -117,6 +117,9 @@
 	return r.orderInFlight() || (r.state != runPlanned && r.incarnation.IsZero())
 }
 
+// isKnownStarted reports whether the worker has accepted the run's order or reported the run.
+func (r *run) isKnownStarted() bool { return !r.confirmedAt.IsZero() || !r.incarnation.IsZero() }
+
 // belongsToEarlierIncarnation reports whether the run was ordered before its worker restarted, and the present incarnation has not
 // reported it.
 func (r *run) belongsToEarlierIncarnation() bool {
--- a/internal/core/cwcell/loss.go
+++ b/internal/core/cwcell/loss.go
@@ -42,12 +42,17 @@
 		return
 	}
 	early := r.survived() < cwevidence.CrashWindow
+	// An isolated run whose order got no answer counts as started: nothing else can have crashed the worker.
+	started := r.isKnownStarted() || r.isolated
 	if l := t.losses.Find(r.number); l != nil {
-		l.Early = early
+		if l.Early != early || l.Started != started {
+			l.Early, l.Started = early, started
+			c.markDirty(g.job)
+		}
 		return
 	}
 	t.losses = append(t.losses, cwevidence.Loss{RecordedAt: now, Resumed: r.resumed, LostRun: cwwork.LostRun{
-		TaskRun: cwwork.TaskRun{Index: r.taskIndex, Run: r.number}, Worker: r.worker.ID, Incarnation: r.orderedTo, Early: early, Alone: r.isolated,
+		TaskRun: cwwork.TaskRun{Index: r.taskIndex, Run: r.number}, Worker: r.worker.ID, Incarnation: r.orderedTo, Early: early, Alone: r.isolated, Started: started,
 	}})
 	c.addDoubt(g, r.taskIndex, r.number, r.worker.ID)
 	if early {
--- a/internal/core/cwcell/loss_test.go
+++ b/internal/core/cwcell/loss_test.go
@@ -220,3 +220,28 @@
 		})
 	}
 }
+
+// TestUnansweredOrderIsNoCrashUnderItsTask guards against a task that is given up after one crash, because an order which its crashed worker has
+// never carried out counts as another: the worker had crashed under another task of the same decision.
+func TestUnansweredOrderIsNoCrashUnderItsTask(t *testing.T) {
+	is := is.New(t)
+	workers := []cwmodel.HostID{"a", "b", "c", "d", "e", "f"}
+	f := newFixture(workers, plainPolicy)
+	for range 2 { // other tasks of the queue have crashed their workers
+		f.crashMemory.RecordGivenUp("q", f.now)
+	}
+	f.admit(step(1, 6000, false))
+	o := f.decide().Starts[0]
+	f.HandleStartResult(&o, StartUnanswered, f.now)
+	for crashes := 1; crashes <= 2; crashes++ {
+		f.MarkReplaced(o.Worker, f.now)
+		starts := f.decideDurably()
+		is.Equal(len(starts), 1) // not given up before two workers have crashed under it
+		o = starts[0]
+		f.HandleStartResult(&o, StartAccepted, f.now)
+	}
+	f.MarkReplaced(o.Worker, f.now)
+	is.Equal(len(f.decideDurably()), 0)
+	is.Equal(f.jobs["job"], (*job)(nil))
+	is.Equal(f.finalStates["job"].state, cwwork.StateFailed)
+}
--- a/internal/core/cwevidence/evidence.go
+++ b/internal/core/cwevidence/evidence.go
@@ -36,7 +36,8 @@
 // Counts reports whether the loss is evidence against its task: the worker has crashed, or the run may have crashed it at its start.
 func (l *Loss) Counts() bool { return l.Crashed || l.Early }
 
-// Kind returns how certain the loss makes it that the run has crashed its worker: early or late, and alone if no other run can have.
+// Kind returns how certain the loss makes it that the run has crashed its worker: early or late, alone if no other run can have, and
+// unanswered if it is not known to have started.
 func (l *Loss) Kind() string {
 	kind := "late"
 	if l.Early {
@@ -45,6 +46,9 @@
 	if l.Alone {
 		kind += "-alone"
 	}
+	if !l.Started {
+		kind += "-unanswered"
+	}
 	return kind
 }
 
@@ -88,6 +92,11 @@
 // Crashes returns the number of losses whose workers are known to have crashed.
 func (ls Losses) Crashes() int { return ls.count(func(l *Loss) bool { return l.Crashed }) }
 
+// crashesUnder returns the number of workers that are known to have crashed while they ran the task.
+func (ls Losses) crashesUnder() int {
+	return ls.count(func(l *Loss) bool { return l.Crashed && l.Started })
+}
+
 // AwaitsProof reports whether the task must not be started before it is known whether its earlier runs have crashed their workers.
 func (ls Losses) AwaitsProof() bool { return len(ls) >= maxUnprovenCrashes && ls.Crashes() < len(ls) }
 
--- a/internal/core/cwevidence/verdict.go
+++ b/internal/core/cwevidence/verdict.go
@@ -12,6 +12,8 @@
 	earlyOfSuspect = 1
 	// crashesOfSuspect is the number of crashes at any time that make a task a suspect, which then stays isolated while it runs.
 	crashesOfSuspect = 3
+	// requiredCrashes is the number of workers that must have crashed under a task before it is given up.
+	requiredCrashes = 2
 	// requiredAlone is the number of crashes that a task must have caused alone to be given up.
 	requiredAlone = 2
 	// requiredAloneInQueue is the same number while memoryPeriod lasts after givenUpInQueue other tasks of the queue were given up.
@@ -78,8 +80,11 @@
 // isolation.
 func (m *Memory) IsCulprit(ls Losses, queue cwwork.QueueName, isolated bool, now time.Time) bool {
 	crashed := ls.Crashed()
+	if crashed.crashesUnder() < requiredCrashes {
+		return false
+	}
 	if isolated {
-		alone := crashed.count(func(l *Loss) bool { return l.Alone })
+		alone := crashed.count(func(l *Loss) bool { return l.Alone && l.Started })
 		return len(crashed) >= maxCrashes || alone >= m.requiredAlone(queue, len(crashed), now)
 	}
 	if len(crashed) >= maxCrashes {
--- a/internal/core/cwevidence/verdict_test.go
+++ b/internal/core/cwevidence/verdict_test.go
@@ -10,13 +10,13 @@
 	"currantward/internal/core/cwwork"
 )
 
-// losses returns a loss for each letter: e and l for early and late crashes, E and L for those that the task has caused alone, and ? for a loss
-// in its CrashWindow of which it is not known whether the worker has crashed.
+// losses returns a loss for each letter: e and l for early and late crashes, E and L for those that the task has caused alone, u for a crash before
+// the start order was answered, and ? for a loss in its CrashWindow of which it is not known whether the worker has crashed.
 func losses(letters string) (ls Losses) {
 	for n, letter := range letters {
 		ls = append(ls, Loss{LostRun: cwwork.LostRun{
 			TaskRun: cwwork.TaskRun{Run: n + 1}, Worker: cwmodel.HostID("w"), Incarnation: time.UnixMilli(int64(n)),
-			Early: letter == 'e' || letter == 'E' || letter == '?', Alone: letter == 'E' || letter == 'L', Crashed: letter != '?',
+			Early: letter != 'l' && letter != 'L', Alone: letter == 'E' || letter == 'L', Started: letter != 'u', Crashed: letter != '?',
 		}})
 	}
 	return ls
@@ -58,6 +58,11 @@
 		{name: "caused one alone after one other of the queue", losses: "eE", givenUp: []time.Time{now}, suspect: true},
 		{name: "caused one alone after others of the queue, long ago", losses: "eE", givenUp: []time.Time{old, now}, suspect: true},
 		{name: "caused one alone after others of the queue, beside an unrelated one", losses: "eE", unrelated: recent, givenUp: []time.Time{recent, now}, suspect: true},
+		{name: "caused one alone, and no other, after others of the queue", losses: "E", givenUp: []time.Time{recent, now}, suspect: true},
+		{name: "an order without an answer", losses: "u", suspect: true},
+		{name: "an order without an answer, and caused one alone, after others of the queue", losses: "uE", givenUp: []time.Time{recent, now}, suspect: true},
+		{name: "an order without an answer, and caused two alone", losses: "uEE", suspect: true, culprit: true, isolated: true},
+		{name: "orders without an answer", losses: "uuuuu", suspect: true, isolated: true},
 		{name: "late crashes, one alone", losses: "lllL", suspect: true, isolated: true},
 		{name: "late crashes, two alone", losses: "lllLL", suspect: true, culprit: true, isolated: true},
 		{name: "four crashes, none alone", losses: "elel", suspect: true, isolated: true},
@@ -95,6 +100,7 @@
 	is := is.New(t)
 	ls := losses("eL")
 	is.Equal(ls.String(), "1@w/0:early,2@w/1:late-alone")
+	is.Equal(losses("u").String(), "1@w/0:early-unanswered")
 	removed, ok := ls.Remove(1)
 	is.True(ok)
 	is.True(removed.Counts())
--- a/internal/core/cwwork/work.go
+++ b/internal/core/cwwork/work.go
@@ -199,5 +199,6 @@
 	Incarnation time.Time // of the worker that the run was ordered to
 	Early       bool      // the run is not known to have lived for long; it may have crashed its worker at its start
 	Alone       bool      // no other run could have crashed the worker at its start
+	Started     bool      // the worker is known to have started the run, or nothing else can have crashed it; false: its order got no answer
 	Crashed     bool      // the worker's process has ended; false: not known
 }
