Log each silent worker, and take the end of its connection for the age of its runs also after an unanswered order

Cause: the result of a start marked the worker as silent without a line, and the end of the poll's connection then no longer counted as its last sign of life: its older runs counted as early, and were started in isolation. Test: TestAgeOfRunsBesideAnUnansweredOrder failed with no line and passes.

--- a/internal/core/cwcell/loss_test.go
+++ b/internal/core/cwcell/loss_test.go
@@ -245,3 +245,27 @@
 	is.Equal(f.jobs["job"], (*job)(nil))
 	is.Equal(f.finalStates["job"].state, cwwork.StateFailed)
 }
+
+// TestAgeOfRunsBesideAnUnansweredOrder guards against bystanders that are taken for suspects: the order that their worker did not answer has already
+// marked it as silent when the connection of the poll ends.
+func TestAgeOfRunsBesideAnUnansweredOrder(t *testing.T) {
+	is := is.New(t)
+	f := newFixture([]cwmodel.HostID{"a"}, plainPolicy)
+	f.admit(step(2, 3000, false))
+	orders := f.decide().Starts
+	f.HandleStartResult(&orders[0], StartAccepted, f.now)
+	f.now = f.now.Add(time.Second)
+	f.HandleStartResult(&orders[1], StartUnanswered, f.now)
+	f.MarkDisconnected("a", f.now)
+	silent := 0
+	for _, e := range f.decide().LogEntries {
+		if e.Event == "worker-silent" {
+			silent++
+		}
+	}
+	is.Equal(silent, 1)
+	f.MarkReplaced("a", f.now)
+	tasks := f.jobs["job"].occurrences[0].groups[0].tasks
+	is.True(!tasks[0].losses[0].Early)
+	is.True(tasks[1].losses[0].Early)
+}
--- a/internal/core/cwcell/order.go
+++ b/internal/core/cwcell/order.go
@@ -81,7 +81,7 @@
 	switch result {
 	case StartUnanswered:
 		r.startUnanswered = true
-		w.unreachable = true
+		c.markSilent(w)
 		if r.state == runOrdered {
 			c.stopRun(r)
 		}
@@ -100,7 +100,7 @@
 	case StartNoCapacity:
 		w.breaker.pause(now, noCapacityPause)
 	case StartNotSent:
-		w.unreachable = true
+		c.markSilent(w)
 	case StartAccepted, StartStaleFence, StartDeadlineExceeded, StartWorkerRestarted:
 	}
 	c.releaseRun(r, now)
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -316,10 +316,7 @@
 	if !ok {
 		return
 	}
-	if !w.unreachable {
-		w.unreachable = true
-		c.log(LogEntry{Event: "worker-silent", Worker: id})
-	}
+	c.markSilent(w)
 	if w.pollFailedAt.IsZero() {
 		w.pollFailedAt = now
 	}
@@ -331,9 +328,17 @@
 	c.expireLeases(w, now)
 }
 
+// markSilent marks a worker that did not answer a call, until it answers a poll.
+func (c *Cell) markSilent(w *worker) {
+	if !w.unreachable {
+		w.unreachable = true
+		c.log(LogEntry{Event: "worker-silent", Worker: w.ID})
+	}
+}
+
 // MarkDisconnected marks a worker that ended the connection on which a call waited. Its process has lived until then, or has ended just now.
 func (c *Cell) MarkDisconnected(id cwmodel.HostID, now time.Time) {
-	if w, ok := c.workers[id]; ok && !w.unreachable {
+	if w, ok := c.workers[id]; ok && w.pollFailedAt.IsZero() {
 		w.lastResponse = now
 	}
 	c.MarkUnreachable(id, now)
