--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -7,8 +7,14 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
+	"runtime"
+	"syscall"
 )
 
+// init keeps the main goroutine on its thread: the processes that it starts end with that thread.
+func init() { runtime.LockOSThread() }
+
 func main() {
 	program := flag.String("program", "", "the program of the deploy file")
 	recordPath := flag.String("record", "record.txt", "file for the record")
@@ -47,6 +53,16 @@
 	return newStore().serve(a, b)
 }
 
+// stopOnSignal ends all processes of the deployment and this one when it is told to end.
+func (c *cluster) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	c.stop()
+	c.rec.close()
+	os.Exit(exitNotRun)
+}
+
 // play runs one scenario and returns its exit code.
 func play(scenario func(*cluster, bool) error, program, recordPath string, trouble bool) int {
 	rec, err := newRecorder(recordPath)
@@ -59,6 +75,9 @@
 	if c != nil {
 		defer c.stop()
 	}
+	if c != nil {
+		go c.stopOnSignal()
+	}
 	if err == nil {
 		rec.printf("trouble: %v", trouble)
 		err = scenario(c, trouble)
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -146,8 +146,9 @@
 	writeJSON(w, status, body)
 }
 
-// extend extends the leases. The caller holds mu.
+// extend extends the leases, after those that have run out. The caller holds mu.
 func (r *runner) extend(deadlineMS int64) {
+	r.killLapsed()
 	until := min(time.Duration(deadlineMS)*time.Millisecond, r.clock()+longestHold)
 	r.expiry = max(r.expiry, until)
 }
@@ -259,18 +260,24 @@
 	for {
 		time.Sleep(20 * time.Millisecond)
 		r.mu.Lock()
-		if r.clock() > r.expiry {
-			for task, run := range r.running {
-				r.end(task, run, "lapsed")
-			}
-			for _, e := range r.ended {
-				r.rec.lapsed(r.id, e)
-			}
-		}
+		r.killLapsed()
 		r.mu.Unlock()
 	}
 }
 
+// killLapsed kills everything if the lease has expired, and records that for the ends that were not taken note of. The caller holds mu.
+func (r *runner) killLapsed() {
+	if r.clock() <= r.expiry {
+		return
+	}
+	for task, run := range r.running {
+		r.end(task, run, "lapsed")
+	}
+	for _, e := range r.ended {
+		r.rec.lapsed(r.id, e)
+	}
+}
+
 // isRunning reports whether the runner runs a task.
 func (r *runner) isRunning(task string) bool {
 	r.mu.Lock()
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sort"
@@ -58,7 +59,6 @@
 	parts    sync.Map // part -> *partLock
 	seen     map[string]time.Time
 	loseRate atomic.Int64 // per cent of the transactions that get no answer
-	counter  atomic.Uint64
 	tooLarge atomic.Int64 // transactions refused for a row above rowBytes
 }
 
@@ -257,7 +257,7 @@
 	time.Sleep(txnTime * time.Duration(min(len(names), 2)))
 	current, held, version := s.commit(&t)
 	unlock()
-	if held && int64(s.counter.Add(1)%100) < s.loseRate.Load() {
+	if held && rand.Int64N(100) < s.loseRate.Load() {
 		<-r.Context().Done() // done and not answered
 		return
 	}
