Cancel a job whose cancellation was read before it was admitted

Cause: the owner gets a job's row and its cancellation by different queues. The row waits for a renewal of the lease, or for its partition to be loaded; the cancellation was applied at once to a cell without the job, which dropped it. It takes a host that did not tell the owner of the job: the store's answer to the first submission was lost, and the host of the second one found the row and told nobody. Ruled out: a cancellation that is not stored. Its row is there, and the next owner would have read it. Change: the owner keeps the version of each cancellation row and cancels the job when it is admitted, unless the job's row is the later one. A host that finds an active job's row tells the owner of it, with the stored submission, if the row is younger than the fence in force. Tests: TestCancellationOfAJobThatIsNotAdmittedYet fails in five of its nine rows without the condition in admitToCell, TestRepeatedSubmissionNotifiesTheOwner in one without setExisting; both pass.

--- a/internal/app/cwcellowner/commit.go
+++ b/internal/app/cwcellowner/commit.go
@@ -29,7 +29,13 @@
 	pendingWhenDeferred int                        // pending jobs when one was last deferred; 0 if one was sent or ended since
 	indefinite          []*inflightCommit          // transactions whose outcome is unknown
 	hasProgressRow      map[cwmodel.JobID]struct{} // jobs with a progress row
-	hasCancellationRow  map[cwmodel.JobID]struct{} // jobs with a cancellation row
+	// cancellationVersions has the versions of the cancellation rows by job, also of jobs that are not admitted yet.
+	cancellationVersions map[cwmodel.JobID]uint64
+}
+
+// newCommitState returns a state without transactions; cellPartition holds the cell's own rows.
+func newCommitState(cellPartition partition) commitState {
+	return commitState{cellPartition: cellPartition, hasProgressRow: map[cwmodel.JobID]struct{}{}, cancellationVersions: map[cwmodel.JobID]uint64{}}
 }
 
 // inflightCommit is one transaction that has no response yet or whose outcome is unknown.
@@ -237,7 +243,7 @@
 	if _, ok := s.commits.hasProgressRow[id]; ok {
 		tx.Remove = append(tx.Remove, row(TableProgress))
 	}
-	if _, ok := s.commits.hasCancellationRow[id]; ok {
+	if _, ok := s.commits.cancellationVersions[id]; ok {
 		cancellation := row(TableJobs)
 		cancellation.Key += CancelSuffix
 		tx.Remove = append(tx.Remove, cancellation)
@@ -359,7 +365,7 @@
 // cancellation, even if the job has ended in another state.
 func (s *session) recordJobEnd(w cwcell.JobWrite) {
 	delete(s.commits.hasProgressRow, w.Job)
-	delete(s.commits.hasCancellationRow, w.Job)
+	delete(s.commits.cancellationVersions, w.Job)
 	s.owner.opts.Log.WithFields(cwlog.Fields{"job": w.Job, "state": w.State, "fence": s.grant.Fence}).Info("job-ended")
 	s.owner.opts.Observe(Observation{Event: EventEnded, Queue: w.Queue, State: w.State, Duration: s.wallTime().Sub(w.AcceptedAt)})
 	if w.State == cwwork.StateCancelled || len(s.cancelWaiters[w.Job]) > 0 {
--- a/internal/app/cwcellowner/load.go
+++ b/internal/app/cwcellowner/load.go
@@ -119,10 +119,9 @@
 	}
 }
 
-// applyJobRows admits jobs from their rows and then applies cancellations, whichever order the rows have. Rows of a partition
-// that is not loaded are deferred; deleted rows and those of other cells' jobs are skipped.
+// applyJobRows applies rows of jobs and of their cancellations. Rows of a partition that is not loaded are deferred; those of other
+// cells' jobs are skipped.
 func (s *session) applyJobRows(rows []cwcellport.Row, now time.Time) {
-	var cancelled []cwmodel.JobID
 	for _, row := range rows {
 		id, isCancellation := cancelledJob(row.Key)
 		if !isCancellation {
@@ -130,19 +129,42 @@
 		}
 		p := s.partitionOf(id)
 		switch {
-		case row.Deleted || p == nil: // p is nil for a job of another cell
+		case p == nil: // a job of another cell
 		case !p.loaded:
 			p.deferredRows = append(p.deferredRows, row)
 		case isCancellation:
-			cancelled = append(cancelled, id)
-		default:
+			s.applyCancellation(id, row)
+		case !row.Deleted:
 			s.applyJobRow(p, id, row, now)
 		}
 	}
-	for _, id := range cancelled {
-		s.commits.hasCancellationRow[id] = struct{}{}
-		s.cell.Cancel(id)
+}
+
+// applyCancellation cancels a job by its cancellation row. The row is kept: a job that the cell does not have yet is cancelled when it
+// is admitted.
+func (s *session) applyCancellation(id cwmodel.JobID, row cwcellport.Row) {
+	if row.Deleted {
+		delete(s.commits.cancellationVersions, id)
+		return
+	}
+	if s.commits.cancellationVersions[id] == row.Version {
+		return // read again
+	}
+	s.commits.cancellationVersions[id] = row.Version
+	known, _ := s.cell.Cancel(id)
+	s.owner.opts.Log.WithFields(cwlog.Fields{"job": id, "version": row.Version, "admitted": known}).Info("cancellation-read")
+}
+
+// admitToCell admits a job from its row, of the given version, and cancels it if its cancellation was read before. A cancellation
+// that is older than the row belongs to an ended job with the same ID. It returns false if the cell already knows the job.
+func (s *session) admitToCell(j *cwwork.Submission, version uint64, p *cwwork.Progress, adopted bool, now time.Time) bool {
+	if !s.cell.Admit(j, p, adopted, now, s.wallTime()) {
+		return false
+	}
+	if s.commits.cancellationVersions[j.ID] > version {
+		s.cell.Cancel(j.ID)
 	}
+	return true
 }
 
 // applyJobRow admits one job from its row. A row that is not newer than the fence row was written before the takeover. Its job is
@@ -159,7 +181,7 @@
 		return
 	}
 	if row.Version <= p.fenceVersion {
-		s.cell.Admit(submission, s.jobProgress[id], true, now, s.wallTime())
+		s.admitToCell(submission, row.Version, s.jobProgress[id], true, now)
 		return
 	}
 	s.unconfirmedJobs = append(s.unconfirmedJobs, unconfirmedJob{submission, row.Version, now})
--- a/internal/app/cwcellowner/session.go
+++ b/internal/app/cwcellowner/session.go
@@ -54,11 +54,8 @@
 		links:         map[cwmodel.HostID]*workerLink{},
 		cancelWaiters: map[cwmodel.JobID][]func(){},
 		partitions:    map[string]*partition{},
-		commits: commitState{
-			cellPartition:  partition{loaded: true, chainVersion: g.ChainVersion, chainRowName: o.opts.Cell.RowName(cwlease.RowChain)},
-			hasProgressRow: map[cwmodel.JobID]struct{}{}, hasCancellationRow: map[cwmodel.JobID]struct{}{},
-		},
-		startedAt: now,
+		commits:       newCommitState(partition{loaded: true, chainVersion: g.ChainVersion, chainRowName: o.opts.Cell.RowName(cwlease.RowChain)}),
+		startedAt:     now,
 	}
 	for n := range o.opts.Store.Partitions {
 		if name := cwlayout.PartitionName(n); g.Layout.CellOfPartition(n) == o.opts.Cell {
@@ -274,7 +271,7 @@
 		p.deferredJobs = append(p.deferredJobs, deferredJob{j, version})
 		return
 	}
-	if version > p.fenceVersion && s.cell.Admit(j, nil, false, now, s.wallTime()) {
+	if version > p.fenceVersion && s.admitToCell(j, version, nil, false, now) {
 		s.owner.opts.Log.WithFields(cwlog.Fields{
 			"job": j.ID, "queue": j.Queue, "version": version, "age": s.wallTime().Sub(j.AcceptedAt),
 		}).Info("job-admitted")
--- a/internal/app/cwgateway/gateway.go
+++ b/internal/app/cwgateway/gateway.go
@@ -2,6 +2,7 @@
 package cwgateway
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -65,9 +66,10 @@
 
 // writeResult is the outcome of the write of a job's row.
 type writeResult struct {
-	result  cwcellport.SubmitResult
-	version uint64 // of the row; 0 if the job already existed
-	fence   fence  // that the row was written under
+	result     cwcellport.SubmitResult
+	submission *cwwork.Submission // as stored; that of an earlier request if the job already existed
+	version    uint64             // of the row; 0 if the owner reads the row without a notification, or the job has ended
+	fence      fence              // that the row was written under
 }
 
 // Submit makes a job durable, through a peer if this host cannot, and notifies the cell's owner. A repeated submission of a job
@@ -77,14 +79,14 @@
 	if r.result != cwcellport.SubmitAccepted && g.relay(s, &r.result) {
 		return r.result
 	}
-	g.notifyOwner(s, r)
+	g.notifyOwner(r)
 	return r.result
 }
 
 // SubmitForPeer makes a job durable for a peer that cannot reach the store. It relays the job to no other peer.
 func (g *Gateway) SubmitForPeer(s *cwwork.Submission) cwcellport.SubmitResult {
 	r := g.write(s)
-	g.notifyOwner(s, r)
+	g.notifyOwner(r)
 	return r.result
 }
 
@@ -101,6 +103,7 @@
 		return r
 	}
 	key := g.rowKey(cwcellowner.TableJobs, s.ID)
+	r.submission = s
 	for try := range maxWriteTries {
 		if r.fence, err = g.fences.get(g.opts.Store, key.Partition); err == nil {
 			err = g.tryWrite(key, value, &r)
@@ -122,7 +125,7 @@
 }
 
 // tryWrite writes the row of a job if the fence in r is still current, and sets r.version. It fails with Conflict if the owner has
-// changed, and then drops the cached fence. If the job already has a row, active or ended, it succeeds with r.version 0.
+// changed, and then drops the cached fence. If the job already has a row, active or ended, it succeeds.
 func (g *Gateway) tryWrite(key cwcellport.RowKey, value []byte, r *writeResult) error {
 	ended := key
 	ended.Table = cwcellowner.TableEnded
@@ -136,7 +139,7 @@
 	}
 	for _, row := range current {
 		if row.Table == key.Table || row.Table == ended.Table {
-			r.version = 0
+			g.setExisting(r, row, current)
 			return nil
 		}
 	}
@@ -144,6 +147,24 @@
 	return err
 }
 
+// setExisting sets the result for a job that already has a row. The host that wrote the row may not have notified the owner, since it
+// notifies only after the store's response. An owner that took over after the row was written has read it.
+func (g *Gateway) setExisting(r *writeResult, row cwcellport.Row, current []cwcellport.Row) {
+	r.version = 0
+	isCurrentFence := slices.ContainsFunc(current, func(other cwcellport.Row) bool {
+		return other.RowKey == fenceKey(row.Partition) && other.Version == r.fence.version
+	})
+	if row.Table != cwcellowner.TableJobs || !isCurrentFence || row.Version < r.fence.version {
+		return
+	}
+	stored, err := cwcellcodec.DecodeSubmission(cwmodel.JobID(row.Key), row.Value)
+	if err != nil {
+		g.opts.Log.WithFields(cwlog.Fields{"job": row.Key, "version": row.Version, "error": err.Error()}).Error("row-unreadable")
+		return
+	}
+	r.submission, r.version = stored, row.Version
+}
+
 // allowWrite reports whether a write may be attempted: always after fewer than breakerThreshold consecutive failures, otherwise
 // once in probePeriod. The true result counts as that attempt.
 func (g *Gateway) allowWrite() bool {
@@ -187,21 +208,21 @@
 	return false
 }
 
-// notifyOwner notifies the owner of an accepted job asynchronously, so that the caller does not wait. A version of 0 means that
-// the job already existed, so that no notification is needed.
-func (g *Gateway) notifyOwner(s *cwwork.Submission, r writeResult) {
+// notifyOwner notifies the owner of an accepted job asynchronously, so that the caller does not wait.
+func (g *Gateway) notifyOwner(r writeResult) {
 	if r.result != cwcellport.SubmitAccepted || r.version == 0 {
 		return
 	}
-	if !g.opts.RunAsync(func() { g.notifyWithRetry(s, r) }) {
-		g.opts.Log.WithField("job", s.ID).Warn("job-not-offered")
+	if !g.opts.RunAsync(func() { g.notifyWithRetry(r) }) {
+		g.opts.Log.WithField("job", r.submission.ID).Warn("job-not-offered")
 	}
 }
 
 // notifyWithRetry notifies the owner under whose fence the job was accepted, which may be this host, up to maxNotifyTries times. An
 // owner that has been replaced needs no notification.
-func (g *Gateway) notifyWithRetry(s *cwwork.Submission, r writeResult) {
+func (g *Gateway) notifyWithRetry(r writeResult) {
 	var err error
+	s := r.submission
 	for range maxNotifyTries {
 		if r.fence.owner.ID == g.opts.Self.ID {
 			owner, _ := g.opts.Owner(s.ID)
