Read all ends of a worker before adopted tasks start

Cause: a worker that lists more than 500 ends returns the first 500. The next owner counted it as having reported, so tasks whose ends were in the rest counted as waiting. The mark of a truncated report kept only runs from being released. Ruled out: ends that were acknowledged before they were stored; the record shows them listed and read after the second start. Change: the cell knows which workers list ends that it has not read. Until then adopted jobs start nothing, also after the leases of earlier owners have expired, and the cell is not divided. A restart, a replaced process, or expired leases of an unreachable worker end the wait. The simulation of the cell reports three ends at a time and reads on.

--- a/internal/core/cwcell/cell.go
+++ b/internal/core/cwcell/cell.go
@@ -38,36 +38,37 @@
 
 // Cell is the scheduling state that one owner keeps of a cell.
 type Cell struct {
-	opts               Options
-	random             *rand.Rand
-	jobs               map[cwmodel.JobID]*job
-	finalStates        map[cwmodel.JobID]finalState
-	endedOrder         []cwmodel.JobID // keys of finalStates, oldest first
-	workers            map[cwmodel.HostID]*worker
-	waitingGroups      []*group                   // groups with waiting tasks
-	scheduledJobs      []*job                     // jobs with due times, of which occurrences are still to be opened
-	dirtyJobs          []*job                     // jobs whose state is not durable yet
-	pendingRequests    map[uint64]*pendingRequest // by ID
-	unsentRequests     []*pendingRequest          // pending requests that Decide has not returned yet
-	lastRequestID      uint64
-	awaitingReport     int           // number of workers whose present incarnation has not answered a poll of this owner
-	sortedWorkersCache []*worker     // the workers sorted by ID; nil after a change, rebuilt on next use
-	fleetVersion       int           // counts the changes after which a group may find workers that no advice covers yet
-	candidateBuffer    []*worker     // backing array of the result of candidates, reused by each call
-	freedCapacity      freedCapacity // workers whose free capacity grew since the last placement pass
-	reserved           *reservations // workers reserved for gangs in the last full pass
-	effects            Effects
-	now                time.Time // of the latest event
-	wall               time.Time // time of day of the latest decision or admission; zero before
-	jobsLoaded         bool      // every job that an earlier owner may have started is loaded from the store
-	paused             bool      // no tasks are started
-	membersRemoved     bool      // a worker was evicted since the last call of Members
-	placementDue       bool      // an event may allow a waiting task to start
-	nextFullPass       time.Time // time at which every waiting group is considered again
-	queues             map[cwwork.QueueName]*queueStatistics
-	doubts             map[cwmodel.HostID][]doubt // by worker: losses of which it is not known whether the worker has crashed
-	suspectedCrashes   map[cwevidence.CrashKey]*suspectedCrash
-	crashMemory        cwevidence.Memory
+	opts                  Options
+	random                *rand.Rand
+	jobs                  map[cwmodel.JobID]*job
+	finalStates           map[cwmodel.JobID]finalState
+	endedOrder            []cwmodel.JobID // keys of finalStates, oldest first
+	workers               map[cwmodel.HostID]*worker
+	waitingGroups         []*group                   // groups with waiting tasks
+	scheduledJobs         []*job                     // jobs with due times, of which occurrences are still to be opened
+	dirtyJobs             []*job                     // jobs whose state is not durable yet
+	pendingRequests       map[uint64]*pendingRequest // by ID
+	unsentRequests        []*pendingRequest          // pending requests that Decide has not returned yet
+	lastRequestID         uint64
+	awaitingReport        int           // number of workers whose present incarnation has not answered a poll of this owner
+	workersWithUnreadEnds int           // number of workers with endsUnread
+	sortedWorkersCache    []*worker     // the workers sorted by ID; nil after a change, rebuilt on next use
+	fleetVersion          int           // counts the changes after which a group may find workers that no advice covers yet
+	candidateBuffer       []*worker     // backing array of the result of candidates, reused by each call
+	freedCapacity         freedCapacity // workers whose free capacity grew since the last placement pass
+	reserved              *reservations // workers reserved for gangs in the last full pass
+	effects               Effects
+	now                   time.Time // of the latest event
+	wall                  time.Time // time of day of the latest decision or admission; zero before
+	jobsLoaded            bool      // every job that an earlier owner may have started is loaded from the store
+	paused                bool      // no tasks are started
+	membersRemoved        bool      // a worker was evicted since the last call of Members
+	placementDue          bool      // an event may allow a waiting task to start
+	nextFullPass          time.Time // time at which every waiting group is considered again
+	queues                map[cwwork.QueueName]*queueStatistics
+	doubts                map[cwmodel.HostID][]doubt // by worker: losses of which it is not known whether the worker has crashed
+	suspectedCrashes      map[cwevidence.CrashKey]*suspectedCrash
+	crashMemory           cwevidence.Memory
 }
 
 // finalState is the final state of a job whose end is durable, kept for lookups until the retention period ends.
@@ -252,7 +253,7 @@
 		return "writes"
 	}
 	for _, w := range c.workers {
-		if len(w.runs) > 0 || w.foreignRuns > 0 || len(w.pendingEnds) > 0 {
+		if len(w.runs) > 0 || w.foreignRuns > 0 || len(w.pendingEnds) > 0 || w.endsUnread {
 			return "runs"
 		}
 	}
--- a/internal/core/cwcell/cluster_test.go
+++ b/internal/core/cwcell/cluster_test.go
@@ -20,6 +20,7 @@
 	simMaxLease    = 6 * time.Second        // longest lease that a worker grants
 	simStaleAfter  = 950 * time.Millisecond
 	simRenewPeriod = 500 * time.Millisecond // of an owner's lease
+	simMaxEnds     = 3                      // ends in one report
 )
 
 // fault is what happens to one call to a worker.
@@ -81,6 +82,7 @@
 	nextPollAt  map[cwmodel.HostID]time.Time
 	clocks      map[cwmodel.HostID]time.Time // incarnation of each worker whose clock the owner has read last
 	cutOff      map[cwmodel.HostID]bool      // workers that this owner does not reach, though others may
+	truncated   map[cwmodel.HostID]bool      // workers whose last report was truncated
 	writing     []JobWrite
 	commitAt    time.Time // when the write in progress completes
 	isolated    bool      // it does not reach the store
@@ -141,7 +143,7 @@
 	o := &simOwner{
 		fence: uint64(c.term * 100), tookOverAt: c.now, renewedAt: c.now, leaseUntil: c.now.Add(simOwnerTTL),
 		priorJobs: map[cwmodel.JobID]bool{}, leaseExpiry: map[cwmodel.HostID]time.Time{}, nextPollAt: map[cwmodel.HostID]time.Time{},
-		clocks: map[cwmodel.HostID]time.Time{}, cutOff: map[cwmodel.HostID]bool{},
+		clocks: map[cwmodel.HostID]time.Time{}, cutOff: map[cwmodel.HostID]bool{}, truncated: map[cwmodel.HostID]bool{},
 	}
 	superseded := c.now
 	if c.term > 1 {
@@ -380,7 +382,8 @@
 		return
 	}
 	for _, w := range c.workers {
-		if !c.now.Before(o.nextPollAt[w.info.ID]) {
+		_, allDurable := o.cell.AckWatermark(w.info.ID)
+		if readsOn := o.truncated[w.info.ID] && allDurable; readsOn || !c.now.Before(o.nextPollAt[w.info.ID]) {
 			o.nextPollAt[w.info.ID] = c.now.Add(simPollPeriod + time.Duration(c.intN(int(simPollJitter))))
 			if o.cell.AwaitsSurvival(w.info.ID) {
 				o.nextPollAt[w.info.ID] = c.now.Add(simPollPeriod)
@@ -478,6 +481,7 @@
 		c.readClock(o, w)
 		o.cell.HandleReport(report, c.now)
 		o.cell.ResendStops(w.info.ID, c.now)
+		o.truncated[w.info.ID] = report.Truncated
 		return
 	case faultResponseLost:
 		call()
@@ -485,6 +489,7 @@
 		c.delayCall(w, func() { call() })
 	case faultRequestLost, faultNotSent:
 	}
+	o.truncated[w.info.ID] = false
 	o.cell.MarkUnreachable(w.info.ID, c.now)
 }
 
@@ -533,8 +538,11 @@
 	}
 	w.ackSequence = max(w.ackSequence, ack)
 	w.ended = slices.DeleteFunc(w.ended, func(e RunEnd) bool { return e.Sequence <= ack })
-	report := &Report{Worker: w.info.ID, Incarnation: w.info.Incarnation, RequestedAt: c.now, Ended: slices.Clone(w.ended)}
-	for _, e := range w.ended {
+	report := &Report{
+		Worker: w.info.ID, Incarnation: w.info.Incarnation, RequestedAt: c.now,
+		Ended: slices.Clone(w.ended[:min(len(w.ended), simMaxEnds)]), Truncated: len(w.ended) >= simMaxEnds,
+	}
+	for _, e := range report.Ended {
 		if e.Kind == EndDone {
 			c.reportedDone[e.Task] = true
 		}
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -38,7 +38,7 @@
 	RequestedAt time.Time // when the poll was sent
 	Running     []RunStatus
 	Ended       []RunEnd
-	Truncated   bool // more ends are pending than the report contains
+	Truncated   bool // the worker may list more ends than the report contains
 }
 
 // RunStatus is one running run in a report.
@@ -87,6 +87,7 @@
 		c.log(LogEntry{Event: "worker-answers", Worker: w.ID})
 	}
 	c.setReported(w, true)
+	c.setEndsUnread(w, rep.Truncated)
 	w.unreachable, w.replaced, w.pollFailedAt, w.lastContact, w.lastResponse = false, false, time.Time{}, now, now
 	for n := range rep.Ended {
 		c.handleEnd(w, &rep.Ended[n], now)
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -33,6 +33,7 @@
 	listed            bool      // in the platform's list
 	unlistedAt        time.Time // when it left the list; valid while listed is false
 	hasReported       bool      // its present incarnation has answered a poll of this owner
+	endsUnread        bool      // its latest report was truncated: it lists ends that this owner has not read
 	unreachable       bool      // did not answer the last call
 	pollFailedAt      time.Time // first poll without a response since the latest report; zero: there is none
 	lastContact       time.Time // time of the latest report, or when the worker was added
@@ -225,6 +226,7 @@
 	if w, ok := c.workers[id]; ok {
 		w.evicted = true
 		c.setReported(w, true) // excludes it from the count in Cell.awaitingReport
+		c.setEndsUnread(w, false)
 		c.freedCapacity.removeWorker(w)
 	}
 	delete(c.workers, id)
@@ -246,6 +248,7 @@
 	w.lastSequence, w.ackSequence, w.pendingEnds = 0, 0, nil
 	w.priorLastResponse, w.lastResponse = w.lastResponse, time.Time{}
 	c.setReported(w, false)
+	c.setEndsUnread(w, false)
 	w.breaker = breaker{}
 	for _, r := range w.sortedRuns() {
 		if !r.mayBelongToNextIncarnation() {
@@ -362,6 +365,7 @@
 			c.loseRun(r, lostWorkerReplaced, now)
 		}
 	}
+	c.setEndsUnread(w, false) // its ends are gone
 	c.resolveLosses(w, now)
 }
 
@@ -374,7 +378,7 @@
 // earlier one. A lease that a later owner may have extended counts as valid.
 func (c *Cell) expireLeases(w *worker, now time.Time) {
 	now = c.exclusiveUntil(now)
-	if !w.unreachable || len(w.runs) == 0 || now.Before(c.opts.LeaseExpiry(w.ID).Add(leaseGrace)) {
+	if !w.unreachable || len(w.runs) == 0 || !c.leasesExpired(w, now) {
 		return
 	}
 	if !w.hasReported && now.Before(c.opts.PriorLeaseExpiry) {
@@ -398,6 +402,11 @@
 	}
 }
 
+// leasesExpired reports whether all leases that this owner granted on a worker have expired, and the tasks under them have ended.
+func (c *Cell) leasesExpired(w *worker, now time.Time) bool {
+	return !now.Before(c.opts.LeaseExpiry(w.ID).Add(leaseGrace))
+}
+
 // AckWatermark returns the sequence number up to which a worker may drop its ends; all reports whether it covers all
 // received ends. For an unknown worker it returns 0 and true. It acknowledges nothing to a worker that did not answer the last
 // call: the next one may reach a later incarnation, which numbers its ends anew and would drop some that were never read.
@@ -429,16 +438,49 @@
 	return now
 }
 
-// runsReconciled reports whether this owner knows every run of a job that an earlier owner started: all workers have
-// answered, or the leases of earlier owners have expired. Until then a start could run a task twice. Jobs that are not
-// adopted have no such runs.
+// runsReconciled reports whether this owner knows every run of a job that an earlier owner started, and how it ended: all workers have
+// answered, or the leases of earlier owners have expired, and every listed end has been read. Until then a start could run a task
+// twice. Jobs that are not adopted have no such runs.
 func (c *Cell) runsReconciled(j *job, now time.Time) bool {
-	if !j.adopted || !c.exclusiveUntil(now).Before(c.opts.PriorLeaseExpiry) {
+	switch {
+	case !j.adopted:
+		return true
+	case c.awaitsUnreadEnds(now):
+		return false
+	case !c.exclusiveUntil(now).Before(c.opts.PriorLeaseExpiry):
 		return true
 	}
 	return c.awaitingReport == 0 && len(c.workers) > 0
 }
 
+// awaitsUnreadEnds reports whether some worker lists ends that this owner has not read. They no longer count once the worker is
+// unreachable and its leases have expired.
+func (c *Cell) awaitsUnreadEnds(now time.Time) bool {
+	if c.workersWithUnreadEnds == 0 {
+		return false
+	}
+	for _, w := range c.workers {
+		if w.endsUnread && (!w.unreachable || !c.leasesExpired(w, c.exclusiveUntil(now))) {
+			return true
+		}
+	}
+	return false
+}
+
+// setEndsUnread sets whether a worker lists ends that this owner has not read, and updates their count.
+func (c *Cell) setEndsUnread(w *worker, unread bool) {
+	switch {
+	case unread && !w.endsUnread:
+		c.workersWithUnreadEnds++
+		c.log(LogEntry{Event: "ends-unread", Worker: w.ID})
+	case !unread && w.endsUnread:
+		c.workersWithUnreadEnds--
+		c.nextFullPass = time.Time{} // adopted jobs may have waited for the ends
+		c.log(LogEntry{Event: "ends-read", Worker: w.ID})
+	}
+	w.endsUnread = unread
+}
+
 // setReported sets whether a worker's present incarnation has answered a poll of this owner, and updates the count in
 // Cell.awaitingReport.
 func (c *Cell) setReported(w *worker, reported bool) {
