Bound the stored progress of a job, and isolate writes that the store refuses

Cause: the progress row listed the done tasks of all occurrences since the first; above row_bytes the store refuses it with 400, the same rows were sent again for ever with those of other jobs, and their ends were never acknowledged. Ruled out: a lost lease or a lost answer; the store answers each try, and other partitions are written. As many occurrences are open as the row can hold. A job that can't be stored gets 400. Refused writes are sent by themselves; a live job that is refused five times alone, while others are stored, fails with a log line and a counter. Tests: TestRefusedWriteCostsItsOwnJobAlone fails in two rows without the isolation of refused writes, TestStateOfAScheduledJobIsBounded without dropFinished; TestProgressOfTheLargestJobs, TestFinishedOccurrencesSurviveATakeover, TestFailedRunsOfLastingTasksAreNotStored, TestJobsThatTheStoreCannotHoldAreInvalid.

--- a/internal/adapter/cwcellcodec/codec.go
+++ b/internal/adapter/cwcellcodec/codec.go
@@ -132,69 +132,6 @@
 	return s, s.Validate()
 }
 
-// progress is the stored form of a job's progress. A failed run is a pair of task index and run number.
-type progress struct {
-	Steps []stepProgress `json:"steps"`
-}
-
-type stepProgress struct {
-	Occurrence int       `json:"occurrence,omitempty"`
-	Step       int       `json:"step,omitempty"`
-	Done       []int     `json:"done,omitempty"`
-	Failed     [][2]int  `json:"failed,omitempty"`
-	Lost       []lostRun `json:"lost,omitempty"`
-}
-
-type lostRun struct {
-	Index       int            `json:"task"`
-	Run         int            `json:"run"`
-	Worker      cwmodel.HostID `json:"worker"`
-	Incarnation int64          `json:"incarnation"` // milliseconds since 1970
-	Early       bool           `json:"early,omitempty"`
-	Alone       bool           `json:"alone,omitempty"`
-	Started     bool           `json:"started,omitempty"`
-	Crashed     bool           `json:"crashed,omitempty"`
-}
-
-// EncodeProgress returns the stored form of a job's progress.
-func EncodeProgress(p *cwwork.Progress) ([]byte, error) {
-	var w progress
-	for _, s := range p.Steps {
-		out := stepProgress{Occurrence: s.Occurrence, Step: s.Step, Done: s.Done}
-		for _, f := range s.Failed {
-			out.Failed = append(out.Failed, [2]int{f.Index, f.Run})
-		}
-		for _, l := range s.Lost {
-			out.Lost = append(out.Lost, lostRun{l.Index, l.Run, l.Worker, l.Incarnation.UnixMilli(), l.Early, l.Alone, l.Started, l.Crashed})
-		}
-		w.Steps = append(w.Steps, out)
-	}
-	return json.Marshal(w)
-}
-
-// DecodeProgress decodes the stored form of a job's progress.
-func DecodeProgress(data []byte) (p *cwwork.Progress, err error) {
-	var w progress
-	if err = json.Unmarshal(data, &w); err != nil {
-		return nil, eris.Wrap(err, "decode progress")
-	}
-	p = &cwwork.Progress{}
-	for _, s := range w.Steps {
-		out := cwwork.StepProgress{Occurrence: s.Occurrence, Step: s.Step, Done: s.Done}
-		for _, f := range s.Failed {
-			out.Failed = append(out.Failed, cwwork.TaskRun{Index: f[0], Run: f[1]})
-		}
-		for _, l := range s.Lost {
-			out.Lost = append(out.Lost, cwwork.LostRun{
-				TaskRun: cwwork.TaskRun{Index: l.Index, Run: l.Run}, Worker: l.Worker, Incarnation: time.UnixMilli(l.Incarnation),
-				Early: l.Early, Alone: l.Alone, Started: l.Started, Crashed: l.Crashed,
-			})
-		}
-		p.Steps = append(p.Steps, out)
-	}
-	return p, nil
-}
-
 // Lease is the row of the lease by which one entry host owns a cell.
 type Lease struct {
 	Holder     cwmodel.HostID     `json:"holder"`
--- a/internal/adapter/cwcellmemory/store.go
+++ b/internal/adapter/cwcellmemory/store.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"encoding/base64"
 	"slices"
 	"sync"
 	"time"
@@ -44,17 +45,41 @@
 	return &Store{timer: timer, rows: map[cwcellport.RowKey]cwcellport.Row{}, changed: make(chan struct{})}
 }
 
+// MaxRowBytes is the store's limit on the value of a row.
+const MaxRowBytes = 64 << 10
+
 // Port returns the port to the store, with the given number of partitions.
 func (s *Store) Port(partitions int) cwcellport.Store {
-	return cwcellport.Store{Partitions: partitions, Commit: s.commit, Read: s.read, Watch: s.watch}
+	return cwcellport.Store{Partitions: partitions, MaxRowBytes: MaxRowBytes, Commit: s.commit, Read: s.read, Watch: s.watch}
+}
+
+// Put writes a row regardless of faults and limits, as the platform does with its own rows.
+func (s *Store) Put(row cwcellport.Row) { s.apply(cwcellport.Transaction{Put: []cwcellport.Row{row}}) }
+
+// checkLimits fails with Refused if a transaction exceeds a limit of the store.
+func checkLimits(t *cwcellport.Transaction) error {
+	if n := len(t.Preconditions) + len(t.Put) + len(t.Remove); n > cwcellport.MaxTransactionRows {
+		return cwfault.New(cwfault.Refused, "the transaction has %d rows", n)
+	}
+	size := 0
+	for n := range t.Put {
+		if len(t.Put[n].Value) > MaxRowBytes {
+			return cwfault.New(cwfault.Refused, "the value of row %s of table %s has %d bytes", t.Put[n].Key, t.Put[n].Table, len(t.Put[n].Value))
+		}
+		size += base64.StdEncoding.EncodedLen(len(t.Put[n].Value))
+	}
+	if size > cwcellport.MaxTransactionBytes {
+		return cwfault.New(cwfault.Refused, "the transaction has %d bytes", size)
+	}
+	return nil
 }
 
 func (s *Store) isDown() bool { return s.Down != nil && s.Down() }
 
 func newDownError() error { return cwfault.New(cwfault.Unavailable, "the store is down") }
 
-// commit applies a transaction, unless an injected fault prevents it, and returns the new version. If a precondition fails, it returns the
-// current rows of the preconditions and a Conflict error.
+// commit applies a transaction, unless an injected fault prevents it or it exceeds a limit, and returns the new version. If a precondition
+// fails, it returns the current rows of the preconditions and a Conflict error.
 func (s *Store) commit(t cwcellport.Transaction, _ time.Duration) (uint64, []cwcellport.Row, error) {
 	fault := FaultNone
 	if s.InjectFault != nil {
@@ -66,6 +91,9 @@
 	case fault == FaultRequestLost:
 		return 0, nil, cwfault.New(cwfault.Indefinite, "no answer")
 	}
+	if err := checkLimits(&t); err != nil {
+		return 0, nil, err
+	}
 	version, current, ok := s.apply(t)
 	if fault == FaultResponseLost {
 		return 0, nil, cwfault.New(cwfault.Indefinite, "no answer")
--- a/internal/app/cwcellowner/commit.go
+++ b/internal/app/cwcellowner/commit.go
@@ -31,11 +31,16 @@
 	hasProgressRow      map[cwmodel.JobID]struct{} // jobs with a progress row
 	// cancellationVersions has the versions of the cancellation rows by job, also of jobs that are not admitted yet.
 	cancellationVersions map[cwmodel.JobID]uint64
+	refusals             map[cwmodel.JobID]*refusal // jobs of which the store has refused a write
+	succeededAt          time.Time                  // latest successful transaction with writes of jobs; zero: none
 }
 
 // newCommitState returns a state without transactions; cellPartition holds the cell's own rows.
 func newCommitState(cellPartition partition) commitState {
-	return commitState{cellPartition: cellPartition, hasProgressRow: map[cwmodel.JobID]struct{}{}, cancellationVersions: map[cwmodel.JobID]uint64{}}
+	return commitState{
+		cellPartition: cellPartition, hasProgressRow: map[cwmodel.JobID]struct{}{}, cancellationVersions: map[cwmodel.JobID]uint64{},
+		refusals: map[cwmodel.JobID]*refusal{},
+	}
 }
 
 // inflightCommit is one transaction that has no response yet or whose outcome is unknown.
@@ -69,6 +74,8 @@
 	maxCommitJobs = cwcellport.MaxTransactionRows / (rowsPerEndedJob + 2)
 	// maxMultiCommits bounds the concurrent multi-partition transactions.
 	maxMultiCommits = 4
+	// maxCommitBytes bounds the values of one transaction, in base64. The rest is for keys and chain rows.
+	maxCommitBytes = cwcellport.MaxTransactionBytes * 3 / 4
 	// fullBatchJobs is the number of jobs that justifies a transaction while another one is in flight.
 	fullBatchJobs = maxCommitJobs / 2
 	// commitPause is the pause between two transactions on a partition, which batches jobs that end at about the same time.
@@ -86,16 +93,21 @@
 		s.sendCommit(s.buildMembersCommit(now))
 	}
 	pending := s.cell.PendingWrites()
+	if pending == 0 {
+		return
+	}
+	s.commitRefused(now)
 	multiDue := s.multiPartitionDue(pending, now)
-	if pending == 0 || (!multiDue && !s.anySolo(now)) {
+	if !multiDue && !s.anySolo(now) {
 		return
 	}
 	soloPartitions := map[*partition]struct{}{}
 	jointJobs := 0
 	s.cell.EachPendingWrite(func(id cwmodel.JobID) {
+		_, refused := s.commits.refusals[id]
 		switch p := s.partitionOf(id); {
-		case !p.loaded || p.busy || now.Before(p.nextAt):
-			// The partition gets no transaction now.
+		case refused || !p.isReady(now):
+			// The job gets no transaction with others, or its partition gets none now.
 		case now.Before(p.soloEnd):
 			soloPartitions[p] = struct{}{}
 		default:
@@ -104,17 +116,24 @@
 	})
 	s.commits.pendingWhenDeferred = pending // unless a multi-partition transaction is sent now
 	if multiDue && (jointJobs >= fullBatchJobs || (jointJobs > 0 && s.commits.multiInFlight == 0)) {
-		s.commits.multiInFlight++
-		s.commits.pendingWhenDeferred = 0
-		c := s.buildCommit(now, func(p *partition) bool { return p.loaded && !p.busy && !now.Before(p.nextAt) && !now.Before(p.soloEnd) })
-		c.multiPartition = true
-		s.sendCommit(c)
+		c := s.buildCommit(now, func(p *partition) bool { return p.isReady(now) && !now.Before(p.soloEnd) })
+		if len(c.writes) > 0 {
+			s.commits.multiInFlight++
+			s.commits.pendingWhenDeferred = 0
+			c.multiPartition = true
+			s.sendCommit(c)
+		}
 	}
 	for p := range soloPartitions {
-		s.sendCommit(s.buildCommit(now, func(other *partition) bool { return other == p }))
+		if c := s.buildCommit(now, func(other *partition) bool { return other == p }); len(c.writes) > 0 {
+			s.sendCommit(c)
+		}
 	}
 }
 
+// isReady reports whether a new transaction on the partition may be sent.
+func (p *partition) isReady(now time.Time) bool { return p.loaded && !p.busy && !now.Before(p.nextAt) }
+
 // multiPartitionDue reports whether a multi-partition transaction may be sent, given the number of pending jobs. None may be sent
 // before nextMultiAt. With none in flight it may then be sent at once. With some in flight, but fewer than maxMultiCommits, a
 // further one is due when a full batch of jobs has become pending since the last one was sent or deferred.
@@ -165,13 +184,35 @@
 // buildCommit returns a transaction with the pending writes of at most maxCommitJobs jobs, from the partitions for which include
 // returns true. These writes are no longer pending.
 func (s *session) buildCommit(now time.Time, include func(*partition) bool) *inflightCommit {
+	return s.buildJobsCommit(now, func(id cwmodel.JobID) bool {
+		_, refused := s.commits.refusals[id]
+		return !refused && include(s.partitionOf(id))
+	})
+}
+
+// buildJobsCommit returns a transaction with the pending writes of at most maxCommitJobs jobs for which include returns true, as far as
+// they fit in it. These writes are no longer pending.
+func (s *session) buildJobsCommit(now time.Time, include func(cwmodel.JobID) bool) *inflightCommit {
 	c := s.newCommit(now)
-	c.writes = s.cell.NextWrites(maxCommitJobs, func(id cwmodel.JobID) bool { return include(s.partitionOf(id)) })
-	for _, w := range c.writes {
+	writes := s.cell.NextWrites(maxCommitJobs, include)
+	size := 0
+	for n := range writes {
+		w := &writes[n]
+		value, ok := s.encodeWrite(w)
+		switch {
+		case !ok:
+			s.cell.CompleteWrites(writes[n:n+1], false, now) // its final state is pending now
+			continue
+		case size > 0 && size+storedBytes(value) > maxCommitBytes:
+			s.cell.CompleteWrites(writes[n:], false, now)
+			return c
+		}
+		size += storedBytes(value)
+		c.writes = append(c.writes, *w)
 		if p := s.partitionOf(w.Job); !slices.Contains(c.partitions, p) {
 			c.partitions = append(c.partitions, p)
 		}
-		s.addWrite(&c.tx, w)
+		s.addWrite(&c.tx, w, value)
 	}
 	return c
 }
@@ -211,45 +252,6 @@
 	return cwcellport.RowKey{Table: cwlease.TableCell, Key: s.owner.opts.Cell.RowName("members") + "." + row}
 }
 
-// addWrite adds the rows of one job to a transaction: the progress of an active job, for which w.State is empty, or the final
-// state of an ended one, whose other rows are removed.
-func (s *session) addWrite(tx *cwcellport.Transaction, w cwcell.JobWrite) {
-	name := s.partitionOf(w.Job).name
-	row := func(table string) cwcellport.RowKey {
-		return cwcellport.RowKey{Table: table, Partition: name, Key: string(w.Job)}
-	}
-	var value []byte
-	var err error
-	table := TableProgress
-	if w.State != "" {
-		table = TableEnded
-		value, err = cwcellcodec.EncodeFinalState(cwcellcodec.FinalState{State: w.State, At: s.wallTime()})
-		s.removeActiveRows(tx, w.Job, row)
-	} else {
-		value, err = cwcellcodec.EncodeProgress(w.Progress)
-		s.commits.hasProgressRow[w.Job] = struct{}{}
-	}
-	if err != nil {
-		s.owner.opts.Log.WithFields(cwlog.Fields{"job": w.Job, "table": table, "error": err.Error()}).Error("row-not-encoded")
-		return
-	}
-	tx.Put = append(tx.Put, cwcellport.Row{RowKey: row(table), Value: value})
-}
-
-// removeActiveRows adds to a transaction the removal of the rows that a job has only until it ends: its submission, and its
-// progress and its cancellation if it has these. row returns the key of the job's row in a table.
-func (s *session) removeActiveRows(tx *cwcellport.Transaction, id cwmodel.JobID, row func(table string) cwcellport.RowKey) {
-	tx.Remove = append(tx.Remove, row(TableJobs))
-	if _, ok := s.commits.hasProgressRow[id]; ok {
-		tx.Remove = append(tx.Remove, row(TableProgress))
-	}
-	if _, ok := s.commits.cancellationVersions[id]; ok {
-		cancellation := row(TableJobs)
-		cancellation.Key += CancelSuffix
-		tx.Remove = append(tx.Remove, cancellation)
-	}
-}
-
 // handleCommitResult processes the response to a transaction. version is that of the written rows after a success; current holds
 // the present rows of the preconditions after a conflict.
 func (s *session) handleCommitResult(c *inflightCommit, version uint64, current []cwcellport.Row, err error, now time.Time) {
@@ -291,6 +293,7 @@
 		s.commits.nextMultiAt = now.Add(pause)
 	}
 	s.cell.MarkMembersDurable(c.members)
+	s.clearRefusals(c.writes, now)
 	for _, w := range s.cell.CompleteWrites(c.writes, true, now) {
 		s.recordJobEnd(w)
 	}
@@ -341,14 +344,18 @@
 
 // handleCommitFailure handles a transaction that failed or whose outcome is unknown: its writes become pending again. For
 // soloDuration each of its partitions is committed in transactions of its own. A partition that failed on its own also gets a
-// backoff, which doubles with each such failure. With Unavailable and Refused nothing was written. After other errors the
-// transaction may still be applied, so it is kept for resolveConflict to recognize.
+// backoff, which doubles with each such failure. With Unavailable and Refused nothing was written; a refused write is isolated from
+// those of other jobs. After other errors the transaction may still be applied, so it is kept for resolveConflict to recognize.
 func (s *session) handleCommitFailure(c *inflightCommit, err error, now time.Time) {
 	s.owner.opts.Log.WithFields(cwlog.Fields{
 		"mark": c.token, "jobs": len(c.writes), "parts": len(c.partitions), "error": err.Error(),
 	}).Warn("commit-failed")
 	s.releasePartitions(c)
 	s.cell.CompleteWrites(c.writes, false, now) // false: not known to be applied, so the writes become pending again
+	if cwfault.CodeOf(err) == cwfault.Refused && len(c.writes) > 0 {
+		s.recordRefusal(c, now)
+		return
+	}
 	if code := cwfault.CodeOf(err); code != cwfault.Unavailable && code != cwfault.Refused && len(s.commits.indefinite) < maxIndefiniteCommits {
 		s.commits.indefinite = append(s.commits.indefinite, c)
 	}
--- a/internal/app/cwcellowner/session.go
+++ b/internal/app/cwcellowner/session.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"currantward/internal/adapter/cwcellcodec"
 	"currantward/internal/app/cwlease"
 	"currantward/internal/base/cwduty"
 	"currantward/internal/base/cwlog"
@@ -73,6 +74,9 @@
 		Policy:           o.opts.Policy,
 		LeaseExpiry:      o.opts.Workers.LeaseExpiry,
 		OwnedUntil:       func() time.Time { return o.opts.OwnedUntil(g.Fence) },
+		MaxStoredOccurrences: func(j *cwwork.Submission) int {
+			return cwcellcodec.MaxStoredOccurrences(j, o.maxRowBytes())
+		},
 	})
 	s.advice = newAdviceDispatcher(s)
 	// An event without an action makes the owner's duty call step at each tick.
--- a/internal/app/cwgateway/gateway.go
+++ b/internal/app/cwgateway/gateway.go
@@ -83,6 +83,24 @@
 	return r.result
 }
 
+// CheckStorable returns an error if the store cannot hold a job or the progress of one of its occurrences.
+func (g *Gateway) CheckStorable(s *cwwork.Submission) error {
+	limit := g.opts.Store.MaxRowBytes
+	if limit == 0 {
+		return nil
+	}
+	value, err := cwcellcodec.EncodeSubmission(s)
+	switch {
+	case err != nil:
+		return err
+	case len(value) > limit:
+		return cwfault.New(cwfault.Invalid, "the stored form of the job has %d bytes, above the limit of %d", len(value), limit)
+	case cwcellcodec.MaxStoredOccurrences(s, limit) < 1:
+		return cwfault.New(cwfault.Invalid, "the progress of %d steps with %d tasks does not fit in the limit of %d bytes", len(s.Steps), s.Tasks(), limit)
+	}
+	return nil
+}
+
 // SubmitForPeer makes a job durable for a peer that cannot reach the store. It relays the job to no other peer.
 func (g *Gateway) SubmitForPeer(s *cwwork.Submission) cwcellport.SubmitResult {
 	r := g.write(s)
--- a/internal/app/cwgateway/gateway_test.go
+++ b/internal/app/cwgateway/gateway_test.go
@@ -52,6 +52,45 @@
 	}
 }
 
+// TestJobsThatTheStoreCannotHoldAreInvalid guards against a job that is refused with 503 for ever, or accepted and then never stored: its row,
+// or the progress of its tasks, is above the limit of the store.
+func TestJobsThatTheStoreCannotHoldAreInvalid(t *testing.T) {
+	manySteps := func(dependencies int) (steps []cwwork.Step) {
+		for n := range cwwork.MaxSteps {
+			s := cwwork.Step{Count: 1}
+			for k := range min(n, dependencies) {
+				s.DependsOn = append(s.DependsOn, k)
+			}
+			steps = append(steps, s)
+		}
+		return steps
+	}
+	cases := []struct {
+		name     string
+		rowBytes int
+		steps    []cwwork.Step
+		storable bool
+	}{
+		{"small job", 64 << 10, []cwwork.Step{{Count: 1}}, true},
+		{"largest step", 64 << 10, []cwwork.Step{{Count: cwwork.MaxTasks}}, true},
+		{"many steps", 64 << 10, manySteps(1), true},
+		{"many steps that each depend on all earlier ones", 64 << 10, manySteps(cwwork.MaxSteps), false},
+		{"progress above a small limit", 3 << 10, []cwwork.Step{{Count: cwwork.MaxTasks}}, false},
+		{"no limit", 0, manySteps(cwwork.MaxSteps), true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			g := New(Options{Store: cwcellport.Store{MaxRowBytes: tc.rowBytes}})
+			err := g.CheckStorable(&cwwork.Submission{ID: "5c0e7a21d94b36f8", Queue: "q", Steps: tc.steps})
+			is.Equal(err == nil, tc.storable)
+			if err != nil {
+				is.Equal(cwfault.CodeOf(err), cwfault.Invalid)
+			}
+		})
+	}
+}
+
 // testGateway is a gateway over an in-memory store, with the notifications that it has sent.
 type testGateway struct {
 	t        *testing.T
--- a/internal/core/cwcell/cell.go
+++ b/internal/core/cwcell/cell.go
@@ -5,6 +5,7 @@
 package cwcell
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -31,6 +32,8 @@
 	Policy func(cwwork.QueueName) (cwwork.QueuePolicy, bool)
 	// LeaseExpiry returns the time at which every lease that this owner granted on a worker has expired.
 	LeaseExpiry func(cwmodel.HostID) time.Time
+	// MaxStoredOccurrences returns how many unfinished occurrences of a job fit in its stored progress; nil: as many as are due.
+	MaxStoredOccurrences func(*cwwork.Submission) int
 	// OwnedUntil returns the latest time at which this host is known to have been the only owner: when it sent the latest
 	// successful renewal of the cell's lease. Until its own lease expires, a later owner may act besides it.
 	OwnedUntil func() time.Time
@@ -125,6 +128,9 @@
 
 // New returns a cell without jobs and workers.
 func New(opts Options) *Cell {
+	if opts.MaxStoredOccurrences == nil {
+		opts.MaxStoredOccurrences = func(*cwwork.Submission) int { return math.MaxInt }
+	}
 	return &Cell{
 		opts:             opts,
 		random:           rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
--- a/internal/core/cwcell/job.go
+++ b/internal/core/cwcell/job.go
@@ -12,11 +12,12 @@
 // job is an accepted job, kept until its end is durable and its last run has ended.
 type job struct {
 	*cwwork.Submission
-	objective      time.Duration // time from acceptance within which the job earns full credit
-	runNumberBase  int           // run numbers that this owner assigns are higher
-	adopted        bool          // may have run under an earlier owner
-	occurrences    []*occurrence
+	objective      time.Duration    // time from acceptance within which the job earns full credit
+	runNumberBase  int              // run numbers that this owner assigns are higher
+	adopted        bool             // may have run under an earlier owner
+	occurrences    []*occurrence    // opened ones, without those that dropFinished has removed
 	nextOccurrence int              // number of the next occurrence to open
+	finishedBelow  int              // the number after that of the last finished occurrence; 0: none is finished
 	unfinished     int              // opened occurrences that are not done
 	started        bool             // a worker has started a task, or the job ended without a start; no longer counted in queueStatistics.waiting
 	outcome        cwwork.JobState  // empty until it is decided; durable once durableVersion reaches version
@@ -150,6 +151,7 @@
 	c.queue(s.Queue).waiting++
 	if s.Repeats > 0 {
 		c.scheduledJobs = append(c.scheduledJobs, j)
+		c.restoreFinished(j, now)
 	} else {
 		c.openOccurrence(j, 0, now)
 	}
@@ -162,6 +164,23 @@
 	return true
 }
 
+// restoreFinished restores which occurrences of a scheduled job are finished. It opens the others that precede a finished one.
+func (c *Cell) restoreFinished(j *job, now time.Time) {
+	if j.progress == nil {
+		return
+	}
+	for _, number := range j.progress.Unfinished {
+		if number >= j.nextOccurrence && number < j.Occurrences() {
+			c.openOccurrence(j, number, now)
+		}
+	}
+	j.finishedBelow = max(j.finishedBelow, j.progress.FinishedBelow)
+	j.nextOccurrence = max(j.nextOccurrence, j.progress.FinishedBelow)
+	if j.nextOccurrence >= j.Occurrences() && j.unfinished == 0 {
+		c.decideOutcome(j, cwwork.StateCompleted)
+	}
+}
+
 // openOccurrencesWithProgress opens the occurrences of a job that have stored progress, also if they are not due by this host's time of
 // day: an earlier owner, whose time of day was ahead, has started them.
 func (c *Cell) openOccurrencesWithProgress(j *job, now time.Time) {
@@ -196,11 +215,11 @@
 }
 
 // openDueOccurrences opens the occurrences whose due time has passed on the wall clock, of each job as long as the unfinished ones have
-// at most MaxTasks tasks. Jobs that have no further occurrences to open leave scheduledJobs.
+// at most MaxTasks tasks and their progress can be stored. Jobs that have no further occurrences to open leave scheduledJobs.
 func (c *Cell) openDueOccurrences(now, wall time.Time) {
 	for n := 0; n < len(c.scheduledJobs); n++ {
 		j := c.scheduledJobs[n]
-		maxUnfinished := max(1, cwwork.MaxTasks/j.Tasks())
+		maxUnfinished := max(1, min(cwwork.MaxTasks/j.Tasks(), c.opts.MaxStoredOccurrences(j.Submission)))
 		for j.nextOccurrence < j.Occurrences() && !wall.Before(j.Due(j.nextOccurrence)) && j.outcome == "" && j.unfinished < maxUnfinished {
 			c.openOccurrence(j, j.nextOccurrence, now)
 		}
@@ -255,7 +274,7 @@
 		g := o.groups[p.Step]
 		c.markStarted(j)
 		for _, f := range p.Failed {
-			if f.Index < len(g.tasks) {
+			if f.Index < len(g.tasks) && !g.step.LongRunning {
 				g.countFailure(f.Index, f.Run)
 			}
 		}
@@ -360,9 +379,27 @@
 	}
 	if o.unfinished == 0 {
 		g.job.unfinished--
+		g.job.finishedBelow = max(g.job.finishedBelow, o.number+1)
 	}
 }
 
+// dropFinished removes the finished occurrences that have no runs left.
+func (j *job) dropFinished() {
+	j.occurrences = slices.DeleteFunc(j.occurrences, func(o *occurrence) bool { return o.unfinished == 0 && !o.hasRuns() })
+}
+
+// hasRuns reports whether some task of the occurrence has a run.
+func (o *occurrence) hasRuns() bool {
+	for _, g := range o.groups {
+		for n := range g.tasks {
+			if len(g.tasks[n].runs) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // markTaskDone marks one task as done, at most once.
 func (g *group) markTaskDone(index int) {
 	t := &g.tasks[index]
@@ -446,6 +483,14 @@
 	return true, false
 }
 
+// FailUnstorable ends a live job whose progress the store cannot hold: without stored progress, the next owner would repeat its tasks.
+func (c *Cell) FailUnstorable(id cwmodel.JobID, reason string) {
+	if j, ok := c.jobs[id]; ok && j.outcome == "" {
+		c.log(LogEntry{Event: "job-not-storable", Job: id, Detail: reason})
+		c.decideOutcome(j, cwwork.StateFailed)
+	}
+}
+
 // advanceJob queues the groups of an occurrence whose dependencies are done, and completes the job if all its occurrences
 // are done.
 func (c *Cell) advanceJob(j *job, o *occurrence, now time.Time) {
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -336,9 +336,14 @@
 	}
 	if r != nil {
 		t := &g.tasks[e.Task.Index]
-		t.avoidWorkers = append(t.avoidWorkers, w.ID)
+		if !slices.Contains(t.avoidWorkers, w.ID) {
+			t.avoidWorkers = append(t.avoidWorkers, w.ID)
+		}
 		t.checkpoint = ""
 	}
+	if g.step.LongRunning {
+		return // its attempts have no limit
+	}
 	if !g.countFailure(e.Task.Index, e.Run) || g.job.outcome != "" {
 		return
 	}
--- a/internal/core/cwcell/write.go
+++ b/internal/core/cwcell/write.go
@@ -44,6 +44,7 @@
 func (j *job) write() JobWrite {
 	w := JobWrite{Job: j.ID, State: j.outcome, Queue: j.Queue, AcceptedAt: j.AcceptedAt, version: j.version}
 	if j.outcome == "" {
+		j.dropFinished()
 		w.Progress = j.snapshot()
 	}
 	return w
@@ -104,22 +105,23 @@
 	if !j.retired {
 		return
 	}
-	for _, o := range j.occurrences {
-		for _, g := range o.groups {
-			for n := range g.tasks {
-				if len(g.tasks[n].runs) > 0 {
-					return
-				}
-			}
-		}
+	if slices.ContainsFunc(j.occurrences, (*occurrence).hasRuns) {
+		return
 	}
 	delete(c.jobs, j.ID)
 }
 
-// snapshot returns the progress to store for a live job: the done tasks, failed runs and lost runs of each step that has any.
+// snapshot returns the progress to store for a live job: which occurrences are finished, and the done tasks, failed runs and lost runs of
+// each step of the others that has any.
 func (j *job) snapshot() *cwwork.Progress {
-	p := &cwwork.Progress{}
+	p := &cwwork.Progress{FinishedBelow: j.finishedBelow}
 	for _, o := range j.occurrences {
+		if o.unfinished == 0 {
+			continue
+		}
+		if o.number < j.finishedBelow {
+			p.Unfinished = append(p.Unfinished, o.number)
+		}
 		for _, g := range o.groups {
 			if s := g.snapshot(); len(s.Done) > 0 || len(s.Failed) > 0 || len(s.Lost) > 0 {
 				p.Steps = append(p.Steps, s)
--- a/internal/core/cwwork/work.go
+++ b/internal/core/cwwork/work.go
@@ -172,9 +172,12 @@
 }
 
 // Progress is the part of a job's state that survives a change of owner: completed tasks, failed runs and runs that ended with their
-// workers.
+// workers. Of finished occurrences it has only that they are.
 type Progress struct {
-	Steps []StepProgress
+	// All occurrences of a scheduled job below this number are finished, except those in Unfinished.
+	FinishedBelow int
+	Unfinished    []int          // ascending
+	Steps         []StepProgress // of unfinished occurrences
 }
 
 // StepProgress is the progress of one step of one occurrence.
--- a/internal/port/cwcellport/port.go
+++ b/internal/port/cwcellport/port.go
@@ -43,16 +43,20 @@
 const (
 	// MaxTransactionRows is the maximum number of rows in a transaction: preconditions, rows to put and rows to remove.
 	MaxTransactionRows = 100
+	// MaxTransactionBytes is the maximum size of a transaction, with its values in base64.
+	MaxTransactionBytes = 1 << 20
 	// MaxWatchRows is the maximum number of changes in one response to Watch.
 	MaxWatchRows = 500
 )
 
 // Store is the platform's transactional store. Errors carry cwfault codes: Conflict if a precondition failed, Unavailable
-// if nothing was done, Indefinite if the effect is unknown, and NotFound from Watch if the store no longer has all changes
-// after the version.
+// if nothing was done, Refused if nothing was done and the same call would be refused again, Indefinite if the effect is unknown,
+// and NotFound from Watch if the store no longer has all changes after the version.
 type Store struct {
 	// Partitions is the number of partitions of the job tables.
 	Partitions int
+	// MaxRowBytes is the maximum size of a row's value; 0: there is no limit.
+	MaxRowBytes int
 	// Commit applies a transaction and returns its version, which is that of each row put. With Conflict it returns the current
 	// rows of the preconditions.
 	Commit func(t Transaction, timeout time.Duration) (version uint64, current []Row, err error)
--- a/internal/proof/cwsoak/cluster.go
+++ b/internal/proof/cwsoak/cluster.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"currantward/internal/adapter/cwcellmemory"
 	"currantward/internal/base/cwduty"
 	"currantward/internal/base/cwfault"
 	"currantward/internal/base/cwhttp"
@@ -298,7 +299,7 @@
 		Node: cwmodel.HostID(n.name), DataCentre: cwmodel.DataCentre(fmt.Sprintf("z%d", number%3+1)), IP: ip,
 		CallerListen: netip.AddrPortFrom(ip, 8161), ReadinessListen: netip.AddrPortFrom(ip, 8167), PeerListen: netip.AddrPortFrom(ip, 7720),
 		Processors: []float64{0.4, 0.4, 0.8}[number%3], MemoryBytes: 284 << 20, Advice: storeProxy.Address,
-		Store:  cwboot.Store{Address: storeProxy.Address, CrossPartition: true},
+		Store:  cwboot.Store{Address: storeProxy.Address, CrossPartition: true, MaxRowBytes: cwcellmemory.MaxRowBytes},
 		Bounds: cwboot.Bounds{MaxTaskLease: 6 * time.Second, StopTimeout: 200 * time.Millisecond, StatusRetention: 2 * time.Minute},
 	}
 	callerProxy, stopCallerProxy, err := cwprocess.NewProxy(c.opts.Timer, n.settings.CallerListen)
