Release the lease at a shutdown also if the event of the resignation is lost

What callers would see: a host that is stopped goes on as the owner until it exits, and its cell is taken over only once its lease is stale, a second later. Cause: Resign sets a flag and offers an event; only the event released the lease. Change: an owner whose flag is set releases the lease at the next event of any kind. Test: TestResignationDoesNotDependOnItsEvent failed before.

--- a/internal/app/cwlease/lease.go
+++ b/internal/app/cwlease/lease.go
@@ -231,10 +231,11 @@
 	}
 }
 
-// handle processes one event, then renews the lease or follows its owner, and returns the time until the next check.
+// handle processes one event, then renews the lease or follows its owner, and returns the time until the next check. An owner that resigns
+// releases the lease at the next event of any kind, as its own event may not have fit in the inbox.
 func (e *Elector) handle(ev event) (wait time.Duration) {
 	switch {
-	case (ev == eventResign || ev == eventStepDown) && e.isOwner:
+	case e.isOwner && (ev == eventResign || ev == eventStepDown || e.resigned.Load()):
 		e.release()
 	case ev == eventSuperseded && e.isOwner:
 		e.verifyLease()
--- a/internal/app/cwlease/lease_test.go
+++ b/internal/app/cwlease/lease_test.go
@@ -11,6 +11,7 @@
 	"currantward/internal/adapter/cwcellmemory"
 	"currantward/internal/base/cwfault"
 	"currantward/internal/base/cwlog"
+	"currantward/internal/base/cwring"
 	"currantward/internal/base/cwtimer"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/port/cwcellport"
@@ -242,6 +243,25 @@
 	is.True(owner.isOwner)
 }
 
+// TestResignationDoesNotDependOnItsEvent guards against a host that keeps renewing its lease until it exits, so that its cell is handed over only
+// once the lease is stale: reports of a later owner fill the inbox, and the event of the resignation is lost.
+func TestResignationDoesNotDependOnItsEvent(t *testing.T) {
+	is := is.New(t)
+	h := newHarness()
+	owner := h.elector("a", 1)
+	h.run(100*time.Millisecond, owner)
+	owner.inbox = cwring.New[event](1)
+	owner.ReportSuperseded()
+	owner.Resign()
+	ev, ok := owner.inbox.Take(t.Context())
+	is.True(ok)
+	is.Equal(ev, eventSuperseded)
+	owner.handle(ev)
+	is.True(!owner.isOwner)
+	is.True(owner.readLease())
+	is.True(owner.lease.Released)
+}
+
 // TestDividingTakesALaterFence checks that a division gives the lease a later fence, and that other hosts read the number of
 // cells from its row. If the response to the write is lost, the owner must use the number in the row.
 func TestDividingTakesALaterFence(t *testing.T) {
