Send a transaction without an answer again unchanged until it is settled

Cause: at most 64 transactions of unknown outcome were kept, and each retry of each of 32 partitions was a new one. One that was dropped and had been applied left the owner with an old version of the partition's chain row; the conflict counted as a later owner's, although the lease was held, and the same write was sent for ever. Ruled out: a lost lease (the log has none), and rows that the store refuses (412, not 400). Change: a transaction on one partition is sent again unchanged until the store answers, so a partition has at most two unsettled ones and no count is needed. A conflict that nothing explains makes the owner read the chain row again, and go on from it while its fence is in force. A write that turns out to be applied is not written again. Tests: TestWritesGoOnAfterAnOutage (four rows) and TestUnexplainedConflict (one) fail on the code before; TestOutdatedTransactionIsNotSentAgain, TestUnsettledTransactionsAreBounded, TestUnsettledTransactionThatIsRefused, TestWriteThatWasAppliedAfterAll.

--- a/internal/app/cwcellowner/commit.go
+++ b/internal/app/cwcellowner/commit.go
@@ -20,14 +20,14 @@
 // commitState tracks the transactions that make the cell's state durable. A multi-partition transaction covers every partition
 // without a transaction in flight. Later changes form the next transaction, which does not wait for the first if it covers a
 // full batch of jobs. A partition whose transaction failed or was slow is committed alone for a while, in transactions of its
-// own, so that it does not delay the others.
+// own, so that it does not delay the others. A transaction on one partition whose outcome is unknown is sent again, unchanged, until the
+// store responds, so that a partition never has more than two of them: this one, and a multi-partition one before it.
 type commitState struct {
 	cellPartition       partition                  // holds the cell's own rows
 	sequence            int                        // number of the last transaction, which makes its token unique
 	multiInFlight       int                        // multi-partition transactions in flight
 	nextMultiAt         time.Time                  // earliest start of the next multi-partition transaction
 	pendingWhenDeferred int                        // pending jobs when one was last deferred; 0 if one was sent or ended since
-	indefinite          []*inflightCommit          // transactions whose outcome is unknown
 	hasProgressRow      map[cwmodel.JobID]struct{} // jobs with a progress row
 	// cancellationVersions has the versions of the cancellation rows by job, also of jobs that are not admitted yet.
 	cancellationVersions map[cwmodel.JobID]uint64
@@ -54,6 +54,9 @@
 	startedAt      time.Time
 }
 
+// isAlone reports whether the transaction is on one partition only.
+func (c *inflightCommit) isAlone() bool { return len(c.partitions) == 1 }
+
 const (
 	// commitTimeout bounds one transaction; a slow store takes 50 times its usual 8 ms.
 	commitTimeout = 900 * time.Millisecond
@@ -81,15 +84,14 @@
 	// commitPause is the pause between two transactions on a partition, which batches jobs that end at about the same time.
 	// While the store is slow the pause is about as long as the last transaction, so that submissions can use the partitions.
 	commitPause = 12 * time.Millisecond
-	// maxIndefiniteCommits bounds the transactions with unknown outcome that are kept.
-	maxIndefiniteCommits = 64
 )
 
 // commit sends the transactions that are due: one that records the cell's workers if they have changed, a multi-partition one,
 // and one for each partition that is committed alone and has pending writes. A partition gets none before it is loaded, while it
 // has a transaction in flight, or before its nextAt.
 func (s *session) commit(now time.Time) {
-	if s.cell.MembersDirty() && !s.commits.cellPartition.busy && !now.Before(s.commits.cellPartition.nextAt) {
+	s.resendUnsettled(now)
+	if s.cell.MembersDirty() && s.commits.cellPartition.isReady(now) {
 		s.sendCommit(s.buildMembersCommit(now))
 	}
 	pending := s.cell.PendingWrites()
@@ -108,7 +110,7 @@
 		switch p := s.partitionOf(id); {
 		case refused || !p.isReady(now):
 			// The job gets no transaction with others, or its partition gets none now.
-		case now.Before(p.soloEnd):
+		case p.isSolo(now):
 			soloPartitions[p] = struct{}{}
 		default:
 			jointJobs++
@@ -116,7 +118,7 @@
 	})
 	s.commits.pendingWhenDeferred = pending // unless a multi-partition transaction is sent now
 	if multiDue && (jointJobs >= fullBatchJobs || (jointJobs > 0 && s.commits.multiInFlight == 0)) {
-		c := s.buildCommit(now, func(p *partition) bool { return p.isReady(now) && !now.Before(p.soloEnd) })
+		c := s.buildCommit(now, func(p *partition) bool { return p.isReady(now) && !p.isSolo(now) })
 		if len(c.writes) > 0 {
 			s.commits.multiInFlight++
 			s.commits.pendingWhenDeferred = 0
@@ -132,7 +134,12 @@
 }
 
 // isReady reports whether a new transaction on the partition may be sent.
-func (p *partition) isReady(now time.Time) bool { return p.loaded && !p.busy && !now.Before(p.nextAt) }
+func (p *partition) isReady(now time.Time) bool {
+	return p.loaded && !p.busy && p.unsettledAlone() == nil && !now.Before(p.nextAt)
+}
+
+// isSolo reports whether the partition is committed alone.
+func (p *partition) isSolo(now time.Time) bool { return len(p.unsettled) > 0 || now.Before(p.soloEnd) }
 
 // multiPartitionDue reports whether a multi-partition transaction may be sent, given the number of pending jobs. None may be sent
 // before nextMultiAt. With none in flight it may then be sent at once. With some in flight, but fewer than maxMultiCommits, a
@@ -150,22 +157,29 @@
 // anySolo reports whether a partition is committed alone now.
 func (s *session) anySolo(now time.Time) bool {
 	for _, p := range s.partitions {
-		if now.Before(p.soloEnd) {
+		if p.isSolo(now) {
 			return true
 		}
 	}
 	return false
 }
 
-// sendCommit adds the chain row of each partition to a transaction and sends it. The partitions are busy until the result
-// arrives. A full call pool counts as a failed transaction.
+// sendCommit adds the chain row of each partition to a transaction and sends it.
 func (s *session) sendCommit(c *inflightCommit) {
 	for _, p := range c.partitions {
-		p.busy = true
 		key := p.chainKey()
 		c.tx.Preconditions = append(c.tx.Preconditions, cwcellport.Precondition{RowKey: key, Version: p.chainVersion})
 		c.tx.Put = append(c.tx.Put, cwcellport.Row{RowKey: key, Value: []byte(c.token)})
 	}
+	s.transmit(c)
+}
+
+// transmit sends a transaction with its chain rows. The partitions are busy until the result arrives. A full call pool counts as a failed
+// transaction.
+func (s *session) transmit(c *inflightCommit) {
+	for _, p := range c.partitions {
+		p.busy = true
+	}
 	sent := s.runOnPool("commit", func() {
 		version, current, err := s.owner.opts.Store.Commit(c.tx, commitTimeout)
 		s.post(func(now time.Time) { s.handleCommitResult(c, version, current, err, now) })
@@ -297,71 +311,33 @@
 	for _, w := range s.cell.CompleteWrites(c.writes, true, now) {
 		s.recordJobEnd(w)
 	}
-	// Earlier transactions on these partitions have the old chain rows as preconditions, so the store can no longer apply them.
-	s.commits.indefinite = slices.DeleteFunc(s.commits.indefinite, func(d *inflightCommit) bool {
-		return slices.ContainsFunc(d.partitions, func(p *partition) bool { return slices.Contains(c.partitions, p) })
-	})
-}
-
-// resolveConflict handles a transaction that failed because a chain row had changed; its writes become pending again. If the
-// row holds the token of an earlier transaction with unknown outcome, that one was applied: its writes are marked as durable.
-// Otherwise a later owner has written the row: the partitions get the longest backoff, and OnSuperseded is called.
-func (s *session) resolveConflict(c *inflightCommit, current []cwcellport.Row, now time.Time) {
-	s.releasePartitions(c)
-	s.cell.CompleteWrites(c.writes, false, now) // false: not applied, so the writes become pending again
-	resolved := false
-	for _, row := range current {
-		p, ok := s.partitions[row.Partition]
-		if row.Partition == "" { // one of the cell's own rows, which are in no partition of jobs
-			p, ok = &s.commits.cellPartition, true
-		}
-		if !ok || row.Key != p.chainRowName || row.Version == p.chainVersion {
-			continue
-		}
-		i := slices.IndexFunc(s.commits.indefinite, func(d *inflightCommit) bool { return d.token == string(row.Value) })
-		if i < 0 {
-			continue
-		}
-		resolved = true
-		applied := s.commits.indefinite[i]
-		s.commits.indefinite = slices.Delete(s.commits.indefinite, i, i+1)
-		for _, q := range applied.partitions {
-			q.chainVersion = row.Version
-		}
-		s.cell.MarkMembersDurable(applied.members)
-		for _, w := range s.cell.CompleteWrites(applied.writes, true, now) {
-			s.recordJobEnd(w)
-		}
-	}
-	if !resolved {
-		s.owner.opts.Log.WithFields(cwlog.Fields{"fence": s.grant.Fence, "mark": c.token}).Warn("commit-fenced-off")
-		for _, p := range c.partitions {
-			p.nextAt = now.Add(maxCommitBackoff)
-		}
-		s.owner.opts.OnSuperseded()
-	}
+	settle(c.partitions)
 }
 
 // handleCommitFailure handles a transaction that failed or whose outcome is unknown: its writes become pending again. For
 // soloDuration each of its partitions is committed in transactions of its own. A partition that failed on its own also gets a
 // backoff, which doubles with each such failure. With Unavailable and Refused nothing was written; a refused write is isolated from
-// those of other jobs. After other errors the transaction may still be applied, so it is kept for resolveConflict to recognize.
+// those of other jobs. After other errors the transaction may still be applied, so it is unsettled.
 func (s *session) handleCommitFailure(c *inflightCommit, err error, now time.Time) {
 	s.owner.opts.Log.WithFields(cwlog.Fields{
 		"mark": c.token, "jobs": len(c.writes), "parts": len(c.partitions), "error": err.Error(),
 	}).Warn("commit-failed")
 	s.releasePartitions(c)
 	s.cell.CompleteWrites(c.writes, false, now) // false: not known to be applied, so the writes become pending again
-	if cwfault.CodeOf(err) == cwfault.Refused && len(c.writes) > 0 {
-		s.recordRefusal(c, now)
-		return
-	}
-	if code := cwfault.CodeOf(err); code != cwfault.Unavailable && code != cwfault.Refused && len(s.commits.indefinite) < maxIndefiniteCommits {
-		s.commits.indefinite = append(s.commits.indefinite, c)
+	switch cwfault.CodeOf(err) {
+	case cwfault.Refused:
+		c.clearUnsettled() // the same call was refused before
+		if len(c.writes) > 0 {
+			s.recordRefusal(c, now)
+			return
+		}
+	case cwfault.Unavailable:
+	default:
+		c.markUnsettled()
 	}
 	for _, p := range c.partitions {
 		p.soloEnd = now.Add(soloDuration)
-		if len(c.partitions) == 1 {
+		if c.isAlone() {
 			p.nextAt = now.Add(min(minCommitBackoff<<min(p.failures, 3), maxCommitBackoff))
 			p.failures++
 		}
--- a/internal/app/cwcellowner/divide.go
+++ b/internal/app/cwcellowner/divide.go
@@ -69,7 +69,7 @@
 	switch {
 	case !s.jobsLoaded:
 		return "jobs-not-read"
-	case s.commits.multiInFlight > 0 || s.commits.cellPartition.busy || len(s.commits.indefinite) > 0:
+	case s.commits.multiInFlight > 0 || s.commits.cellPartition.busy || s.hasUnsettled():
 		return "writes"
 	}
 	for _, p := range s.partitions {
--- a/internal/app/cwcellowner/partition.go
+++ b/internal/app/cwcellowner/partition.go
@@ -32,14 +32,17 @@
 // partition is the owner's state of one partition of the store.
 type partition struct {
 	name         string
-	chainRowName string           // key of the chain row
-	loaded       bool             // its jobs have been read
-	fenceVersion uint64           // version of the fence row
-	chainVersion uint64           // version of the chain row
-	busy         bool             // a transaction is in flight
-	soloEnd      time.Time        // the partition is committed alone before this time
-	nextAt       time.Time        // earliest start of the next transaction
-	failures     int              // consecutive failed transactions on this partition alone
+	chainRowName string    // key of the chain row
+	loaded       bool      // its jobs have been read
+	fenceVersion uint64    // version of the fence row
+	chainVersion uint64    // version of the chain row
+	busy         bool      // a transaction is in flight
+	soloEnd      time.Time // the partition is committed alone before this time
+	nextAt       time.Time // earliest start of the next transaction
+	failures     int       // consecutive failed transactions on this partition alone
+	// unsettled are the transactions on the partition whose outcome is unknown. All expect the present chainVersion, so at most one of them
+	// can be applied.
+	unsettled    []*inflightCommit
 	deferredRows []cwcellport.Row // watched rows that arrived before the partition was loaded
 	deferredJobs []deferredJob    // jobs whose notifications arrived before that
 }
--- a/internal/core/cwcell/write.go
+++ b/internal/core/cwcell/write.go
@@ -74,6 +74,9 @@
 			}
 		default:
 			j.durableVersion = max(j.durableVersion, w.version)
+			if j.dirty && j.durableVersion >= j.version {
+				c.markClean(j)
+			}
 			if w.State != "" && !j.retired {
 				c.retire(j, now)
 				ended = append(ended, w)
@@ -91,6 +94,12 @@
 	return ended
 }
 
+// markClean removes a job from those that NextWrites returns: a write that had counted as failed was applied after all.
+func (c *Cell) markClean(j *job) {
+	j.dirty = false
+	c.dirtyJobs = slices.DeleteFunc(c.dirtyJobs, func(other *job) bool { return other == j })
+}
+
 // retire records the durable final state of a job, stops its runs, and removes the job if it has none left.
 func (c *Cell) retire(j *job, now time.Time) {
 	c.finalStates[j.ID] = finalState{state: j.outcome, durableAt: now}
