Let the stand-in and the soak restart runners that carry out calls to their earlier process

Cause: the fault of the restarts could hide because a late call of the stand-in was lost with the process that had received it, and the soak's runners came back as new processes which no late call could reach. The runners of a rack restart in place, with their clocks anew and no fence, when that is ordered; the soak does so while orders are late, and in two of three cases cuts the rack off for 2 to 9 s at once after.

--- a/internal/proof/cwsoak/cluster.go
+++ b/internal/proof/cwsoak/cluster.go
@@ -95,6 +95,7 @@
 	proxies       []*cwprocess.Proxy // between the nodes and each runner
 	controlAddr   netip.AddrPort
 	clockSlowdown float64
+	restarts      int        // ordered restarts of the runners in the present process
 	mu            sync.Mutex // held by the fault that stops or starts the process
 }
 
@@ -274,7 +275,7 @@
 		}
 		rk.proxies[n].SetTarget(addr)
 	}
-	rk.Process, rk.incarnations = p, append(rk.incarnations, p)
+	rk.Process, rk.restarts, rk.incarnations = p, 0, append(rk.incarnations, p)
 	return nil
 }
 
--- a/internal/proof/cwsoak/fault.go
+++ b/internal/proof/cwsoak/fault.go
@@ -66,6 +66,7 @@
 		{name: "rack-slow", inject: i.rackNetworkFault(delayBothWays)},
 		{name: "rack-silent", inject: i.rackConnectionFault((*cwprocess.Proxy).BlackholeConnections)},
 		{name: "rack-reset", inject: i.rackConnectionFault((*cwprocess.Proxy).ResetConnections)},
+		{name: "restart-rack", inject: i.restartRack}, {name: "restart-rack", inject: i.restartRack},
 		{name: "late-orders", inject: i.rackFault(cwstandin.RunnerFaults{LateRate: 0.3})},
 		{name: "failing-rack", inject: i.rackFault(cwstandin.RunnerFaults{FailTasks: true})},
 		{name: "hanging-rack", inject: i.rackFault(cwstandin.RunnerFaults{HangTasks: true})},
@@ -351,6 +352,39 @@
 	}
 }
 
+// restartRack makes all runners of a random rack restart under their identifiers while some of their orders are carried out late, and often cuts the
+// rack off soon afterwards. It does nothing if another fault is stopping or starting the rack's process.
+func (i *injector) restartRack(ctx context.Context, r *rand.Rand) error {
+	rk := i.anyRack(r)
+	if !rk.mu.TryLock() {
+		return nil
+	}
+	defer rk.mu.Unlock()
+	rk.restarts++
+	for _, faults := range []cwstandin.RunnerFaults{{LateRate: 0.3}, {LateRate: 0.3, Restarts: rk.restarts}, {Restarts: rk.restarts}} {
+		body, err := json.Marshal(faults)
+		if err != nil {
+			return err
+		}
+		if err = i.cluster.sendCommand(rk.controlAddr, "/", body); err != nil {
+			return err
+		}
+		i.sleep(ctx, randomDuration(r, 200*time.Millisecond, 1200*time.Millisecond))
+	}
+	if r.IntN(3) == 0 {
+		return nil
+	}
+	for _, faults := range []cwprocess.NetFaults{{StallTo: true, StallFrom: true}, {}} {
+		for _, p := range rk.proxies {
+			p.SetFaults(faults)
+		}
+		if faults.StallTo {
+			i.sleep(ctx, randomDuration(r, 2*time.Second, 9*time.Second))
+		}
+	}
+	return nil
+}
+
 // rackFault returns a function that injects faults into all runners of a random rack for a random time. Afterwards it keeps the rack
 // free of other faults of this kind for a random time. It does nothing if another fault is stopping or starting the rack's process.
 func (i *injector) rackFault(faults cwstandin.RunnerFaults) func(context.Context, *rand.Rand) error {
