--- a/internal/app/cwcellowner/sweep_test.go
+++ b/internal/app/cwcellowner/sweep_test.go
@@ -39,3 +39,18 @@
 	is.Equal(removed, 120)
 	is.Equal(store.Keys(TableEnded), []string{"young"})
 }
+
+// TestSweepRemovesCancellationsOfEndedJobs guards against a table that grows for good: a cancellation that is written while the end of its job is
+// under way is not removed with the job.
+func TestSweepRemovesCancellationsOfEndedJobs(t *testing.T) {
+	is := is.New(t)
+	s := newTestSession(t, 1)
+	name := s.partitionNames[0]
+	for _, key := range []string{"active", "active" + CancelSuffix, "ended" + CancelSuffix, "waiting"} {
+		s.memory.Put(cwcellport.Row{RowKey: cwcellport.RowKey{Table: TableJobs, Partition: name, Key: key}, Value: []byte("{}")})
+	}
+	removed, err := s.sweepCancellations(name)
+	is.NoErr(err)
+	is.Equal(removed, 1)
+	is.Equal(s.memory.Keys(TableJobs), []string{"active", "active" + CancelSuffix, "waiting"})
+}
