--- /dev/null
+++ b/internal/core/cwcell/lease.go
@@ -0,0 +1,170 @@
+package cwcell
+
+import (
+	"time"
+
+	"currantward/internal/core/cwmodel"
+)
+
+// leaseGrace is the time that a worker may take to end a task after its lease has expired.
+const leaseGrace = 100 * time.Millisecond
+
+// maxCallDelay is the longest delay with which a worker carries out a call that has got no response.
+const maxCallDelay = 12 * time.Second
+
+// expireLeases releases the runs of an unreachable worker once its leases have expired: those that this owner granted, and
+// those of earlier owners. A run that a later incarnation may have started, or whose lease a call that was meant for an earlier
+// incarnation may extend, lasts for up to maxCallDelay and MaxTaskLease after the last such call, since the deadlines were
+// readings of the clock of the earlier one. A lease that a later owner may have extended counts as valid.
+func (c *Cell) expireLeases(w *worker, now time.Time) {
+	now = c.exclusiveUntil(now)
+	if !w.unreachable || len(w.runs) == 0 || !c.leasesExpired(w, now) || !c.priorRunsEnded(w, now) {
+		return
+	}
+	isFirst := true
+	lose := func(r *run, reason lossReason) {
+		if isFirst {
+			c.log(LogEntry{Event: "worker-leases-over", Worker: w.ID, Incarnation: w.Incarnation})
+		}
+		isFirst = false
+		c.loseRun(r, reason, now)
+	}
+	for _, r := range w.sortedRuns() {
+		switch {
+		case r.orderInFlight(): // its result decides
+		case r.adopted && now.Before(c.opts.PriorLeaseExpiry): // under a lease of the owner that started it
+		case r.endsWithLeases():
+			lose(r, lostLeaseExpired)
+		case c.lateCallsOver(r, now):
+			lose(r, lostLateCallsOver)
+		}
+	}
+}
+
+// endsWithLeases reports whether the run has certainly ended when the known leases on its worker have expired: no call that is carried out
+// late can start it, or extend its lease, in a later incarnation than the one that has started it.
+func (r *run) endsWithLeases() bool {
+	switch {
+	case r.state == runPlanned:
+		return true
+	case r.incarnation.IsZero() || r.triedTwice:
+		return false
+	case r.incarnation.Equal(r.worker.Incarnation):
+		return !r.worker.unsettled
+	}
+	return true // its incarnation has ended
+}
+
+// lateCallsOver reports whether every call that may start the run, or extend its lease, has been carried out, and the longest lease from
+// then on has expired.
+func (c *Cell) lateCallsOver(r *run, now time.Time) bool {
+	w := r.worker
+	if w.pollFailedAt.IsZero() {
+		return false
+	}
+	last := w.pollFailedAt
+	if r.startResolvedAt.After(last) {
+		last = r.startResolvedAt
+	}
+	return !now.Before(last.Add(maxCallDelay + c.opts.MaxTaskLease + leaseGrace))
+}
+
+// leasesExpired reports whether all leases that this owner granted on a worker have expired, and the tasks under them have ended.
+func (c *Cell) leasesExpired(w *worker, now time.Time) bool {
+	return !now.Before(c.opts.LeaseExpiry(w.ID).Add(leaseGrace))
+}
+
+// MayRenewLease reports whether the leases on a worker may be renewed. Leases on an unreachable worker must expire: an
+// unanswered call may have been carried out, so each renewal would delay the time at which its tasks have certainly
+// ended.
+func (c *Cell) MayRenewLease(id cwmodel.HostID) bool {
+	w, ok := c.workers[id]
+	return ok && !w.unreachable
+}
+
+// exclusiveUntil returns the latest time, at most now, until which no later owner can have acted. A conclusion that a run has ended
+// because its lease was not extended holds up to that time only.
+func (c *Cell) exclusiveUntil(now time.Time) time.Time {
+	if until := c.opts.OwnedUntil(); until.Before(now) {
+		return until
+	}
+	return now
+}
+
+// runsReconciled reports whether this owner knows every run of a job that an earlier owner started, and how it ended: all workers have
+// answered, or the runs of earlier owners on the others have ended, and every listed end has been read. Until then a start could run a
+// task twice. Jobs that are not adopted have no such runs.
+func (c *Cell) runsReconciled(j *job, now time.Time) bool {
+	if !j.adopted {
+		return true
+	}
+	exclusive := c.exclusiveUntil(now)
+	switch {
+	case c.awaitsUnreadEnds(now):
+		return false
+	case exclusive.Before(c.opts.PriorLeaseExpiry):
+		return c.awaitingReport == 0 && len(c.workers) > 0
+	case c.awaitingReport == 0:
+		return true
+	}
+	for _, w := range c.workers {
+		if !c.priorRunsEnded(w, exclusive) {
+			return false
+		}
+	}
+	return true
+}
+
+// youngIncarnation is the age up to which an incarnation may have taken calls that an earlier owner meant for the one before: the longest delay
+// of a call, a lease, the time until a later owner has waited for both, and the largest difference between two times of day.
+const youngIncarnation = 45 * time.Second
+
+// isYoungMember reports whether a stored member has restarted a short time before this owner took over, or later. Its start time is
+// compared with the time of day.
+func (c *Cell) isYoungMember(w *worker) bool {
+	return w.inStoredMembers && !w.listedIncarnation.IsZero() && !w.listedIncarnation.Equal(w.storedIncarnation) &&
+		c.opts.TakeoverTime.Sub(w.listedIncarnation) < youngIncarnation
+}
+
+// priorRunsEnded reports whether the runs that earlier owners may have left on a worker are known or have ended, given the latest time up to
+// which this host was the only owner. A young incarnation may carry out their calls late.
+func (c *Cell) priorRunsEnded(w *worker, exclusive time.Time) bool {
+	expiry := c.opts.PriorLeaseExpiry
+	if c.isYoungMember(w) {
+		expiry = c.lateCallsExpiry()
+	}
+	return w.hasReported || !exclusive.Before(expiry)
+}
+
+// lateCallsExpiry returns the time at which every call of an earlier owner has been carried out, and the longest lease from then on has expired.
+func (c *Cell) lateCallsExpiry() time.Time {
+	return c.opts.PriorLeaseExpiry.Add(maxCallDelay + c.opts.MaxTaskLease)
+}
+
+// awaitsUnreadEnds reports whether some worker lists ends that this owner has not read. They no longer count once the worker is
+// unreachable and its leases have expired.
+func (c *Cell) awaitsUnreadEnds(now time.Time) bool {
+	if c.workersWithUnreadEnds == 0 {
+		return false
+	}
+	for _, w := range c.workers {
+		if w.endsUnread && (!w.unreachable || !c.leasesExpired(w, c.exclusiveUntil(now))) {
+			return true
+		}
+	}
+	return false
+}
+
+// setEndsUnread sets whether a worker lists ends that this owner has not read, and updates their count.
+func (c *Cell) setEndsUnread(w *worker, unread bool) {
+	switch {
+	case unread && !w.endsUnread:
+		c.workersWithUnreadEnds++
+		c.log(LogEntry{Event: "ends-unread", Worker: w.ID})
+	case !unread && w.endsUnread:
+		c.workersWithUnreadEnds--
+		c.nextFullPass = time.Time{} // adopted jobs may have waited for the ends
+		c.log(LogEntry{Event: "ends-read", Worker: w.ID})
+	}
+	w.endsUnread = unread
+}
