Plan a suspect only on a worker that its group's advice allows

What callers would see: the owner's process ends by a panic, and a takeover follows. Cause: a worker is kept for a group's suspects before the group has advice, at the first pass after a takeover; the advice that arrives before the next choice names other workers, and the suspect was planned on the kept one, which has no ticket to renew. Change: placeSuspects asks for the worker's eligibility. Test: TestSuspectNeedsAdviceOnItsWorker ended with the same panic before and passes.

--- a/internal/core/cwcell/isolate.go
+++ b/internal/core/cwcell/isolate.go
@@ -147,7 +147,8 @@
 		return
 	}
 	for _, w := range c.sortedWorkers() {
-		if w.cordonedFor != g || !w.usable(now) || !c.isCompatible(w, g, policy) {
+		// A worker may have been kept for the group before the group needed advice.
+		if w.cordonedFor != g || !w.usable(now) || !c.isCompatible(w, g, policy) || (g.advice != nil && !g.advice.isEligible(w)) {
 			continue
 		}
 		for index := range g.tasks {
--- a/internal/core/cwcell/loss_test.go
+++ b/internal/core/cwcell/loss_test.go
@@ -269,3 +269,26 @@
 	is.True(!tasks[0].losses[0].Early)
 	is.True(tasks[1].losses[0].Early)
 }
+
+// TestSuspectNeedsAdviceOnItsWorker guards against an owner that ends by a panic: the worker that is kept for a suspect was chosen before its group
+// had advice, and the advice that arrives before the next choice names another one.
+func TestSuspectNeedsAdviceOnItsWorker(t *testing.T) {
+	is := is.New(t)
+	f := newFixture([]cwmodel.HostID{"a", "b"}, advisedPolicy)
+	s := &cwwork.Submission{ID: "job", Queue: "q", Steps: []cwwork.Step{step(1, 1000, false)}, AcceptedAt: f.now, Policy: advisedPolicy}
+	lost := []cwwork.LostRun{{TaskRun: cwwork.TaskRun{Run: 1}, Worker: "gone", Incarnation: f.now, Early: true, Started: true}}
+	f.Admit(s, &cwwork.Progress{Steps: []cwwork.StepProgress{{Lost: lost}}}, true, f.now, f.now)
+	requests := f.decide().AdviceRequests
+	is.Equal(len(requests), 1)
+	kept, other := cwmodel.HostID("a"), cwmodel.HostID("b")
+	if f.workers["b"].cordonedFor != nil {
+		kept, other = other, kept
+	}
+	is.True(f.workers[kept].cordonedFor != nil)
+	f.HandleAdvice(requests[0].ID, []EligibleWorker{{ID: other, Ticket: "t"}}, true, f.now.Add(time.Minute), f.now)
+	f.decideAfter(time.Millisecond)
+	is.Equal(len(f.workers[kept].runs), 0)
+	starts := f.decideDurably()
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Worker, other)
+}
