--- a/test/cwsoak/soak_test.go
+++ b/test/cwsoak/soak_test.go
@@ -29,6 +29,8 @@
 		{"configurations while hosts leave", 2007, 6 * time.Second},
 		// Found a violation: the stand-in of a runner applied an acknowledgement of its previous incarnation to later run ends.
 		{"racks that die twice while the store is away", 2013, 6 * time.Second},
+		// Found a violation, with a larger fleet: the owner ended by a panic, as it planned a suspect on a worker without advice.
+		{"a rack that dies and is cut off while the store is away", 3065963097, 6 * time.Second},
 	}
 	is := is.New(t)
 	folder := t.TempDir()
