--- a/internal/app/cwcellowner/session.go
+++ b/internal/app/cwcellowner/session.go
@@ -8,6 +8,7 @@
 	"currantward/internal/base/cwduty"
 	"currantward/internal/base/cwlog"
 	"currantward/internal/core/cwcell"
+	"currantward/internal/core/cwclock"
 	"currantward/internal/core/cwlayout"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwwork"
@@ -70,7 +71,7 @@
 		PriorLeaseExpiry: g.PriorLeaseExpiry,
 		TakeoverTime:     wallClock(),
 		StatusRetention:  o.opts.StatusRetention,
-		MaxTaskLease:     time.Duration(float64(o.opts.MaxTaskLease) / (1 - cwlease.ClockDrift)),
+		MaxTaskLease:     time.Duration(float64(o.opts.MaxTaskLease) / (1 - cwclock.Drift)),
 		StopTimeout:      o.opts.StopTimeout,
 		Policy:           o.opts.Policy,
 		LeaseExpiry:      o.opts.Workers.LeaseExpiry,
--- a/internal/app/cwlease/hold.go
+++ b/internal/app/cwlease/hold.go
@@ -6,6 +6,7 @@
 	"currantward/internal/adapter/cwcellcodec"
 	"currantward/internal/base/cwfault"
 	"currantward/internal/base/cwlog"
+	"currantward/internal/core/cwclock"
 	"currantward/internal/core/cwlayout"
 	"currantward/internal/port/cwcellport"
 )
@@ -63,7 +64,7 @@
 	if end := seenAt.Add(TTL); !previous.Released && !ownRestart && end.After(ownerStopsAt) {
 		ownerStopsAt = end
 	}
-	expiry := ownerStopsAt.Add(time.Duration(float64(max(e.opts.TaskLease, e.opts.StartWindow)) * (1 + 2*ClockDrift)))
+	expiry := ownerStopsAt.Add(time.Duration(float64(max(e.opts.TaskLease, e.opts.StartWindow)) * (1 + 2*cwclock.Drift)))
 	if earlier := previous.PriorLeasesAfter(seenAt); earlier.After(expiry) {
 		return earlier
 	}
--- a/internal/app/cwlease/lease.go
+++ b/internal/app/cwlease/lease.go
@@ -95,8 +95,6 @@
 	cellDelay = 1200 * time.Millisecond
 	// maxVacantJitter is longer than the period of heartbeats, whose responses notify hosts of new cells.
 	maxVacantJitter = time.Second
-	// ClockDrift is the largest fraction by which a worker's clock runs slow, as the users' protocol states.
-	ClockDrift = 0.02
 )
 
 // Table and keys of the cells' rows.
--- a/internal/app/cwlease/lease_test.go
+++ b/internal/app/cwlease/lease_test.go
@@ -13,6 +13,7 @@
 	"currantward/internal/base/cwlog"
 	"currantward/internal/base/cwring"
 	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwclock"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/port/cwcellport"
 )
@@ -144,7 +145,7 @@
 
 // TestPriorLeaseExpiry checks when runs that a previous owner may have left on unreachable workers count as ended.
 func TestPriorLeaseExpiry(t *testing.T) {
-	longest := time.Duration(float64(3*time.Second) * (1 + 2*ClockDrift)) // longest lease on a worker
+	longest := time.Duration(float64(3*time.Second) * (1 + 2*cwclock.Drift)) // longest lease on a worker
 	cases := []struct {
 		name      string
 		previous  cwcellcodec.Lease
--- /dev/null
+++ b/internal/core/cwclock/clock.go
@@ -0,0 +1,167 @@
+// Package cwclock estimates the monotonic clock of a worker from the readings in its responses, issues the fencing tokens of the calls to it,
+// and bounds the leases that it may have granted.
+package cwclock
+
+import "time"
+
+// Drift is the largest fraction by which a worker's clock runs slow, as the users' protocol states.
+const Drift = 0.02
+
+// Clock is what a host knows of the clock of one worker, and until when leases granted on the worker may run. A worker reads its clock
+// between the sending of the request and the receipt of the response. The clock may be slow by the fraction Drift.
+//
+// A worker may restart under its identifier, with a clock that starts anew. It then takes calls that were meant for its earlier process, also
+// seconds later, and their deadlines are far ahead of its clock, so that only its longest lease limits them. The fencing token of
+// a worker is therefore raised after each restart: once the worker has seen it, it does nothing for the calls from before.
+type Clock struct {
+	maxLease    time.Duration // longest lease that the worker grants, on its clock
+	fence       uint64        // of the owner to whose calls the fields below belong
+	restarts    uint64        // of the worker under that owner
+	isSettled   bool          // the present process has answered a call with the present fencing token
+	incarnation time.Time     // start of the worker's process that the clock belongs to; zero: no response has named it
+	reading     time.Duration // latest reading of the clock; it shows the time since the start of that process
+	sentAt      time.Time     // when the request of the reading was sent
+	receivedAt  time.Time     // on the clock of this host; zero: there is no reading
+	leaseExpiry time.Time     // when every lease granted so far has expired; zero: none was granted
+}
+
+// New returns a clock without a reading, of a worker that grants leases of maxLease at most.
+func New(maxLease time.Duration) *Clock { return &Clock{maxLease: maxLease} }
+
+// Fencing tokens of calls to a worker: the owner's fence, and the worker's restarts in the lower bits.
+const (
+	restartBits = 16
+	maxRestarts = 1<<restartBits - 1
+)
+
+// FirstToken returns the fencing token of an owner's calls to a worker that has not restarted under it.
+func FirstToken(fence uint64) uint64 { return fence << restartBits }
+
+// FenceOf returns the fence of the owner that a fencing token belongs to.
+func FenceOf(token uint64) uint64 { return token >> restartBits }
+
+// token returns the fencing token of the next call to the worker.
+func (c *Clock) token() uint64 { return FirstToken(c.fence) | c.restarts }
+
+// Reading is a reading of a worker's clock in a response.
+type Reading struct {
+	Token       uint64    // fencing token of the request
+	Incarnation time.Time // start of the worker's process; zero: the response does not name it
+	Clock       time.Duration
+	SentAt      time.Time // when the request was sent, on the clock of this host
+	ReceivedAt  time.Time
+}
+
+// OpenCall returns the fencing token of a call to the worker under an owner's fence. Under a later fence than that of the last call it drops the
+// reading of the clock: the worker may have restarted since, and must not take a deadline for the clock of its earlier process. ok is
+// false if a later owner on this host has called the worker.
+func (c *Clock) OpenCall(fence uint64) (token uint64, ok bool) {
+	if fence > c.fence {
+		*c = Clock{maxLease: c.maxLease, fence: fence, leaseExpiry: c.leaseExpiry}
+	}
+	return c.token(), fence == c.fence
+}
+
+// Record stores a reading of the clock that a response carried. Of two readings of one process it keeps the one that
+// implies the later time, since a slow response understates the time.
+//
+// A response of another incarnation shows that the worker has restarted. If it names the incarnation, its reading replaces the stored one,
+// unless the stored one was received after the request was sent and may thus be the newer. If it does not, the stored reading is
+// dropped.
+func (c *Clock) Record(n Reading) {
+	if FenceOf(n.Token) != c.fence {
+		return // of a call under an earlier fence
+	}
+	isOther := !n.Incarnation.IsZero() && !c.incarnation.IsZero() && !n.Incarnation.Equal(c.incarnation)
+	switch {
+	case isOther && n.SentAt.Before(c.receivedAt):
+		return
+	case isOther:
+		c.recordRestart()
+		c.reading, c.sentAt, c.receivedAt = n.Clock, n.SentAt, n.ReceivedAt
+	case n.Incarnation.IsZero() && c.isOfAnotherProcess(n):
+		c.recordRestart()
+		c.reading, c.receivedAt, c.incarnation = 0, time.Time{}, time.Time{}
+		c.allowLongestLease(n.ReceivedAt)
+		return
+	case c.receivedAt.IsZero() || n.Clock >= c.earliestReading(n.ReceivedAt):
+		c.reading, c.sentAt, c.receivedAt = n.Clock, n.SentAt, n.ReceivedAt
+	}
+	if !n.Incarnation.IsZero() {
+		c.incarnation = n.Incarnation
+	}
+	if !c.isSettled {
+		c.isSettled = n.Token == c.token() && c.restarts < maxRestarts
+		// Calls that were meant for an earlier process may have been carried out until now.
+		if c.restarts > 0 || n.Clock < youngProcess {
+			c.allowLongestLease(n.ReceivedAt)
+		}
+	}
+}
+
+// youngProcess is the age up to which a process may have been called by an owner that knew only the one before: the longest delay of a call, and
+// a lease.
+const youngProcess = 20 * time.Second
+
+// recordRestart raises the fencing token of the worker. After maxRestarts it stays, and the worker is never settled again under this
+// owner.
+func (c *Clock) recordRestart() {
+	c.isSettled = false
+	c.restarts = min(c.restarts+1, maxRestarts)
+}
+
+// isOfAnotherProcess reports whether a reading is below all that the clock of the stored reading can have shown since its request
+// was sent. Readings are truncated to milliseconds.
+func (c *Clock) isOfAnotherProcess(n Reading) bool {
+	return !c.receivedAt.IsZero() && !n.SentAt.Before(c.receivedAt) && n.Clock+time.Millisecond < c.earliestReading(n.SentAt)
+}
+
+// allowLongestLease records that the worker may have taken deadlines for the clock of its earlier process until now, which are limited by its
+// longest lease alone.
+func (c *Clock) allowLongestLease(now time.Time) {
+	if expiry := now.Add(time.Duration(float64(c.maxLease) / (1 - Drift))); expiry.After(c.leaseExpiry) {
+		c.leaseExpiry = expiry
+	}
+}
+
+// earliestReading returns the lowest reading that the worker's clock can show at now, a time of this host's clock: that of a clock
+// that has been slow by Drift since the latest reading.
+func (c *Clock) earliestReading(now time.Time) time.Duration {
+	return c.reading + time.Duration((1-Drift)*float64(now.Sub(c.receivedAt)))
+}
+
+// GrantDeadline returns the deadline of a lease of at most d from now, as a reading of the worker's clock. It also records until when
+// the lease may run by this host's clock, which LeaseExpiry reports. ok is false, and nothing is recorded, if there is no reading of
+// the worker's clock yet.
+func (c *Clock) GrantDeadline(now time.Time, d time.Duration) (deadline time.Duration, ok bool) {
+	if c.receivedAt.IsZero() {
+		return 0, false
+	}
+	if expiry := now.Add(time.Duration(float64(d) / (1 - Drift))); expiry.After(c.leaseExpiry) {
+		c.leaseExpiry = expiry
+	}
+	return c.earliestReading(now) + d, true
+}
+
+// IsSettled reports whether calls that were meant for an earlier process of the worker have no effect any more, as it has answered a call
+// with the given fencing token.
+func (c *Clock) IsSettled(token uint64) bool { return c.isSettled && c.token() == token }
+
+// IsOutdated reports whether the worker's fencing token has been raised since a call with the given one was sent.
+func (c *Clock) IsOutdated(token uint64) bool { return token < c.token() }
+
+// ProvenIncarnation returns the incarnation of the process that has answered a call with the given reading of its clock, or the zero time if a later
+// process may have. A process that began after the last known response of this one shows less time than has passed since.
+func (c *Clock) ProvenIncarnation(n Reading) time.Time {
+	if c.receivedAt.IsZero() || c.incarnation.IsZero() || n.Clock <= n.ReceivedAt.Sub(c.sentAt)+time.Millisecond {
+		return time.Time{}
+	}
+	return c.incarnation
+}
+
+// LeaseExpiry returns the time at which every lease granted on the worker has expired, or the zero time if none was granted.
+func (c *Clock) LeaseExpiry() time.Time { return c.leaseExpiry }
+
+// Drop drops the reading of the clock after a restart of the worker. It keeps the expiry of the leases that were granted
+// to the earlier process.
+func (c *Clock) Drop() { c.receivedAt, c.reading = time.Time{}, 0 }
--- /dev/null
+++ b/internal/core/cwclock/clock_test.go
@@ -0,0 +1,201 @@
+package cwclock
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// newTestClock returns the clock of a worker, whose process began at the given time and is an hour old, under the fence 3.
+func newTestClock(incarnation time.Time) *Clock {
+	c := New(6 * time.Second)
+	token, _ := c.OpenCall(3)
+	c.Record(Reading{token, incarnation, time.Hour, incarnation, incarnation})
+	return c
+}
+
+// TestCallsToAnEarlierProcessAreRefused guards against a task that runs twice because a restarted worker carries out a call that was meant for its
+// earlier process, with a deadline for that one's clock: after each restart the fencing token rises, and the worker is settled once it
+// has answered a call with the new one.
+func TestCallsToAnEarlierProcessAreRefused(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	next := at(500 * time.Millisecond)
+	type answer struct {
+		raised      int // of the token of the call, from the first one
+		incarnation time.Time
+		clock       time.Duration
+		at          time.Duration
+	}
+	cases := []struct {
+		name    string
+		answers []answer
+		raised  int  // of the next token
+		settled bool // with that
+	}{
+		{"same process", []answer{{0, start, time.Hour + time.Second, time.Second}}, 0, true},
+		{"another process", []answer{{0, next, 500 * time.Millisecond, time.Second}}, 1, false},
+		{"another process, by its clock", []answer{{0, time.Time{}, 500 * time.Millisecond, time.Second}}, 1, false},
+		{"another process, then an answer to a call from before", []answer{{0, next, 500 * time.Millisecond, time.Second}, {0, next, 600 * time.Millisecond, 1100 * time.Millisecond}}, 1, false},
+		{"another process, then an answer to a call with the new token", []answer{{0, next, 500 * time.Millisecond, time.Second}, {1, next, 600 * time.Millisecond, 1100 * time.Millisecond}}, 1, true},
+		{"another process by its clock, then with the new token", []answer{{0, time.Time{}, 500 * time.Millisecond, time.Second}, {1, next, 600 * time.Millisecond, 1100 * time.Millisecond}}, 1, true},
+		{"two restarts", []answer{{0, next, 500 * time.Millisecond, time.Second}, {1, at(2 * time.Second), 0, 2 * time.Second}}, 2, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newTestClock(start)
+			first, _ := c.OpenCall(3)
+			for _, a := range tc.answers {
+				c.Record(Reading{first + uint64(a.raised), a.incarnation, a.clock, at(a.at), at(a.at)})
+			}
+			token, ok := c.OpenCall(3)
+			is.True(ok)
+			is.Equal(token, first+uint64(tc.raised))
+			is.Equal(c.IsSettled(token), tc.settled)
+			is.Equal(c.IsOutdated(first), tc.raised > 0)
+			if tc.raised > 0 { // a call to the earlier process may have been carried out until the last answer
+				last := tc.answers[len(tc.answers)-1]
+				is.True(!c.LeaseExpiry().Before(at(last.at).Add(c.maxLease)))
+			}
+			later, _ := c.OpenCall(4)
+			is.True(later > token) // the fence of a later owner exceeds every token of this one
+		})
+	}
+}
+
+// TestTooManyRestarts guards against fencing tokens that reach those of a later owner, and against a worker that is used although its token can't be
+// raised any more.
+func TestTooManyRestarts(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	c := newTestClock(start)
+	c.restarts = maxRestarts - 1
+	now := start
+	for range 3 {
+		for range 2 { // the second answer has the token that was raised by the first one
+			token, _ := c.OpenCall(3)
+			c.Record(Reading{token, now.Add(time.Second), 0, now.Add(time.Second), now.Add(time.Second)})
+		}
+		now = now.Add(time.Second)
+	}
+	token, _ := c.OpenCall(3)
+	is.True(!c.IsSettled(token))
+	later, _ := c.OpenCall(4)
+	is.True(later > token)
+}
+
+// TestReadingsEndWithTheirOwner guards against a deadline for the clock of a process that this host has called as an earlier owner: the worker may
+// have restarted while another host was the owner.
+func TestReadingsEndWithTheirOwner(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	c := newTestClock(start)
+	earlier, _ := c.OpenCall(3)
+	_, ok := c.GrantDeadline(start, time.Second)
+	is.True(ok)
+	expiry := c.LeaseExpiry()
+	token, ok := c.OpenCall(5)
+	is.True(ok)
+	_, ok = c.GrantDeadline(start, time.Second)
+	is.True(!ok)
+	is.Equal(c.LeaseExpiry(), expiry)
+	c.Record(Reading{earlier, start, time.Hour, start, start}) // of a call that was under way
+	_, ok = c.GrantDeadline(start, time.Second)
+	is.True(!ok)
+	c.Record(Reading{token, start, time.Hour, start, start})
+	is.True(c.IsSettled(token)) // calls under the earlier fence are refused
+	_, ok = c.OpenCall(3)
+	is.True(!ok)
+}
+
+// TestProvenIncarnation guards against a run that is taken for one of the known process although a later one, whose clock is younger, has accepted
+// it.
+func TestProvenIncarnation(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	cases := []struct {
+		name    string
+		age     time.Duration // of the known process in its last response
+		clock   time.Duration // in the response a second later
+		certain bool
+	}{
+		{"clock goes on", time.Hour, time.Hour + time.Second, true},
+		{"clock goes on, slowly", time.Hour, time.Hour + 980*time.Millisecond, true},
+		{"clock of a later process", time.Hour, 900 * time.Millisecond, false},
+		{"process as old as the time between the responses", 0, time.Second, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := New(6 * time.Second)
+			token, _ := c.OpenCall(3)
+			c.Record(Reading{token, start, tc.age, start, start})
+			got := c.ProvenIncarnation(Reading{token, time.Time{}, tc.clock, at(time.Second), at(time.Second)})
+			is.Equal(got.Equal(start), tc.certain)
+		})
+	}
+}
+
+// TestClockBounds guards against a lease that outlives its recorded expiry: the deadline on the worker's clock must not be past the
+// requested time, and the expiry must allow for a slow clock.
+func TestClockBounds(t *testing.T) {
+	is := is.New(t)
+	c := New(6 * time.Second)
+	start := time.Unix(1000, 0)
+	record := func(incarnation time.Time, clock time.Duration, receivedAt time.Time) {
+		c.Record(Reading{Incarnation: incarnation, Clock: clock, SentAt: receivedAt, ReceivedAt: receivedAt})
+	}
+	_, ok := c.GrantDeadline(start, time.Second)
+	is.True(!ok)
+	record(start, 10*time.Second, start)
+	deadline, ok := c.GrantDeadline(start.Add(100*time.Second), time.Second)
+	is.True(ok)
+	is.Equal(deadline, 10*time.Second+98*time.Second+time.Second)
+	is.True(!c.LeaseExpiry().Before(start.Add(100*time.Second + 1020*time.Millisecond)))
+	expiry := c.LeaseExpiry()
+	_, _ = c.GrantDeadline(start, time.Second) // an earlier deadline does not shorten the expiry
+	is.Equal(c.LeaseExpiry(), expiry)
+	record(start, 0, start.Add(time.Second)) // a reading that implies an earlier time is ignored
+	is.Equal(c.reading, 10*time.Second)
+	record(start.Add(2*time.Second), 0, start.Add(2*time.Second)) // another incarnation
+	is.Equal(c.reading, time.Duration(0))
+	c.Drop()
+	_, ok = c.GrantDeadline(start, time.Second)
+	is.True(!ok)
+	is.Equal(c.LeaseExpiry(), expiry)
+}
+
+// TestClockOfRestartedWorker guards against leases that outlive their recorded expiry on a worker that has restarted under its ID: it
+// takes a deadline for the clock of its earlier process, whose reading was higher, and limits it only to its longest lease.
+func TestClockOfRestartedWorker(t *testing.T) {
+	const maxLease = 6 * time.Second
+	start := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	cases := []struct {
+		name       string
+		next       Reading
+		wantLonger bool // the recorded expiry allows for the longest lease
+		wantClock  bool // deadlines can be given, as there is a reading of the present clock
+	}{
+		{"same process", Reading{0, at(0), 61 * time.Second, at(time.Second), at(time.Second)}, false, true},
+		{"same process, slow clock", Reading{0, time.Time{}, 60*time.Second + 980*time.Millisecond, at(time.Second), at(time.Second)}, false, true},
+		{"response that names a later process", Reading{0, at(800 * time.Millisecond), 200 * time.Millisecond, at(time.Second), at(time.Second)}, true, true},
+		{"response with the clock of a later process", Reading{0, time.Time{}, 200 * time.Millisecond, at(time.Second), at(time.Second)}, true, false},
+		{"slow response of the same process", Reading{0, time.Time{}, 60 * time.Second, at(0), at(time.Second)}, false, true},
+		{"response to an earlier request", Reading{0, at(-time.Minute), 59 * time.Second, at(-time.Second), at(time.Second)}, false, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := New(maxLease)
+			c.Record(Reading{0, start, time.Minute, start, start})
+			_, _ = c.GrantDeadline(start, time.Second)
+			c.Record(tc.next)
+			is.Equal(!c.LeaseExpiry().Before(tc.next.ReceivedAt.Add(maxLease)), tc.wantLonger)
+			_, ok := c.GrantDeadline(at(time.Second), time.Second)
+			is.Equal(ok, tc.wantClock)
+		})
+	}
+}
