--- a/internal/core/cwcell/lease.go
+++ b/internal/core/cwcell/lease.go
@@ -1,6 +1,7 @@
 package cwcell
 
 import (
+	"fmt"
 	"time"
 
 	"currantward/internal/core/cwmodel"
@@ -24,7 +25,8 @@
 	isFirst := true
 	lose := func(r *run, reason lossReason) {
 		if isFirst {
-			c.log(LogEntry{Event: "worker-leases-over", Worker: w.ID, Incarnation: w.Incarnation})
+			since := now.Sub(c.opts.LeaseExpiry(w.ID))
+			c.log(LogEntry{Event: "worker-leases-over", Worker: w.ID, Incarnation: w.Incarnation, Detail: fmt.Sprintf("for %s", since)})
 		}
 		isFirst = false
 		c.loseRun(r, reason, now)
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -1,6 +1,7 @@
 package cwcell
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -35,7 +36,8 @@
 type Report struct {
 	Worker      cwmodel.HostID
 	Incarnation time.Time
-	RequestedAt time.Time // when the poll was sent
+	RequestedAt time.Time     // when the poll was sent
+	Clock       time.Duration // reading of the worker's clock, which starts anew with each incarnation, at any value
 	Running     []RunStatus
 	Ended       []RunEnd
 	Truncated   bool // the worker may list more ends than the report contains
@@ -83,6 +85,7 @@
 	}
 	if !w.hasReported {
 		c.nextFullPass = time.Time{} // adopted jobs wait until every worker has been polled
+		c.logContact(w, rep, now)
 	}
 	if w.unreachable {
 		c.log(LogEntry{Event: "worker-answers", Worker: w.ID})
@@ -119,6 +122,14 @@
 	}
 }
 
+// logContact logs the first report of an incarnation, with the reading of its clock and the time until which earlier calls may let runs live on.
+func (c *Cell) logContact(w *worker, rep *Report, now time.Time) {
+	c.log(LogEntry{
+		Event: "worker-contacted", Worker: w.ID, Incarnation: rep.Incarnation,
+		Detail: fmt.Sprintf("clock %s, leases end in %s, settled %t", rep.Clock, c.opts.LeaseExpiry(w.ID).Sub(now), !rep.Unsettled),
+	})
+}
+
 // handleRunning processes one running run of a report: it updates a known run, adopts one of an earlier owner, and stops
 // any other. A run of a job that may still be loaded from the store is kept in unresolvedRuns.
 func (c *Cell) handleRunning(w *worker, rep *RunStatus, now time.Time) {
