Reproduce the lease that a former owner leaves on a restarted worker

TestFirstResponseLeavesTheLongestLease fails where the clock of the present process shows 43 or 117 minutes at the first response to an owner: the bound of the leases is that of the owner's own grants alone, though the former owner's calls, with deadlines for the clock of the earlier process, may have been granted the longest lease until then.

--- a/internal/core/cwclock/clock_test.go
+++ b/internal/core/cwclock/clock_test.go
@@ -199,3 +199,41 @@
 		})
 	}
 }
+
+// TestFirstResponseLeavesTheLongestLease guards against a task that runs twice on a worker which is cut off soon after a change of the owner: the
+// former owner did not know that the worker had restarted, and its deadlines, for the clock of the earlier process, were granted the longest
+// lease. The clock of the present process may show anything.
+func TestFirstResponseLeavesTheLongestLease(t *testing.T) {
+	const maxLease = 6 * time.Second
+	start := time.Unix(1000, 0)
+	cases := []struct {
+		name     string
+		clock    time.Duration // at the first response to the present owner
+		earlier  bool          // this host was the owner before, and has read the clock then
+		restarts int           // of the worker under the present owner, before that response
+	}{
+		{"clock near zero", 400 * time.Millisecond, false, 0},
+		{"clock of minutes", 43 * time.Minute, false, 0},
+		{"clock of hours", 117 * time.Minute, false, 0},
+		{"clock of hours, called by this host before", 117 * time.Minute, true, 0},
+		{"clock of hours, after a restart", 117 * time.Minute, false, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := New(maxLease)
+			if tc.earlier {
+				token, _ := c.OpenCall(2)
+				c.Record(Reading{token, start, time.Hour, start, start})
+			}
+			for n := range tc.restarts {
+				token, _ := c.OpenCall(3)
+				c.Record(Reading{token, start.Add(time.Duration(n)), 5 * time.Hour, start, start})
+			}
+			token, _ := c.OpenCall(3)
+			receivedAt := start.Add(20 * time.Second)
+			c.Record(Reading{token, start.Add(19 * time.Second), tc.clock, receivedAt, receivedAt})
+			is.True(!c.LeaseExpiry().Before(receivedAt.Add(maxLease * 100 / 98)))
+		})
+	}
+}
