Let the simulated cluster use the workers' clocks of the product

Each host that may own the cell now has a table of cwclock.Clock, used in the order of the adapter, for as long as its process lasts. A worker's process has a clock that begins anywhere (sometimes up to 3 s before or after the reading of the process before, or near zero) and is up to 2% slow; deadlines are readings of it. Only responses to polls name the incarnation. PriorLeaseExpiry is computed as the elector does. A slow poll is carried out and answered later, one at a time for each worker, and calls to a worker that is down may be carried out by its next process. New events: a worker or a rack restarts, the owner is killed, its host or another takes over, and they are cut off for 7 to 15 s, 0.3 to 1.5 s apart.

What is left out of the check is narrowed to calls that were sent before the process which carries them out began, while the present owner has not settled it; a late call to the same process is checked now.

--- a/internal/core/cwcell/cluster_test.go
+++ b/internal/core/cwcell/cluster_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"currantward/internal/core/cwclock"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwwork"
 )
@@ -21,6 +23,7 @@
 	simStaleAfter  = 950 * time.Millisecond
 	simRenewPeriod = 500 * time.Millisecond // of an owner's lease
 	simMaxEnds     = 3                      // ends in one report
+	simHosts       = 3                      // hosts that may own the cell
 )
 
 // fault is what happens to one call to a worker.
@@ -33,8 +36,30 @@
 	faultDelayed      fault = "late"   // unanswered and carried out seconds later
 	faultNotSent      fault = "refuse" // reported as not sent
 	faultSlow         fault = "slow"   // carried out and answered after some hundred milliseconds
+	faultHeld         fault = "held"   // carried out when the worker, which is down, has restarted
 )
 
+// simCall is a call of an owner to a worker, as the adapter sends it.
+type simCall struct {
+	token    uint64
+	deadline time.Duration // on the worker's clock, as its sender knows it; zero: the call extends no lease
+	sentAt   time.Time
+}
+
+// simResponse is a response of a worker.
+type simResponse struct {
+	incarnation time.Time     // zero: the response does not name it
+	clock       time.Duration // reading of the worker's clock
+	refused     bool          // the worker has seen a higher fencing token
+	report      *Report       // of a poll
+	result      StartResult   // of a start order
+}
+
+// simHost is a host that may own the cell. Its table of the workers' clocks lasts as long as its process.
+type simHost struct {
+	clocks map[cwmodel.HostID]*cwclock.Clock
+}
+
 // simRunKey identifies a run on a worker.
 type simRunKey struct {
 	worker cwmodel.HostID
@@ -57,7 +82,12 @@
 	alive          bool
 	partitioned    bool
 	fence          uint64
-	lease          time.Time
+	clockBegin     time.Duration // reading of the clock of its process at clockBeganAt
+	clockBeganAt   time.Time
+	clockRate      float64
+	lease          time.Duration // end of the leases, on the clock of its process
+	settledBy      *simOwner     // latest owner that takes its process for settled
+	returnsAt      time.Time     // when a worker that is down restarts, and carries out what was sent meanwhile; zero: it does not
 	runs           map[cwwork.TaskKey]*simRun
 	ended          []RunEnd
 	lastSequence   uint64
@@ -85,15 +115,15 @@
 	leaseUntil  time.Time
 	loadAt      time.Time // when it reads the store
 	loaded      bool
+	priorExpiry time.Time              // when all leases of earlier owners have expired, as it believes
 	priorJobs   map[cwmodel.JobID]bool // jobs that were accepted before its takeover
-	leaseExpiry map[cwmodel.HostID]time.Time
+	host        *simHost
+	clocks      map[cwmodel.HostID]*cwclock.Clock // of the process in which it acts
 	nextPollAt  map[cwmodel.HostID]time.Time
-	clocks      map[cwmodel.HostID]time.Time // incarnation of each worker whose clock the owner has read last
-	cutOff      map[cwmodel.HostID]bool      // workers that this owner does not reach, though others may
-	truncated   map[cwmodel.HostID]bool      // workers whose last report was truncated
-	restarts    map[cwmodel.HostID]uint64    // restarts of a worker that this owner has seen
-	settled     map[cwmodel.HostID]bool      // workers that have answered a call with the present token
-	listed      map[cwmodel.HostID]int       // number of the crash after which the latest entry of a worker was written
+	polling     map[cwmodel.HostID]bool // workers of which a poll is in flight
+	cutOff      map[cwmodel.HostID]bool // workers that this owner does not reach, though others may
+	truncated   map[cwmodel.HostID]bool // workers whose last report was truncated
+	listed      map[cwmodel.HostID]int  // number of the crash after which the latest entry of a worker was written
 	writing     []JobWrite
 	commitAt    time.Time // when the write in progress completes
 	isolated    bool      // it does not reach the store
@@ -104,12 +134,13 @@
 type cluster struct {
 	now          time.Time
 	workers      []*simWorker
+	hosts        []*simHost
 	owners       []*simOwner
 	jobs         map[cwmodel.JobID]*cwwork.Submission
 	progress     map[cwmodel.JobID]*cwwork.Progress
 	ended        map[cwmodel.JobID]cwwork.JobState
 	members      map[cwmodel.HostID]time.Time // stored incarnation of each worker
-	excused      map[simRunKey]bool           // runs that a worker has started late before the present owner had called its incarnation
+	excused      map[simRunKey]bool           // runs that stray orders have started
 	resolved     map[cwwork.TaskKey]int       // highest run of each task that was started, or whose stop was confirmed
 	ackedDone    map[cwwork.TaskKey]bool      // acknowledged ends of kind EndDone
 	reportedDone map[cwwork.TaskKey]bool      // ends of kind EndDone that a report to an owner has contained
@@ -119,7 +150,9 @@
 	crashes      simCrashes
 	lateCall     bool // a call is being carried out late
 	policy       cwwork.QueuePolicy
-	intN         func(n int) int // returns a number below n
+	intN         func(n int) int                  // returns a number below n
+	clockIntN    func(n int) int                  // the same, for the workers' clocks and the hosts of owners
+	nextClock    func(w *simWorker) time.Duration // returns where the clock of a worker's next process begins
 	faults       bool
 	violations   []string
 	history      []string // events, printed on failure
@@ -139,44 +172,98 @@
 		failures: map[cwwork.TaskKey]map[int]bool{},
 		crashes:  newSimCrashes(),
 		policy:   policy,
-		intN:     intN,
+		intN:     intN, clockIntN: rand.New(rand.NewPCG(1, 1)).IntN,
+	}
+	c.nextClock = c.drawClock
+	for range simHosts {
+		c.hosts = append(c.hosts, &simHost{clocks: map[cwmodel.HostID]*cwclock.Clock{}})
 	}
 	for n := range workers {
 		c.members[cwmodel.HostID(fmt.Sprintf("w%02d", n))] = c.now
-		c.workers = append(c.workers, &simWorker{
-			info: WorkerInfo{
-				ID: cwmodel.HostID(fmt.Sprintf("w%02d", n)), Service: policy.Service, Rack: fmt.Sprintf("r%d", n/4),
-				Capacity: cwmodel.Resources{MilliProcessors: 8000, MemoryBytes: 8 << 30}, Incarnation: c.now,
-			},
-			alive: true, runs: map[cwwork.TaskKey]*simRun{}, highestStopped: map[cwwork.TaskKey]int{},
+		c.addWorker(WorkerInfo{
+			ID: cwmodel.HostID(fmt.Sprintf("w%02d", n)), Service: policy.Service, Rack: fmt.Sprintf("r%d", n/4),
+			Capacity: cwmodel.Resources{MilliProcessors: 8000, MemoryBytes: 8 << 30}, Incarnation: c.now,
 		})
 	}
 	return c
 }
 
-// takeOver adds a new owner. The earlier ones act until their leases expire or a worker rejects their fence.
-func (c *cluster) takeOver() {
+// addWorker adds a worker that runs nothing.
+func (c *cluster) addWorker(info WorkerInfo) {
+	w := &simWorker{info: info, alive: true, runs: map[cwwork.TaskKey]*simRun{}, highestStopped: map[cwwork.TaskKey]int{}}
+	c.startClock(w, c.anyClock())
+	c.workers = append(c.workers, w)
+}
+
+// anyClock draws a reading of a clock that may have begun hours ago.
+func (c *cluster) anyClock() time.Duration { return time.Duration(c.clockIntN(int(12 * time.Hour))) }
+
+// startClock starts the clock of a worker's process, which may be slow.
+func (c *cluster) startClock(w *simWorker, begin time.Duration) {
+	w.clockBegin, w.clockBeganAt, w.clockRate = begin, c.now, 1-cwclock.Drift*float64(c.clockIntN(11))/10
+}
+
+// clock returns the reading of a worker's clock.
+func (c *cluster) clock(w *simWorker) time.Duration {
+	return (w.clockBegin + time.Duration(w.clockRate*float64(c.now.Sub(w.clockBeganAt)))).Truncate(time.Millisecond)
+}
+
+// drawClock draws where the clock of a worker's next process begins: anywhere, sometimes near the reading of the present one or near zero.
+func (c *cluster) drawClock(w *simWorker) time.Duration {
+	little := time.Duration(c.clockIntN(3000)) * time.Millisecond
+	switch c.clockIntN(8) {
+	case 0:
+		return max(0, c.clock(w)-little)
+	case 1:
+		return c.clock(w) + little
+	case 2:
+		return little
+	}
+	return c.anyClock()
+}
+
+// takeOver adds a new owner on any host. The earlier ones act until their leases expire or a worker rejects their fence.
+func (c *cluster) takeOver() { c.takeOverOn(c.hosts[c.clockIntN(len(c.hosts))]) }
+
+// otherHost returns a host that does not run the present owner.
+func (c *cluster) otherHost() *simHost {
+	others := slices.DeleteFunc(slices.Clone(c.hosts), func(h *simHost) bool { return h == c.currentOwner().host })
+	return others[c.clockIntN(len(others))]
+}
+
+// priorLeaseExpiry returns when a host that takes over takes the leases of earlier owners for expired, by the rule of the elector. It has read
+// the present owner's last renewal at once.
+func (c *cluster) priorLeaseExpiry(h *simHost) time.Time {
+	if len(c.owners) == 0 {
+		return c.now
+	}
+	former, stops := c.currentOwner(), c.now
+	if former.host != h {
+		stops = later(stops, former.renewedAt.Add(simOwnerTTL))
+	}
+	lease := time.Duration((1 + 2*cwclock.Drift) * float64(max(simLease, simStartWindow)))
+	return later(former.priorExpiry, stops.Add(lease))
+}
+
+// takeOverOn adds a new owner on a host, on which no earlier one acts any more.
+func (c *cluster) takeOverOn(h *simHost) {
 	c.term++
 	c.record("owner %d takes over", c.term*100)
-	o := &simOwner{
-		fence: uint64(c.term * 100), tookOverAt: c.now, renewedAt: c.now, leaseUntil: c.now.Add(simOwnerTTL),
-		priorJobs: map[cwmodel.JobID]bool{}, leaseExpiry: map[cwmodel.HostID]time.Time{}, nextPollAt: map[cwmodel.HostID]time.Time{},
-		clocks: map[cwmodel.HostID]time.Time{}, cutOff: map[cwmodel.HostID]bool{}, truncated: map[cwmodel.HostID]bool{},
-		restarts: map[cwmodel.HostID]uint64{}, settled: map[cwmodel.HostID]bool{}, listed: map[cwmodel.HostID]int{},
+	for _, former := range c.owners {
+		former.superseded = former.superseded || former.host == h
 	}
-	superseded := c.now
-	if c.term > 1 {
-		superseded = c.now.Add(simOwnerTTL)
+	o := &simOwner{
+		fence: uint64(c.term * 100), tookOverAt: c.now, renewedAt: c.now, leaseUntil: c.now.Add(simOwnerTTL), priorExpiry: c.priorLeaseExpiry(h),
+		priorJobs: map[cwmodel.JobID]bool{}, nextPollAt: map[cwmodel.HostID]time.Time{}, polling: map[cwmodel.HostID]bool{},
+		host: h, clocks: h.clocks, cutOff: map[cwmodel.HostID]bool{}, truncated: map[cwmodel.HostID]bool{}, listed: map[cwmodel.HostID]int{},
 	}
 	o.cell = New(Options{
-		Seed: uint64(c.term), RunNumberBase: (c.term - 1) * 1000, PriorLeaseExpiry: superseded.Add(simLease * 102 / 100), TakeoverTime: c.now, StatusRetention: time.Minute, StopTimeout: 200 * time.Millisecond, MaxTaskLease: simMaxLease,
+		Seed: uint64(c.term), RunNumberBase: (c.term - 1) * 1000, PriorLeaseExpiry: o.priorExpiry, TakeoverTime: c.now, StatusRetention: time.Minute,
+		StopTimeout: 200 * time.Millisecond, MaxTaskLease: simMaxLease * 100 / 98,
 		Policy:      func(cwwork.QueueName) (cwwork.QueuePolicy, bool) { return c.policy, true },
-		LeaseExpiry: func(id cwmodel.HostID) time.Time { return o.leaseExpiry[id] },
+		LeaseExpiry: func(id cwmodel.HostID) time.Time { return o.clock(id).LeaseExpiry() },
 		OwnedUntil:  func() time.Time { return o.renewedAt },
 	})
-	if c.term == 1 {
-		o.cell.opts.PriorLeaseExpiry = c.now
-	}
 	for id := range c.jobs {
 		o.priorJobs[id] = true
 	}
@@ -188,7 +275,7 @@
 			continue
 		}
 		// The worker's entry expired with the store and reappears a moment later.
-		c.delayedCalls = append(c.delayedCalls, delayedCall{c.now.Add(time.Duration(c.intN(2000)) * time.Millisecond), func() { o.cell.UpdateWorker(w.info, c.now) }})
+		c.after(time.Duration(c.intN(2000))*time.Millisecond, func() { o.cell.UpdateWorker(w.info, c.now) })
 	}
 	c.owners = append(c.owners, o)
 }
@@ -205,11 +292,36 @@
 	for _, w := range c.workers {
 		o.cutOff[w.info.ID] = w.info.Rack != near.info.Rack
 	}
-	c.delayedCalls = append(c.delayedCalls, delayedCall{c.now.Add(simStaleAfter), func() {
+	c.after(simStaleAfter, func() {
 		if o == c.currentOwner() {
-			c.takeOver()
+			c.takeOverOn(c.otherHost())
 		}
-	}})
+	})
+}
+
+// killOwner ends the process of the present owner, whose readings of the workers' clocks are lost. After some time its host takes over again, or
+// another one.
+func (c *cluster) killOwner(returns bool, after time.Duration) {
+	o := c.currentOwner()
+	if o.superseded {
+		return
+	}
+	c.record("owner %d is killed", o.fence)
+	o.superseded, o.host.clocks = true, map[cwmodel.HostID]*cwclock.Clock{}
+	c.after(after, func() {
+		switch {
+		case o != c.currentOwner():
+		case returns:
+			c.takeOverOn(o.host)
+		default:
+			c.takeOverOn(c.otherHost())
+		}
+	})
+}
+
+// after lets an event happen some time from now.
+func (c *cluster) after(d time.Duration, event func()) {
+	c.delayedCalls = append(c.delayedCalls, delayedCall{c.now.Add(d), event})
 }
 
 // currentOwner returns the latest owner, whose writes the store accepts.
@@ -288,7 +400,7 @@
 		case !r.kills.IsZero() && !c.now.Before(r.kills):
 			c.crashUnder(w, key)
 			return
-		case c.now.After(w.lease):
+		case c.clock(w) > w.lease:
 			c.finish(w, key, EndLeaseExpired)
 		case !r.stopAt.IsZero() && !c.now.Before(r.stopAt):
 			c.finish(w, key, EndStopped)
@@ -373,15 +485,16 @@
 func (c *cluster) crash(w *simWorker) {
 	c.record("%s: crashes", w.info.ID)
 	w.runs, w.ended, w.highestStopped = map[cwwork.TaskKey]*simRun{}, nil, map[cwwork.TaskKey]int{}
-	w.lastSequence, w.ackSequence, w.fence, w.lease = 0, 0, 0, time.Time{}
-	// The time of day of its host may have been put back.
-	w.info.Incarnation = c.now.Add(-time.Duration(c.intN(5000)) * time.Millisecond)
+	w.lastSequence, w.ackSequence, w.fence, w.lease, w.settledBy = 0, 0, 0, 0, nil
+	c.startClock(w, c.nextClock(w))
+	w.crashes++
+	// The time of day of its host may have been put back, but names no earlier process again.
+	w.info.Incarnation = c.now.Add(-time.Duration(c.intN(5000))*time.Millisecond + time.Duration(w.crashes)*time.Microsecond)
 	w.restartedAt = c.now
 	w.resetPolls = map[*simOwner]bool{}
-	w.crashes++
 	info, number := w.info, w.crashes
 	for _, o := range c.owners {
-		w.resetPolls[o] = true
+		w.resetPolls[o] = !o.polling[w.info.ID] // a slow poll is carried out by the new process, or its response is lost
 		c.delayedCalls = append(c.delayedCalls, delayedCall{c.now.Add(time.Duration(c.intN(1500)) * time.Millisecond), func() {
 			if info.Incarnation.Equal(w.info.Incarnation) {
 				info = w.info // its capacity may have changed
@@ -394,17 +507,56 @@
 	}
 }
 
+// restart lets a worker be down for some time, during which no connection to it is refused, and restart under its ID.
+func (c *cluster) restart(w *simWorker, downTime time.Duration) {
+	c.record("%s: restarts", w.info.ID)
+	returnsAt := c.now.Add(downTime)
+	w.alive, w.returnsAt = false, returnsAt
+	c.after(downTime, func() {
+		if w.returnsAt.Equal(returnsAt) {
+			w.alive, w.returnsAt = true, time.Time{}
+			c.crash(w)
+			w.resetPolls = nil
+		}
+	})
+}
+
 // restartBehindCut lets a worker restart a short time after it has been cut off for long, or before.
 func (c *cluster) restartBehindCut(w *simWorker) {
-	at := func(d time.Duration, event func()) {
-		c.delayedCalls = append(c.delayedCalls, delayedCall{c.now.Add(d), event})
-	}
-	at(time.Duration(c.intN(1000))*time.Millisecond, func() { c.crash(w) })
-	at(time.Duration(c.intN(1500))*time.Millisecond, func() {
+	c.after(time.Duration(c.intN(1000))*time.Millisecond, func() { c.crash(w) })
+	c.after(time.Duration(c.intN(1500))*time.Millisecond, func() { c.cutOffWorkers([]*simWorker{w}, time.Duration(10+c.intN(15))*time.Second) })
+}
+
+// cutOffWorkers cuts workers off from all owners for some time.
+func (c *cluster) cutOffWorkers(list []*simWorker, d time.Duration) {
+	for _, w := range list {
 		c.record("%s: is cut off", w.info.ID)
 		w.partitioned = true
+	}
+	c.after(d, func() {
+		for _, w := range list {
+			w.partitioned = false
+		}
 	})
-	at(time.Duration(10+c.intN(15))*time.Second, func() { w.partitioned = false })
+}
+
+// restartUnderOwners lets workers restart under their IDs. The owner is killed a short time after that, and a short time after the next one, on
+// the same host or another, has taken over, the workers are cut off for long.
+func (c *cluster) restartUnderOwners(list []*simWorker, returns bool) {
+	pause := func() time.Duration { return time.Duration(300+c.intN(1200)) * time.Millisecond }
+	isHeld := c.intN(2) == 0
+	for _, w := range list {
+		switch {
+		case !w.alive:
+		case isHeld:
+			c.restart(w, time.Duration(100+c.intN(700))*time.Millisecond)
+		default:
+			c.crash(w)
+		}
+	}
+	killed, takeover := pause(), pause()
+	c.after(killed, func() { c.killOwner(returns, takeover) })
+	c.after(killed+takeover+pause(), func() { c.cutOffWorkers(list, time.Duration(7000+c.intN(8000))*time.Millisecond) })
 }
 
 // runOwner carries out an owner's decisions, as the application's duties do.
@@ -415,16 +567,7 @@
 	if o.superseded || !c.now.Before(o.leaseUntil) {
 		return
 	}
-	for _, w := range c.workers {
-		_, allDurable := o.cell.AckWatermark(w.info.ID)
-		if readsOn := o.truncated[w.info.ID] && allDurable; readsOn || !c.now.Before(o.nextPollAt[w.info.ID]) {
-			o.nextPollAt[w.info.ID] = c.now.Add(simPollPeriod + time.Duration(c.intN(int(simPollJitter))))
-			if o.cell.AwaitsSurvival(w.info.ID) {
-				o.nextPollAt[w.info.ID] = c.now.Add(simPollPeriod)
-			}
-			c.poll(o, w)
-		}
-	}
+	c.pollDue(o)
 	if !o.loaded && !c.now.Before(o.loadAt) {
 		c.loadJobs(o)
 	}
@@ -444,6 +587,22 @@
 	}
 }
 
+// pollDue polls the workers that are due. At most one poll of a worker is in flight.
+func (c *cluster) pollDue(o *simOwner) {
+	for _, w := range c.workers {
+		_, allDurable := o.cell.AckWatermark(w.info.ID)
+		readsOn := o.truncated[w.info.ID] && allDurable
+		if o.polling[w.info.ID] || (!readsOn && c.now.Before(o.nextPollAt[w.info.ID])) {
+			continue
+		}
+		o.nextPollAt[w.info.ID] = c.now.Add(simPollPeriod + time.Duration(c.intN(int(simPollJitter))))
+		if o.cell.AwaitsSurvival(w.info.ID) {
+			o.nextPollAt[w.info.ID] = c.now.Add(simPollPeriod)
+		}
+		c.poll(o, w)
+	}
+}
+
 // commit starts a write of the owner's dirty jobs, which becomes durable one step later unless a later owner exists.
 func (c *cluster) commit(o *simOwner) {
 	if o.writing != nil && !c.now.Before(o.commitAt) && !o.isolated {
@@ -470,7 +629,9 @@
 // drawFault draws the fault of an owner's call to a worker.
 func (c *cluster) drawFault(o *simOwner, w *simWorker) fault {
 	switch {
-	case !w.alive || w.partitioned || o.cutOff[w.info.ID]:
+	case !w.returnsAt.IsZero() && !w.partitioned && !o.cutOff[w.info.ID]:
+		return faultHeld
+	case c.isCut(o, w):
 		return faultRequestLost
 	case !c.faults:
 		return faultNone
@@ -478,92 +639,134 @@
 	return []fault{faultNone, faultNone, faultNone, faultNone, faultNone, faultSlow, faultRequestLost, faultResponseLost, faultDelayed, faultNotSent}[c.intN(10)]
 }
 
-// poll polls a worker for an owner, under a random fault, and passes the report or its absence to the owner's cell.
-func (c *cluster) poll(o *simOwner, w *simWorker) {
-	if w.replaced && !o.cutOff[w.info.ID] {
-		o.cell.MarkReplaced(w.info.ID, c.now)
-		return
-	}
-	ack, _ := o.cell.AckWatermark(w.info.ID)
-	var deadline time.Time
-	clock, token := o.clocks[w.info.ID], o.token(w)
-	if o.cell.MayRenewLease(w.info.ID) && !clock.IsZero() {
-		deadline = c.now.Add(simLease)
-		o.leaseExpiry[w.info.ID] = later(o.leaseExpiry[w.info.ID], deadline)
-	}
-	call := func() (*Report, bool) {
-		if !w.alive {
-			return nil, false
-		}
-		granted := deadline
-		if !deadline.IsZero() {
-			granted = c.deadlineOn(w, clock, deadline)
-		}
-		return c.handlePoll(w, token, ack, granted)
-	}
-	f := c.drawFault(o, w)
-	if w.resetPolls[o] {
-		delete(w.resetPolls, o)
-		f = faultRequestLost
-	}
+// isCut reports whether no call of an owner reaches a worker.
+func (c *cluster) isCut(o *simOwner, w *simWorker) bool {
+	return !w.alive || w.partitioned || o.cutOff[w.info.ID]
+}
+
+// send sends an owner's call to a worker, which carries it out under a fault, and passes its response to answer, or nil if there is none.
+func (c *cluster) send(o *simOwner, w *simWorker, f fault, carryOut func() *simResponse, answer func(*simResponse)) {
 	switch f {
-	case faultNone, faultSlow:
-		report, ok := call()
-		if !ok {
-			c.refused(o, w)
-			return
-		}
-		c.readClock(o, w, w.info.Incarnation)
-		report.Unsettled = !o.settled[w.info.ID]
-		o.cell.HandleReport(report, c.now)
-		o.cell.ResendStops(w.info.ID, c.now)
-		o.truncated[w.info.ID] = report.Truncated
-		return
+	case faultNone:
+		answer(carryOut())
+	case faultSlow:
+		c.after(time.Duration(c.intN(900))*time.Millisecond, func() {
+			if c.isCut(o, w) {
+				answer(nil)
+				return
+			}
+			r, crashes := carryOut(), w.crashes
+			c.after(time.Duration(c.intN(400))*time.Millisecond, func() {
+				if c.isCut(o, w) || w.crashes != crashes {
+					r = nil
+				}
+				answer(r)
+			})
+		})
+	case faultHeld:
+		c.after(w.returnsAt.Sub(c.now)+time.Duration(c.intN(200))*time.Millisecond, func() {
+			if c.isCut(o, w) {
+				answer(nil)
+				return
+			}
+			answer(carryOut())
+		})
 	case faultResponseLost:
-		call()
+		carryOut()
+		answer(nil)
 	case faultDelayed:
-		c.delayCall(func() { call() })
+		c.delayCall(func() { carryOut() })
+		answer(nil)
 	case faultRequestLost, faultNotSent:
+		answer(nil)
 	}
-	o.truncated[w.info.ID] = false
-	o.cell.MarkUnreachable(w.info.ID, c.now)
 }
 
-// deadlineOn returns when a deadline passes on a worker's clock if its sender last read the clock of the given incarnation. The
-// clock of a later one is behind, so that the deadline is cut to the longest lease.
-func (c *cluster) deadlineOn(w *simWorker, incarnation, deadline time.Time) time.Time {
-	if w.info.Incarnation.Equal(incarnation) {
-		return deadline
-	}
-	return c.now.Add(simMaxLease)
+// clock returns what the owner's process knows of the clock of a worker.
+func (o *simOwner) clock(id cwmodel.HostID) *cwclock.Clock {
+	clock, ok := o.clocks[id]
+	if !ok {
+		clock = cwclock.New(simMaxLease)
+		o.clocks[id] = clock
+	}
+	return clock
 }
 
-// readClock records that an owner has got a response of a worker, which names the incarnation or, if that is zero, shows by its clock only
-// that it is not the known one. After a restart the owner raises the token of its calls: those from before have no effect once the
-// worker has seen it. Until then they may have been carried out with deadlines for the clock of the earlier incarnation.
-func (c *cluster) readClock(o *simOwner, w *simWorker, incarnation time.Time) {
-	id, known := w.info.ID, o.clocks[w.info.ID]
-	isOther := !known.IsZero() && !known.Equal(incarnation)
-	if isOther {
-		o.restarts[id]++
-	}
-	o.clocks[id] = incarnation
-	if isOther || !o.settled[id] {
-		o.settled[id] = !isOther
-		o.leaseExpiry[id] = later(o.leaseExpiry[id], c.now.Add(simMaxLease))
-	}
+// openCall returns a call of an owner to a worker, or false if a later owner on its host has called the worker.
+func (c *cluster) openCall(o *simOwner, w *simWorker) (call simCall, ok bool) {
+	token, ok := o.clock(w.info.ID).OpenCall(o.fence)
+	o.superseded = o.superseded || !ok
+	return simCall{token: token, sentAt: c.now}, ok
 }
 
-// token returns the fencing token of an owner's next call to a worker.
-func (o *simOwner) token(w *simWorker) uint64 { return o.fence<<16 | o.restarts[w.info.ID] }
+// grantLease lets a call extend the leases on its worker, and returns false if its owner has no reading of the worker's clock.
+func (c *cluster) grantLease(o *simOwner, w *simWorker, call *simCall, d time.Duration) bool {
+	deadline, ok := o.clock(w.info.ID).GrantDeadline(c.now, d)
+	call.deadline = deadline.Truncate(time.Millisecond)
+	return ok
+}
 
-// refused lets an owner know that a worker has refused its token: the worker has seen that of a later owner, or a later one of its own.
-func (c *cluster) refused(o *simOwner, w *simWorker) {
-	if w.fence>>16 > o.fence {
-		o.superseded = true
+// readClock records a response's reading of the worker's clock. It returns the incarnation that has answered, or the zero time if that is not
+// certain, and whether the worker has refused the call because the owner has raised its token since. After another refusal there is a
+// later owner.
+func (c *cluster) readClock(o *simOwner, w *simWorker, call *simCall, r *simResponse) (incarnation time.Time, isOutdated bool) {
+	clock := o.clock(w.info.ID)
+	n := cwclock.Reading{Token: call.token, Incarnation: r.incarnation, Clock: r.clock, SentAt: call.sentAt, ReceivedAt: c.now}
+	if incarnation = r.incarnation; incarnation.IsZero() {
+		incarnation = clock.ProvenIncarnation(n)
+	}
+	clock.Record(n)
+	if r.refused {
+		isOutdated = clock.IsOutdated(call.token)
+		o.superseded = o.superseded || !isOutdated
+	}
+	return incarnation, isOutdated
+}
+
+// poll polls a worker for an owner, under a random fault, and passes the report or its absence to the owner's cell.
+func (c *cluster) poll(o *simOwner, w *simWorker) {
+	id := w.info.ID
+	if w.replaced && !o.cutOff[id] {
+		o.cell.MarkReplaced(id, c.now)
+		return
+	}
+	ack, _ := o.cell.AckWatermark(id)
+	call, ok := c.openCall(o, w)
+	if !ok {
 		return
 	}
-	o.cell.MarkUnreachable(w.info.ID, c.now)
+	if o.cell.MayRenewLease(id) {
+		c.grantLease(o, w, &call, simLease)
+	}
+	f := c.drawFault(o, w)
+	if w.resetPolls[o] {
+		delete(w.resetPolls, o)
+		f = faultRequestLost
+	}
+	o.polling[id] = true
+	c.send(o, w, f, func() *simResponse { return c.handlePoll(w, &call, ack) }, func(r *simResponse) {
+		o.polling[id] = false
+		if f == faultSlow || f == faultHeld {
+			o.nextPollAt[id] = c.now.Add(simPollPeriod)
+		}
+		if r != nil {
+			c.readClock(o, w, &call, r)
+		}
+		switch {
+		case o.superseded:
+		case r == nil || r.refused:
+			o.truncated[id] = false
+			o.cell.MarkUnreachable(id, c.now)
+		default:
+			r.report.Unsettled = !o.clock(id).IsSettled(call.token)
+			if !r.report.Unsettled {
+				w.settledBy = o
+			}
+			o.cell.HandleReport(r.report, c.now)
+			o.cell.ResendStops(id, c.now)
+			o.truncated[id] = r.report.Truncated
+		}
+	})
 }
 
 // delayCall lets a worker carry out a call after 2 to 11 s, also if it has restarted meanwhile.
@@ -575,33 +778,51 @@
 	}})
 }
 
-// handlePoll is the worker's side of a poll and returns its report, or false if a later owner has called the worker.
-func (c *cluster) handlePoll(w *simWorker, token, ack uint64, deadline time.Time) (*Report, bool) {
-	if token < w.fence {
-		return nil, false
+// accept is the worker's side of every call: it returns a response that refuses the call if the worker has seen a higher token.
+func (c *cluster) accept(w *simWorker, call *simCall) *simResponse {
+	if call.token < w.fence {
+		return &simResponse{clock: c.clock(w), refused: true}
 	}
-	w.fence = token
-	w.lease = later(w.lease, deadline)
+	w.fence = call.token
+	return &simResponse{clock: c.clock(w)}
+}
+
+// extendLeases is the worker's side of a deadline: it applies to everything that runs there, and never shortens.
+func (c *cluster) extendLeases(w *simWorker, deadline time.Duration) {
+	w.lease = max(w.lease, min(deadline, c.clock(w)+simMaxLease))
+}
+
+// handlePoll is the worker's side of a poll.
+func (c *cluster) handlePoll(w *simWorker, call *simCall, ack uint64) *simResponse {
+	if !w.alive {
+		return nil
+	}
+	r := c.accept(w, call)
+	if r.refused {
+		return r
+	}
+	c.extendLeases(w, call.deadline)
 	for _, e := range w.ended {
-		if e.Sequence <= ack && e.Sequence > w.ackSequence && !c.isBeforeContact(w) {
+		if e.Sequence <= ack && e.Sequence > w.ackSequence && !c.isStray(w, call) {
 			c.recordAcked(e)
 		}
 	}
 	w.ackSequence = max(w.ackSequence, ack)
 	w.ended = slices.DeleteFunc(w.ended, func(e RunEnd) bool { return e.Sequence <= ack })
-	report := &Report{
-		Worker: w.info.ID, Incarnation: w.info.Incarnation, RequestedAt: c.now,
+	r.incarnation = w.info.Incarnation
+	r.report = &Report{
+		Worker: w.info.ID, Incarnation: w.info.Incarnation, RequestedAt: call.sentAt, Clock: r.clock,
 		Ended: slices.Clone(w.ended[:min(len(w.ended), simMaxEnds)]), Truncated: len(w.ended) >= simMaxEnds,
 	}
-	for _, e := range report.Ended {
+	for _, e := range r.report.Ended {
 		if e.Kind == EndDone {
 			c.reportedDone[e.Task] = true
 		}
 	}
 	for _, key := range slices.SortedFunc(maps.Keys(w.runs), compareTaskKeys) {
-		report.Running = append(report.Running, RunStatus{Task: key, Run: w.runs[key].number})
+		r.report.Running = append(r.report.Running, RunStatus{Task: key, Run: w.runs[key].number})
 	}
-	return report, true
+	return r
 }
 
 // recordAcked records an acknowledged end for checkStart: the cell acknowledges only durable ends, so every later owner must
@@ -622,88 +843,70 @@
 // sendStart sends a start order to its worker, under a random fault, and passes the result to the owner's cell.
 func (c *cluster) sendStart(o *simOwner, order *StartOrder) {
 	w := c.worker(order.Worker)
-	deadline := c.now.Add(simStartWindow)
-	o.leaseExpiry[w.info.ID] = later(o.leaseExpiry[w.info.ID], deadline)
-	if !o.settled[w.info.ID] {
-		c.startAnswered(o, w, order, StartWorkerRestarted)
+	call, ok := c.openCall(o, w)
+	switch {
+	case !ok:
+		return
+	case !c.grantLease(o, w, &call, simStartWindow):
+		o.cell.HandleStartResult(order, StartNotSent, c.now)
+		return
+	case !o.clock(w.info.ID).IsSettled(call.token):
+		o.cell.HandleStartResult(order, StartWorkerRestarted, c.now)
 		return
 	}
-	clock, token := o.clocks[w.info.ID], o.token(w)
-	var startedBy time.Time // incarnation that has answered
-	call := func() StartResult {
+	f := c.drawFault(o, w)
+	c.send(o, w, f, func() *simResponse {
 		// A worker that restarts after a takeover knows no fence, so a former owner could start runs there until the present one polls
 		// it. The protocol offers no defence against that.
 		if !w.alive || (o != c.currentOwner() && w.restartedAt.After(c.currentOwner().tookOverAt)) {
-			return StartUnanswered
+			return nil
 		}
-		startedBy = w.info.Incarnation
-		return c.handleStart(o, w, order, token, c.deadlineOn(w, clock, deadline))
-	}
-	answered := func(result StartResult) {
-		if result == StartAccepted && !o.superseded {
-			c.startAccepted(o, w, order, startedBy)
+		return c.handleStart(o, w, order, &call)
+	}, func(r *simResponse) {
+		result := StartUnanswered
+		if f == faultNotSent {
+			result = StartNotSent
 		}
-		c.startAnswered(o, w, order, result)
-	}
-	result := StartUnanswered
-	switch c.drawFault(o, w) {
-	case faultNone:
-		result = call()
-	case faultSlow:
-		c.delayedCalls = append(c.delayedCalls, delayedCall{c.now.Add(time.Duration(c.intN(900)) * time.Millisecond), func() { answered(call()) }})
-		return
-	case faultResponseLost:
-		call()
-	case faultDelayed:
-		c.delayCall(func() { call() })
-	case faultNotSent:
-		result = StartNotSent
-	case faultRequestLost:
-	}
-	answered(result)
-}
-
-// startAccepted tells an owner which incarnation has accepted an order: the known one, or another, as its clock shows.
-func (c *cluster) startAccepted(o *simOwner, w *simWorker, order *StartOrder, incarnation time.Time) {
-	if o.clocks[w.info.ID].Equal(incarnation) {
-		o.cell.ConfirmIncarnation(order, incarnation)
-		return
-	}
-	c.readClock(o, w, time.Time{})
-}
-
-// startAnswered passes the result of a start order to the owner's cell.
-func (c *cluster) startAnswered(o *simOwner, w *simWorker, order *StartOrder, result StartResult) {
-	if result == StartStaleFence {
-		if w.fence>>16 > o.fence {
-			o.superseded = true
+		var incarnation time.Time
+		if r != nil {
+			result = r.result
+			var isOutdated bool
+			if incarnation, isOutdated = c.readClock(o, w, &call, r); isOutdated {
+				result = StartWorkerRestarted
+			}
+		}
+		if o.superseded {
 			return
 		}
-		result = StartWorkerRestarted
-	}
-	if !o.superseded {
+		if result == StartAccepted && !incarnation.IsZero() {
+			o.cell.ConfirmIncarnation(order, incarnation)
+		}
 		o.cell.HandleStartResult(order, result, c.now)
-	}
+	})
 }
 
 // handleStart is the worker's side of a start order: it checks the invariants and starts the run, or refuses the order.
-func (c *cluster) handleStart(o *simOwner, w *simWorker, order *StartOrder, token uint64, deadline time.Time) StartResult {
+func (c *cluster) handleStart(o *simOwner, w *simWorker, order *StartOrder, call *simCall) *simResponse {
+	response := c.accept(w, call)
 	switch {
-	case token < w.fence:
-		return StartStaleFence
-	case c.now.After(deadline):
-		return StartDeadlineExceeded
-	}
-	w.fence = token
-	w.lease = later(w.lease, deadline)
+	case response.refused:
+		response.result = StartStaleFence
+		return response
+	case response.clock > call.deadline:
+		response.result = StartDeadlineExceeded
+		return response
+	}
+	c.extendLeases(w, call.deadline)
+	response.result = StartAccepted
 	if r, ok := w.runs[order.Task]; ok && r.number == order.Run {
-		return StartAccepted
+		return response
 	}
 	if order.Run <= w.highestStopped[order.Task] {
-		return StartSupersededRun
+		response.result = StartSupersededRun
+		return response
 	}
 	c.record("%s: starts %s run %d of owner %d", w.info.ID, order.Task, order.Run, o.fence)
-	if c.isBeforeContact(w) {
+	if c.isStray(w, call) {
 		c.excused[simRunKey{w.info.ID, order.Task, order.Run}] = true
 	} else {
 		c.checkStart(o, w, order)
@@ -723,9 +926,9 @@
 	w.runs[order.Task] = r
 	if isCrashing && delay == 0 {
 		c.crashUnder(w, order.Task)
-		return StartUnanswered
+		return nil
 	}
-	return StartAccepted
+	return response
 }
 
 // checkStart checks the invariants that a start of a run must not break.
@@ -759,15 +962,14 @@
 	}
 }
 
-// isBeforeContact reports whether a worker carries out a late call in an incarnation that the present owner has not called yet. It does
-// what was meant for an earlier one, and drops ends by numbers of that one: the protocol offers no defence.
-func (c *cluster) isBeforeContact(w *simWorker) bool {
-	o := c.currentOwner()
-	return c.lateCall && (!o.clocks[w.info.ID].Equal(w.info.Incarnation) || !o.settled[w.info.ID])
+// isStray reports whether a worker carries out a call that was sent before its process began, and which the present owner cannot have made it
+// refuse: no call with a token that it has raised since has been answered.
+func (c *cluster) isStray(w *simWorker, call *simCall) bool {
+	return call.sentAt.Before(w.restartedAt) && w.settledBy != c.currentOwner()
 }
 
-// isExcused reports whether a run was started late where no owner could prevent it, after its order was resolved: by a confirmed stop, or by a
-// later run. An owner that starts the task elsewhere before that has given the run up too early.
+// isExcused reports whether a run was started by a stray order, after that was resolved: by a confirmed stop, or by a later run. An owner that
+// starts the task elsewhere before that has given the run up too early.
 func (c *cluster) isExcused(w *simWorker, task cwwork.TaskKey, run int) bool {
 	return c.excused[simRunKey{w.info.ID, task, run}] && run <= c.resolved[task]
 }
@@ -887,29 +1089,33 @@
 // sendStop sends a stop order to its worker, under a random fault, and passes the result to the owner's cell.
 func (c *cluster) sendStop(o *simOwner, order *StopOrder) {
 	w := c.worker(order.Worker)
-	token := o.token(w)
-	call := func() bool {
-		if !w.alive || token < w.fence {
-			return false
+	call, ok := c.openCall(o, w)
+	if !ok {
+		return
+	}
+	c.send(o, w, c.drawFault(o, w), func() *simResponse {
+		if !w.alive {
+			return nil
+		}
+		response := c.accept(w, &call)
+		if response.refused {
+			return response
 		}
-		w.fence = token
 		w.highestStopped[order.Task] = max(w.highestStopped[order.Task], order.Run)
 		if r, ok := w.runs[order.Task]; ok && r.number <= order.Run && r.stopAt.IsZero() {
 			r.stopAt = c.now.Add(100 * time.Millisecond)
 		}
-		return true
-	}
-	ok := false
-	switch c.drawFault(o, w) {
-	case faultNone:
-		if ok = call(); ok {
+		return response
+	}, func(r *simResponse) {
+		confirmed := r != nil && !r.refused
+		if r != nil {
+			c.readClock(o, w, &call, r)
+		}
+		if confirmed {
 			c.resolved[order.Task] = max(c.resolved[order.Task], order.Run)
 		}
-	case faultResponseLost:
-		call()
-	case faultDelayed:
-		c.delayCall(func() { call() })
-	case faultRequestLost, faultNotSent:
-	}
-	o.cell.HandleStopResult(order, ok, c.now)
+		if !o.superseded {
+			o.cell.HandleStopResult(order, confirmed, c.now)
+		}
+	})
 }
--- a/internal/core/cwcell/crash_test.go
+++ b/internal/core/cwcell/crash_test.go
@@ -69,7 +69,7 @@
 		w.replaced = true
 		info := w.info
 		info.ID, info.Incarnation = cwmodel.HostID(fmt.Sprintf("%s-%d", strings.SplitN(string(info.ID), "-", 2)[0], c.now.UnixMilli())), c.now
-		c.workers = append(c.workers, &simWorker{info: info, alive: true, runs: map[cwwork.TaskKey]*simRun{}, highestStopped: map[cwwork.TaskKey]int{}})
+		c.addWorker(info)
 		c.record("%s: replaces %s", info.ID, w.info.ID)
 		for _, o := range c.owners {
 			if !o.superseded {
