Play the restart before a change of the owner in a test

The test plays the sequence of the incident on the simulated cluster: two workers are down for 0.6 s and restart under their IDs, the new processes carry out the renewals that were sent meanwhile, 0.4 s later the owner is killed, 0.5 s later its host or another takes over, and 0.5 or 1 s later the worker of the only task is cut off.

--- a/internal/core/cwcell/owner_test.go
+++ b/internal/core/cwcell/owner_test.go
@@ -1,6 +1,7 @@
 package cwcell
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -120,3 +121,62 @@
 		})
 	}
 }
+
+// TestRunsEndWithTheLeasesOfFormerOwners guards against a task that runs twice on a worker which restarted shortly before the owner changed: the
+// new process carries out a call of the former owner whose deadline is meant for the clock of the process before, and grants its longest
+// lease. The new owner must not count on its own grants alone when the worker falls silent.
+func TestRunsEndWithTheLeasesOfFormerOwners(t *testing.T) {
+	const hours = 5 * time.Hour
+	cases := []struct {
+		name    string
+		returns bool          // the host of the former owner takes over again
+		former  bool          // the former owner starts the run, in the new process
+		clock   time.Duration // where the clock of the new process begins, from the reading of the one before
+		cut     time.Duration // from the takeover to the cut
+	}{
+		{"same host, its run", true, false, -hours, 500 * time.Millisecond},
+		{"same host, its run, late cut", true, false, -hours, time.Second},
+		{"same host, run of the former owner", true, true, -hours, 500 * time.Millisecond},
+		{"other host, its run", false, false, -hours, 500 * time.Millisecond},
+		{"other host, run of the former owner", false, true, -hours, 500 * time.Millisecond},
+		{"clock a little behind", true, false, -2500 * time.Millisecond, 500 * time.Millisecond},
+		{"clock a little ahead", true, false, time.Second, 500 * time.Millisecond},
+		{"clock far ahead", true, false, hours, 500 * time.Millisecond},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCluster(2, plainPolicy, func(int) int { return 0 })
+			c.crashes.noFailures = true
+			c.nextClock = func(w *simWorker) time.Duration { return c.clock(w) + tc.clock }
+			first := c.workers[0]
+			for _, w := range c.workers {
+				c.startClock(w, 2*hours)
+			}
+			c.takeOverOn(c.hosts[0])
+			c.advance(time.Second)
+			s := &cwwork.Submission{ID: "job", Queue: "q", Steps: []cwwork.Step{step(1, 6000, false)}}
+			s.Steps[0].Estimate = 12 * time.Second
+			for _, w := range c.workers {
+				c.restart(w, 600*time.Millisecond)
+			}
+			c.advance(800 * time.Millisecond)
+			if tc.former {
+				c.submit(s)
+			}
+			c.advance(200 * time.Millisecond)
+			c.killOwner(tc.returns, 500*time.Millisecond)
+			if !tc.former {
+				c.submit(s)
+			}
+			c.advance(500*time.Millisecond + tc.cut)
+			if len(first.runs) != 1 {
+				t.Fatalf("the task does not run on %s\n%s", first.info.ID, strings.Join(c.history, "\n"))
+			}
+			c.cutOffWorkers([]*simWorker{first}, 10*time.Second)
+			c.advance(30 * time.Second)
+			if len(c.violations) > 0 || c.ended["job"] != cwwork.StateCompleted {
+				t.Fatalf("%s, job %q\n%s", strings.Join(c.violations, "\n"), c.ended["job"], strings.Join(c.history, "\n"))
+			}
+		})
+	}
+}
