Allow the longest lease at the first response of each worker process

Cause: deadlines are readings of a worker's clock. A former owner that does not know of the restart yet sends one for the clock of the earlier process, and where that was ahead, the present process grants its longest lease, 6 s, in place of 3.5 s. A lease holds for everything on the worker, also for what the next owner starts there. That owner allowed for it only if the clock showed under 20 s at its first response, as the age of the process. A clock begins anywhere, so on real workers the condition was never true.

Change: the first response to an owner, and each one until the worker is settled, allows the longest lease from its receipt. Nothing with a lower token is executed after it, so this bounds whatever anyone has granted there, whichever clock it was meant for. It needs no age of the process.

--- a/internal/core/cwclock/clock.go
+++ b/internal/core/cwclock/clock.go
@@ -92,17 +92,11 @@
 	}
 	if !c.isSettled {
 		c.isSettled = n.Token == c.token() && c.restarts < maxRestarts
-		// Calls that were meant for an earlier process may have been carried out until now.
-		if c.restarts > 0 || n.Clock < youngProcess {
-			c.allowLongestLease(n.ReceivedAt)
-		}
+		// A former owner, or a call that was meant for an earlier process, may have extended the leases until now.
+		c.allowLongestLease(n.ReceivedAt)
 	}
 }
 
-// youngProcess is the age up to which a process may have been called by an owner that knew only the one before: the longest delay of a call, and
-// a lease.
-const youngProcess = 20 * time.Second
-
 // recordRestart raises the fencing token of the worker. After maxRestarts it stays, and the worker is never settled again under this
 // owner.
 func (c *Clock) recordRestart() {
