Ignore what late answers of an earlier process say of a worker's clock

Cause: answers on different connections overtake each other, and those to starts and stops don't name the process. (2) The report of a new process was dropped, and its token not raised, if any answer had arrived while the poll waited; the worker then counted as settled while it still executed calls that were meant for its earlier process. With clocks that begin at zero neither could happen, since the reading showed the process.

Change: a response to a call with an outdated token stores no reading, and only responses that name a process tell whether another one may be newer.

Evidence: TestLateAnswerOfAnEarlierProcessRestoresNoReading (2 cases) and TestRestartIsNoticedDuringALongPoll failed before, and pass.

--- a/internal/core/cwclock/clock.go
+++ b/internal/core/cwclock/clock.go
@@ -22,6 +22,7 @@
 	reading     time.Duration // latest reading of the clock; it shows the time since the start of that process
 	sentAt      time.Time     // when the request of the reading was sent
 	receivedAt  time.Time     // on the clock of this host; zero: there is no reading
+	namedAt     time.Time     // when the latest response that named the incarnation was received; zero: none was
 	leaseExpiry time.Time     // when every lease granted so far has expired; zero: none was granted
 }
 
@@ -66,15 +67,19 @@
 // implies the later time, since a slow response understates the time.
 //
 // A response of another incarnation shows that the worker has restarted. If it names the incarnation, its reading replaces the stored one,
-// unless the stored one was received after the request was sent and may thus be the newer. If it does not, the stored reading is
-// dropped.
+// unless its request was sent before the latest response that named one was received: it may then be of an earlier process. If it does not
+// name it, the stored reading is dropped. A response to a call with an outdated token may be of an earlier process, too, so its reading is not stored.
 func (c *Clock) Record(n Reading) {
 	if FenceOf(n.Token) != c.fence {
 		return // of a call under an earlier fence
 	}
+	if n.Token != c.token() {
+		c.allowLongestLease(n.ReceivedAt)
+		return
+	}
 	isOther := !n.Incarnation.IsZero() && !c.incarnation.IsZero() && !n.Incarnation.Equal(c.incarnation)
 	switch {
-	case isOther && n.SentAt.Before(c.receivedAt):
+	case isOther && n.SentAt.Before(c.namedAt):
 		return
 	case isOther:
 		c.recordRestart()
@@ -88,7 +93,7 @@
 		c.reading, c.sentAt, c.receivedAt = n.Clock, n.SentAt, n.ReceivedAt
 	}
 	if !n.Incarnation.IsZero() {
-		c.incarnation = n.Incarnation
+		c.incarnation, c.namedAt = n.Incarnation, n.ReceivedAt
 	}
 	if !c.isSettled {
 		c.isSettled = n.Token == c.token() && c.restarts < maxRestarts
--- a/internal/core/cwclock/clock_test.go
+++ b/internal/core/cwclock/clock_test.go
@@ -237,3 +237,57 @@
 		})
 	}
 }
+
+// TestLateAnswerOfAnEarlierProcessRestoresNoReading guards against a lease on a restarted worker that outlives its recorded expiry: a late answer of
+// the earlier process replaces the reading of the later one, and the next deadline is far ahead of its clock.
+func TestLateAnswerOfAnEarlierProcessRestoresNoReading(t *testing.T) {
+	const lease = time.Second
+	start := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	next := at(500 * time.Millisecond)
+	cases := []struct {
+		name  string
+		later Reading // of the later process, which shows the restart
+		late  Reading // of the earlier one, received afterwards
+	}{
+		{
+			"answer to a start",
+			Reading{Incarnation: next, Clock: 20 * time.Minute, SentAt: at(950 * time.Millisecond), ReceivedAt: at(time.Second)},
+			Reading{Clock: time.Hour + 100*time.Millisecond, SentAt: at(100 * time.Millisecond), ReceivedAt: at(1500 * time.Millisecond)},
+		},
+		{
+			"report, after a start has shown the restart",
+			Reading{Clock: 20 * time.Minute, SentAt: at(950 * time.Millisecond), ReceivedAt: at(time.Second)},
+			Reading{Incarnation: start, Clock: time.Hour + 100*time.Millisecond, SentAt: at(100 * time.Millisecond), ReceivedAt: at(1500 * time.Millisecond)},
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newTestClock(start)
+			tc.later.Token, _ = c.OpenCall(3)
+			tc.late.Token = tc.later.Token
+			c.Record(tc.later)
+			c.Record(tc.late)
+			if deadline, ok := c.GrantDeadline(tc.late.ReceivedAt, lease); ok {
+				is.True(deadline <= tc.later.Clock+tc.late.ReceivedAt.Sub(tc.later.SentAt)+lease)
+			}
+		})
+	}
+}
+
+// TestRestartIsNoticedDuringALongPoll guards against a restarted worker that counts as settled: while its report was under way, it has answered
+// a start, and that answer did not name the process.
+func TestRestartIsNoticedDuringALongPoll(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	c := newTestClock(start)
+	token, _ := c.OpenCall(3)
+	answer := Reading{Token: token, Clock: time.Hour + 20*time.Minute, SentAt: at(1400 * time.Millisecond), ReceivedAt: at(1410 * time.Millisecond)}
+	report := Reading{Token: token, Incarnation: at(500 * time.Millisecond), Clock: answer.Clock + 600*time.Millisecond, SentAt: at(time.Second), ReceivedAt: at(2 * time.Second)}
+	c.Record(answer)
+	c.Record(report)
+	is.True(!c.IsSettled(token)) // calls to the earlier process have the same token
+	is.True(!c.LeaseExpiry().Before(report.ReceivedAt.Add(c.maxLease)))
+}
