Notice a restarted worker by a clock that jumps ahead

On real workers the next process's clock may as well be ahead: its reading then replaced the stored one under the name of the earlier process, and the fencing token stayed, so that calls to that process were executed until the next report.

Change: a reading that is above all that the known clock can have reached since the last one, with 2% for hosts whose clocks differ, shows another process, too.

A clock that matches by chance still shows nothing; the report that names the process does.

--- a/internal/core/cwclock/clock.go
+++ b/internal/core/cwclock/clock.go
@@ -19,7 +19,7 @@
 	restarts    uint64        // of the worker under that owner
 	isSettled   bool          // the present process has answered a call with the present fencing token
 	incarnation time.Time     // start of the worker's process that the clock belongs to; zero: no response has named it
-	reading     time.Duration // latest reading of the clock; it shows the time since the start of that process
+	reading     time.Duration // latest reading of the clock, which begins at any value with each process
 	sentAt      time.Time     // when the request of the reading was sent
 	receivedAt  time.Time     // on the clock of this host; zero: there is no reading
 	namedAt     time.Time     // when the latest response that named the incarnation was received; zero: none was
@@ -109,10 +109,25 @@
 	c.restarts = min(c.restarts+1, maxRestarts)
 }
 
-// isOfAnotherProcess reports whether a reading is below all that the clock of the stored reading can have shown since its request
-// was sent. Readings are truncated to milliseconds.
-func (c *Clock) isOfAnotherProcess(n Reading) bool {
-	return !c.receivedAt.IsZero() && !n.SentAt.Before(c.receivedAt) && n.Clock+time.Millisecond < c.earliestReading(n.SentAt)
+// isOfAnotherProcess reports whether the clock of the stored reading can't have shown a later one between its sending and its receipt. The clock
+// of another process may show that by chance.
+func (c *Clock) isOfAnotherProcess(n Reading) bool { return c.isBehind(n) || c.isAhead(n) }
+
+// isBehind reports whether a later reading is below all that the clock of the stored one can have shown since its request was sent. Readings are
+// truncated to milliseconds.
+func (c *Clock) isBehind(n Reading) bool {
+	return c.isLater(n) && n.Clock+time.Millisecond < c.earliestReading(n.SentAt)
+}
+
+// isAhead reports whether a later reading is above all that the clock of the stored one can have shown until it was received.
+func (c *Clock) isAhead(n Reading) bool {
+	latest := c.reading + time.Duration((1+Drift)*float64(n.ReceivedAt.Sub(c.sentAt)))
+	return c.isLater(n) && n.Clock > latest+time.Millisecond
+}
+
+// isLater reports whether the request of a reading was sent after the stored one was received.
+func (c *Clock) isLater(n Reading) bool {
+	return !c.receivedAt.IsZero() && !n.SentAt.Before(c.receivedAt)
 }
 
 // allowLongestLease records that the worker may have taken deadlines for the clock of its earlier process until now, which are limited by its
