Bound the lease of an accepted run without knowing which process accepted it

Cause: the answer to a start does not name the process. Any reading above the time since the last response counted as proof that the known process had answered, as a later one was thought to begin at zero; a reading far behind was first taken as that proof and then for another process. The run was booked under the known process, also if a report had named another one before, and was given up when the owner's own grants there were over, though calls that were meant for the earlier process may extend the leases of the present one.

Change: only a report books a run. Until then its end is bounded whichever process has accepted it: that one refuses lower tokens from its answer on, so their leases are over after the longest lease; this owner's own deadlines bound it as long as its clock is not behind the known one. Otherwise, and after a second try, the long wait for late calls stays. ConfirmIncarnation and ProvenIncarnation go. A settled report tells of runs that were accepted at the first try before it was requested.

Evidence: TestAnswerOfALaterProcessProvesNothing (clock behind, ahead, equal) failed on ProvenIncarnation; as that has gone, TestLeaseBound takes its place and that of TestProvenIncarnation, whose rows held the assumption. TestReportGoesBeforeTheAnswerToAStart failed before. The row of TestLeaseOfTheNextIncarnation for a known process now waits for the longest lease, 6 s, in place of 3.5 s.

--- a/internal/adapter/cwcellmemory/fleet.go
+++ b/internal/adapter/cwcellmemory/fleet.go
@@ -141,21 +141,21 @@
 	return report, f.runEnded, nil
 }
 
-func (f *Fleet) start(w cwcellport.WorkerEntry, o *cwcell.StartOrder, fence uint64, _ time.Duration) (result cwcell.StartResult, incarnation time.Time) {
+func (f *Fleet) start(w cwcellport.WorkerEntry, o *cwcell.StartOrder, fence uint64, _ time.Duration) (result cwcell.StartResult, leaseBound time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	target := f.workers[w.ID]
 	switch {
 	case target.down:
-		return cwcell.StartNotSent, incarnation
+		return cwcell.StartNotSent, leaseBound
 	case fence < target.fence:
-		return cwcell.StartStaleFence, incarnation
+		return cwcell.StartStaleFence, leaseBound
 	}
 	target.fence = fence
 	target.runs[o.Task] = o.Run
 	f.starts[o.Task]++
 	f.timer.After(f.runTime, func(time.Time) { f.endRun(target, o.Task, o.Run, cwcell.EndDone) })
-	return cwcell.StartAccepted, target.entry.Incarnation
+	return cwcell.StartAccepted, f.timer.Now()
 }
 
 // stop ends a run whatever the fence, even on a worker that is down.
--- a/internal/app/cwcellowner/link.go
+++ b/internal/app/cwcellowner/link.go
@@ -170,8 +170,8 @@
 
 // startOutcome is the result of a start order.
 type startOutcome struct {
-	result      cwcell.StartResult
-	incarnation time.Time // of the worker's process that has accepted it; zero: not certain
+	result     cwcell.StartResult
+	leaseBound time.Time // when the leases of earlier owners' calls on the process that has accepted it have expired; zero: not known
 }
 
 // sendStartBatch sends start orders to one worker. If the worker has no link or the call pool is full, each order gets the
@@ -217,8 +217,8 @@
 		if outcome.result == cwcell.StartStaleFence {
 			s.owner.opts.OnSuperseded()
 		}
-		if outcome.result == cwcell.StartAccepted && !outcome.incarnation.IsZero() {
-			s.cell.ConfirmIncarnation(&batch[n], outcome.incarnation)
+		if outcome.result == cwcell.StartAccepted {
+			s.cell.BoundLease(&batch[n], outcome.leaseBound)
 		}
 		s.cell.HandleStartResult(&batch[n], outcome.result, now)
 	}
@@ -233,11 +233,11 @@
 		if !s.holdsLease() {
 			break // the host was suspended after the decision, or has acquired the lease anew
 		}
-		switch result, incarnation := s.owner.opts.Workers.Start(w, o, s.grant.Fence, s.owner.opts.StartWindow); {
+		switch result, leaseBound := s.owner.opts.Workers.Start(w, o, s.grant.Fence, s.owner.opts.StartWindow); {
 		case result == cwcell.StartUnanswered:
 			unanswered = true
 		case !unanswered:
-			return startOutcome{result, incarnation}
+			return startOutcome{result, leaseBound}
 		case result == cwcell.StartAccepted:
 			return startOutcome{result: cwcell.StartAcceptedOnRetry}
 		}
--- a/internal/core/cwcell/cluster_test.go
+++ b/internal/core/cwcell/cluster_test.go
@@ -706,21 +706,19 @@
 	return ok
 }
 
-// readClock records a response's reading of the worker's clock. It returns the incarnation that has answered, or the zero time if that is not
-// certain, and whether the worker has refused the call because the owner has raised its token since. After another refusal there is a
+// readClock records a response's reading of the worker's clock. It returns the bound of the leases on the process that has answered, and
+// whether the worker has refused the call because the owner has raised its token since. After another refusal there is a
 // later owner.
-func (c *cluster) readClock(o *simOwner, w *simWorker, call *simCall, r *simResponse) (incarnation time.Time, isOutdated bool) {
+func (c *cluster) readClock(o *simOwner, w *simWorker, call *simCall, r *simResponse) (leaseBound time.Time, isOutdated bool) {
 	clock := o.clock(w.info.ID)
 	n := cwclock.Reading{Token: call.token, Incarnation: r.incarnation, Clock: r.clock, SentAt: call.sentAt, ReceivedAt: c.now}
-	if incarnation = r.incarnation; incarnation.IsZero() {
-		incarnation = clock.ProvenIncarnation(n)
-	}
+	leaseBound = clock.LeaseBound(n)
 	clock.Record(n)
 	if r.refused {
 		isOutdated = clock.IsOutdated(call.token)
 		o.superseded = o.superseded || !isOutdated
 	}
-	return incarnation, isOutdated
+	return leaseBound, isOutdated
 }
 
 // poll polls a worker for an owner, under a random fault, and passes the report or its absence to the owner's cell.
@@ -867,19 +865,19 @@
 		if f == faultNotSent {
 			result = StartNotSent
 		}
-		var incarnation time.Time
+		var leaseBound time.Time
 		if r != nil {
 			result = r.result
 			var isOutdated bool
-			if incarnation, isOutdated = c.readClock(o, w, &call, r); isOutdated {
+			if leaseBound, isOutdated = c.readClock(o, w, &call, r); isOutdated {
 				result = StartWorkerRestarted
 			}
 		}
 		if o.superseded {
 			return
 		}
-		if result == StartAccepted && !incarnation.IsZero() {
-			o.cell.ConfirmIncarnation(order, incarnation)
+		if result == StartAccepted {
+			o.cell.BoundLease(order, leaseBound)
 		}
 		o.cell.HandleStartResult(order, result, c.now)
 	})
--- a/internal/core/cwcell/job.go
+++ b/internal/core/cwcell/job.go
@@ -98,6 +98,7 @@
 	triedTwice      bool      // it was accepted at the second try; the first one got no response and may still be carried out
 	startResolvedAt time.Time // when the result of the start order was received; zero: it is in flight, or the run was adopted
 	incarnation     time.Time // incarnation of the worker that reported the run; zero: none has
+	leaseBound      time.Time // when the leases of earlier owners' calls on the process that has accepted it have expired; zero: not known
 	orderedTo       time.Time // incarnation of the worker that was known when the run was planned or adopted
 }
 
--- a/internal/core/cwcell/lease.go
+++ b/internal/core/cwcell/lease.go
@@ -35,7 +35,7 @@
 		switch {
 		case r.orderInFlight(): // its result decides
 		case r.adopted && now.Before(c.opts.PriorLeaseExpiry): // under a lease of the owner that started it
-		case r.endsWithLeases():
+		case r.endsWithLeases() || c.acceptedLeaseOver(r, now):
 			lose(r, lostLeaseExpired)
 		case c.lateCallsOver(r, now):
 			lose(r, lostLateCallsOver)
@@ -57,6 +57,18 @@
 	return true // its incarnation has ended
 }
 
+// maxAnswerDelay is the longest time until the answer to a start order, by which the clock of the process that has answered may be behind
+// the known one unnoticed.
+const maxAnswerDelay = 500 * time.Millisecond
+
+// acceptedLeaseOver reports whether the lease of a run that no report contains yet has expired: only the process that has accepted it can run it.
+func (c *Cell) acceptedLeaseOver(r *run, now time.Time) bool {
+	if r.leaseBound.IsZero() || !r.incarnation.IsZero() || r.triedTwice {
+		return false
+	}
+	return !now.Before(later(r.leaseBound, c.opts.LeaseExpiry(r.worker.ID).Add(maxAnswerDelay)).Add(leaseGrace))
+}
+
 // lateCallsOver reports whether every call that may start the run, or extend its lease, has been carried out, and the longest lease from
 // then on has expired.
 func (c *Cell) lateCallsOver(r *run, now time.Time) bool {
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -109,7 +109,7 @@
 		c.handleRunning(w, r, now)
 	}
 	if !rep.Unsettled {
-		c.loseEarlierRuns(w, now)
+		c.loseEarlierRuns(w, rep, now)
 	}
 	if !rep.Unsettled && !rep.Truncated {
 		c.releaseMissingRuns(w, reported, rep.RequestedAt, now)
--- a/internal/core/cwcell/restart_test.go
+++ b/internal/core/cwcell/restart_test.go
@@ -151,10 +151,10 @@
 		{"accepted, not known by which incarnation", func(f *fixture, o *StartOrder, _ time.Time) {
 			f.HandleStartResult(o, StartAccepted, f.now)
 		}, late},
-		{"accepted by a known incarnation", func(f *fixture, o *StartOrder, incarnation time.Time) {
-			f.ConfirmIncarnation(o, incarnation)
+		{"accepted, its lease is bounded", func(f *fixture, o *StartOrder, _ time.Time) {
+			f.BoundLease(o, f.now.Add(maxLease))
 			f.HandleStartResult(o, StartAccepted, f.now)
-		}, lease},
+		}, maxLease},
 		{"accepted, then reported", func(f *fixture, o *StartOrder, incarnation time.Time) {
 			f.HandleStartResult(o, StartAccepted, f.now)
 			f.HandleReport(&Report{Worker: "a", Incarnation: incarnation, RequestedAt: f.now, Running: running(o)}, f.now)
@@ -194,6 +194,25 @@
 	}
 }
 
+// TestReportGoesBeforeTheAnswerToAStart guards against a task that runs twice because its worker has restarted and is cut off: the report of the later
+// process contains the run, and then the answer to its start bounds its lease.
+func TestReportGoesBeforeTheAnswerToAStart(t *testing.T) {
+	is := is.New(t)
+	f := newFixture([]cwmodel.HostID{"a", "b"}, plainPolicy)
+	next := f.now.Add(100 * time.Millisecond)
+	f.opts.MaxTaskLease = 6 * time.Second
+	f.admit(step(1, 6000, false))
+	o := f.decide().Starts[0]
+	is.Equal(o.Worker, cwmodel.HostID("a"))
+	f.HandleReport(&Report{Worker: "a", Incarnation: next, RequestedAt: f.now, Running: []RunStatus{{Task: o.Task, Run: o.Run}}, Unsettled: true}, f.now)
+	f.BoundLease(&o, f.now.Add(f.opts.MaxTaskLease))
+	f.HandleStartResult(&o, StartAccepted, f.now)
+	f.MarkUnreachable("a", f.now)
+	f.now = f.now.Add(f.opts.MaxTaskLease) // calls to the earlier process may extend the lease until later
+	f.MarkUnreachable("a", f.now)
+	is.Equal(len(f.decideDurably()), 0)
+}
+
 // TestRestartedWorkerIsUsedOnceItIsSettled guards against a task that runs twice because a call that was meant for the earlier incarnation of its worker
 // is carried out by the present one: until that is impossible, nothing is started there, and nothing that it may run is given up.
 func TestRestartedWorkerIsUsedOnceItIsSettled(t *testing.T) {
@@ -202,7 +221,7 @@
 	next := f.now.Add(time.Second)
 	f.admit(step(1, 6000, false))
 	o := f.decide().Starts[0]
-	f.ConfirmIncarnation(&o, f.now)
+	f.BoundLease(&o, f.now.Add(6*time.Second))
 	f.HandleStartResult(&o, StartAccepted, f.now)
 	f.now = next.Add(time.Second)
 	f.list("a", next)
--- a/internal/core/cwclock/clock.go
+++ b/internal/core/cwclock/clock.go
@@ -133,11 +133,16 @@
 // allowLongestLease records that the worker may have taken deadlines for the clock of its earlier process until now, which are limited by its
 // longest lease alone.
 func (c *Clock) allowLongestLease(now time.Time) {
-	if expiry := now.Add(time.Duration(float64(c.maxLease) / (1 - Drift))); expiry.After(c.leaseExpiry) {
+	if expiry := c.longestLeaseFrom(now); expiry.After(c.leaseExpiry) {
 		c.leaseExpiry = expiry
 	}
 }
 
+// longestLeaseFrom returns the time at which the longest lease has expired that the worker may have granted until now.
+func (c *Clock) longestLeaseFrom(now time.Time) time.Time {
+	return now.Add(time.Duration(float64(c.maxLease) / (1 - Drift)))
+}
+
 // earliestReading returns the lowest reading that the worker's clock can show at now, a time of this host's clock: that of a clock
 // that has been slow by Drift since the latest reading.
 func (c *Clock) earliestReading(now time.Time) time.Duration {
@@ -164,13 +169,14 @@
 // IsOutdated reports whether the worker's fencing token has been raised since a call with the given one was sent.
 func (c *Clock) IsOutdated(token uint64) bool { return token < c.token() }
 
-// ProvenIncarnation returns the incarnation of the process that has answered a call with the given reading of its clock, or the zero time if a later
-// process may have. A process that began after the last known response of this one shows less time than has passed since.
-func (c *Clock) ProvenIncarnation(n Reading) time.Time {
-	if c.receivedAt.IsZero() || c.incarnation.IsZero() || n.Clock <= n.ReceivedAt.Sub(c.sentAt)+time.Millisecond {
+// LeaseBound returns the time by which the leases that earlier calls have left on the process which has answered a call with the given reading
+// have expired: it refuses calls with lower tokens from then on. The leases that this owner grants there expire by LeaseExpiry, even if a later process
+// than the known one has answered, as its clock is not behind. If that is not certain, LeaseBound returns the zero time.
+func (c *Clock) LeaseBound(n Reading) time.Time {
+	if n.Token != c.token() || !c.isLater(n) || c.isBehind(n) {
 		return time.Time{}
 	}
-	return c.incarnation
+	return c.longestLeaseFrom(n.ReceivedAt)
 }
 
 // LeaseExpiry returns the time at which every lease granted on the worker has expired, or the zero time if none was granted.
--- a/internal/core/cwclock/clock_test.go
+++ b/internal/core/cwclock/clock_test.go
@@ -110,30 +110,38 @@
 	is.True(!ok)
 }
 
-// TestProvenIncarnation guards against a run that is taken for one of the known process although a later one, whose clock is younger, has accepted
-// it.
-func TestProvenIncarnation(t *testing.T) {
+// TestLeaseBound guards against a run that is given up while it lives, as a later process than the known one has accepted it: the answer to a start does
+// not name the process, and its clock begins anywhere. Only if it is not behind the known one do this owner's deadlines bound its leases.
+func TestLeaseBound(t *testing.T) {
 	start := time.Unix(1000, 0)
 	at := func(d time.Duration) time.Time { return start.Add(d) }
 	cases := []struct {
-		name    string
-		age     time.Duration // of the known process in its last response
-		clock   time.Duration // in the response a second later
-		certain bool
+		name     string
+		clock    time.Duration
+		sentAt   time.Time
+		outdated bool // the token was raised meanwhile
+		bounded  bool
 	}{
-		{"clock goes on", time.Hour, time.Hour + time.Second, true},
-		{"clock goes on, slowly", time.Hour, time.Hour + 980*time.Millisecond, true},
-		{"clock of a later process", time.Hour, 900 * time.Millisecond, false},
-		{"process as old as the time between the responses", 0, time.Second, false},
+		{"clock goes on", time.Hour + time.Second, at(time.Second), false, true},
+		{"clock goes on, slowly", time.Hour + 980*time.Millisecond, at(time.Second), false, true},
+		{"clock of a later process, ahead", time.Hour + 20*time.Minute, at(time.Second), false, true},
+		{"clock of a later process, behind", 20 * time.Minute, at(time.Second), false, false},
+		{"clock of a later process, a little behind", time.Hour + 900*time.Millisecond, at(time.Second), false, false},
+		{"sent before the known reading was received", time.Hour + time.Second, at(-time.Millisecond), false, false},
+		{"answer to a call with an outdated token", time.Hour + time.Second, at(time.Second), true, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			c := New(6 * time.Second)
-			token, _ := c.OpenCall(3)
-			c.Record(Reading{token, start, tc.age, start, start})
-			got := c.ProvenIncarnation(Reading{token, time.Time{}, tc.clock, at(time.Second), at(time.Second)})
-			is.Equal(got.Equal(start), tc.certain)
+			c := newTestClock(start)
+			n := Reading{Clock: tc.clock, SentAt: tc.sentAt, ReceivedAt: at(1010 * time.Millisecond)}
+			n.Token, _ = c.OpenCall(3)
+			if tc.outdated {
+				c.recordRestart()
+			}
+			bound := c.LeaseBound(n)
+			is.Equal(!bound.IsZero(), tc.bounded)
+			is.True(!tc.bounded || !bound.Before(n.ReceivedAt.Add(c.maxLease*100/98)))
 		})
 	}
 }
