Settle a worker by responses that prove it

Cause: any response with a clock counted as that of a worker that has recorded the fencing token. (2) A response that names no process may be of a later one than the known one. (3) After 421, another worker's process has taken the address; should the worker return there, it was settled at once under the former token.

--- a/internal/core/cwclock/clock.go
+++ b/internal/core/cwclock/clock.go
@@ -44,7 +44,7 @@
 // token returns the fencing token of the next call to the worker.
 func (c *Clock) token() uint64 { return FirstToken(c.fence) | c.restarts }
 
-// Reading is a reading of a worker's clock in a response.
+// Reading is a reading of a worker's clock in a response that shows that the worker has recorded the token of the request.
 type Reading struct {
 	Token       uint64    // fencing token of the request
 	Incarnation time.Time // start of the worker's process; zero: the response does not name it
@@ -96,7 +96,7 @@
 		c.incarnation, c.namedAt = n.Incarnation, n.ReceivedAt
 	}
 	if !c.isSettled {
-		c.isSettled = n.Token == c.token() && c.restarts < maxRestarts
+		c.isSettled = !n.Incarnation.IsZero() && n.Token == c.token() && c.restarts < maxRestarts
 		// A former owner, or a call that was meant for an earlier process, may have extended the leases until now.
 		c.allowLongestLease(n.ReceivedAt)
 	}
@@ -182,6 +182,11 @@
 // LeaseExpiry returns the time at which every lease granted on the worker has expired, or the zero time if none was granted.
 func (c *Clock) LeaseExpiry() time.Time { return c.leaseExpiry }
 
-// Drop drops the reading of the clock after a restart of the worker. It keeps the expiry of the leases that were granted
-// to the earlier process.
-func (c *Clock) Drop() { c.receivedAt, c.reading = time.Time{}, 0 }
+// Drop drops the reading of the clock as the worker's process has been replaced by that of another worker. It keeps the expiry of the leases that were
+// granted to it. Should the worker return, it has restarted.
+func (c *Clock) Drop() {
+	if !c.receivedAt.IsZero() {
+		c.recordRestart()
+	}
+	c.receivedAt, c.reading = time.Time{}, 0
+}
--- a/internal/core/cwclock/clock_test.go
+++ b/internal/core/cwclock/clock_test.go
@@ -65,6 +65,45 @@
 	}
 }
 
+// TestSettledByReportsAlone guards against a task that runs twice because a restarted worker is used while it still executes the calls to its
+// earlier process: a response that names no process may be of a later one than the known one.
+func TestSettledByReportsAlone(t *testing.T) {
+	start := time.Unix(1000, 0)
+	cases := []struct {
+		name        string
+		incarnation time.Time
+		settled     bool
+	}{
+		{"report", start, true},
+		{"response that names no process", time.Time{}, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := New(6 * time.Second)
+			token, _ := c.OpenCall(3)
+			c.Record(Reading{token, tc.incarnation, time.Hour, start, start})
+			is.Equal(c.IsSettled(token), tc.settled)
+		})
+	}
+}
+
+// TestReplacedWorkerHasRestarted guards against a worker that counts as settled when it returns to the address at which the process of another
+// worker has answered: calls that were meant for its earlier process may still be on their way.
+func TestReplacedWorkerHasRestarted(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	c := newTestClock(start)
+	first, _ := c.OpenCall(3)
+	is.True(c.IsSettled(first))
+	for range 3 { // further responses of the other worker raise the token no more
+		c.Drop()
+	}
+	token, _ := c.OpenCall(3)
+	is.Equal(token, first+1)
+	is.True(!c.IsSettled(token))
+}
+
 // TestTooManyRestarts guards against fencing tokens that reach those of a later owner, and against a worker that is used although its token can't be
 // raised any more.
 func TestTooManyRestarts(t *testing.T) {
