Acknowledge only ends that the worker still lists

Cause: each poll repeated the number up to which ends were acknowledged. A process that starts again under its identifier numbers its ends anew; a poll to the process before that is executed late, or that a former owner has sent, then takes note of ends that nobody has read, and forgets them: a task that is done would run again.

Change: a number is sent only while the latest report lists an end up to it. A poll that is under way just after an end can still be executed by the wrong process: the protocol offers nothing against that.

Evidence: TestEndsAreAcknowledgedOnce failed before. TestNothingIsAcknowledgedToASilentWorker reported no end in its last step and expected the number all the same; its report now lists the end, as that of a worker does to which nothing was acknowledged.

--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -97,10 +97,7 @@
 	c.setReported(w, !w.unsettled)
 	c.setEndsUnread(w, rep.Truncated)
 	w.unreachable, w.replaced, w.pollFailedAt, w.lastContact, w.lastResponse = false, false, time.Time{}, now, now
-	for n := range rep.Ended {
-		c.handleEnd(w, &rep.Ended[n], now)
-	}
-	w.advanceAck()
+	c.handleEnds(w, rep.Ended, now)
 	reported := make(map[cwwork.TaskKey]int, len(rep.Running))
 	w.unresolvedRuns, w.foreignRuns = w.unresolvedRuns[:0], 0
 	for n := range rep.Running {
@@ -260,6 +257,18 @@
 	}
 }
 
+// handleEnds processes the ends of a report.
+func (c *Cell) handleEnds(w *worker, ends []RunEnd, now time.Time) {
+	w.firstListedEnd = 0
+	if len(ends) > 0 {
+		w.firstListedEnd = ends[0].Sequence
+	}
+	for n := range ends {
+		c.handleEnd(w, &ends[n], now)
+	}
+	w.advanceAck()
+}
+
 // handleEnd processes one end of a report, unless an earlier report contained it. The end is acknowledged once its effect
 // is durable.
 func (c *Cell) handleEnd(w *worker, e *RunEnd, now time.Time) {
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -45,6 +45,7 @@
 	replaced          bool      // the process of another worker answers at its address
 	lastSequence      uint64    // sequence number of the latest end that was processed
 	ackSequence       uint64    // sequence number of the latest end whose effect is durable
+	firstListedEnd    uint64    // sequence number of the first end in the latest report; zero: it has none
 	pendingEnds       []pendingEnd
 	breaker           breaker
 	heldBy            *run        // the run of a suspect, beside which nothing is started on the worker; nil: there is none
@@ -262,7 +263,7 @@
 func (c *Cell) handleRestart(w *worker, incarnation, now time.Time) {
 	c.log(LogEntry{Event: "worker-restarted", Worker: w.ID, Incarnation: incarnation})
 	w.Incarnation = incarnation
-	w.lastSequence, w.ackSequence, w.pendingEnds = 0, 0, nil
+	w.lastSequence, w.ackSequence, w.firstListedEnd, w.pendingEnds = 0, 0, 0, nil
 	w.priorLastResponse, w.lastResponse = w.lastResponse, time.Time{}
 	c.setReported(w, false)
 	c.setEndsUnread(w, false)
@@ -400,13 +401,14 @@
 
 // AckWatermark returns the sequence number up to which a worker may drop its ends; all reports whether it covers all
 // received ends. For an unknown worker it returns 0 and true. It acknowledges nothing to a worker that did not answer the last
-// call: the next one may reach a later incarnation, which numbers its ends anew and would drop some that were never read.
+// call: the next one may reach a later incarnation, which numbers its ends anew and would drop some that were never read. For the same reason it
+// acknowledges no end again that the worker does not list any more.
 func (c *Cell) AckWatermark(id cwmodel.HostID) (sequence uint64, all bool) {
 	w, ok := c.workers[id]
 	if !ok {
 		return 0, true
 	}
-	if w.unreachable {
+	if w.unreachable || w.firstListedEnd == 0 || w.ackSequence < w.firstListedEnd {
 		return 0, len(w.pendingEnds) == 0
 	}
 	return w.ackSequence, len(w.pendingEnds) == 0
