--- a/internal/app/cwcellowner/commit.go
+++ b/internal/app/cwcellowner/commit.go
@@ -91,7 +91,7 @@
 // has a transaction in flight, or before its nextAt.
 func (s *session) commit(now time.Time) {
 	s.resendUnsettled(now)
-	if s.cell.MembersDirty() && s.commits.cellPartition.isReady(now) {
+	if s.cell.MembersDirty(now) && s.commits.cellPartition.isReady(now) {
 		s.sendCommit(s.buildMembersCommit(now))
 	}
 	pending := s.cell.PendingWrites()
--- a/internal/app/cwcellowner/session.go
+++ b/internal/app/cwcellowner/session.go
@@ -69,7 +69,6 @@
 		Seed:             o.opts.Seed ^ g.Fence,
 		RunNumberBase:    (g.Term - 1) * runsPerTerm,
 		PriorLeaseExpiry: g.PriorLeaseExpiry,
-		TakeoverTime:     wallClock(),
 		StatusRetention:  o.opts.StatusRetention,
 		MaxTaskLease:     time.Duration(float64(o.opts.MaxTaskLease) / (1 - cwclock.Drift)),
 		StopTimeout:      o.opts.StopTimeout,
--- a/internal/core/cwcell/cell.go
+++ b/internal/core/cwcell/cell.go
@@ -22,8 +22,6 @@
 	// PriorLeaseExpiry is the time at which all leases granted by earlier owners have expired, also those on unreachable
 	// workers.
 	PriorLeaseExpiry time.Time
-	// TakeoverTime is the time of day of the takeover.
-	TakeoverTime time.Time
 	// StatusRetention is how long the final state of a job can be looked up.
 	StatusRetention time.Duration
 	// MaxTaskLease is the longest lease that a worker grants, on the clock of this host.
--- a/internal/core/cwcell/cluster_test.go
+++ b/internal/core/cwcell/cluster_test.go
@@ -258,7 +258,7 @@
 		host: h, clocks: h.clocks, cutOff: map[cwmodel.HostID]bool{}, truncated: map[cwmodel.HostID]bool{}, listed: map[cwmodel.HostID]int{},
 	}
 	o.cell = New(Options{
-		Seed: uint64(c.term), RunNumberBase: (c.term - 1) * 1000, PriorLeaseExpiry: o.priorExpiry, TakeoverTime: c.now, StatusRetention: time.Minute,
+		Seed: uint64(c.term), RunNumberBase: (c.term - 1) * 1000, PriorLeaseExpiry: o.priorExpiry, StatusRetention: time.Minute,
 		StopTimeout: 200 * time.Millisecond, MaxTaskLease: simMaxLease * 100 / 98,
 		Policy:      func(cwwork.QueueName) (cwwork.QueuePolicy, bool) { return c.policy, true },
 		LeaseExpiry: func(id cwmodel.HostID) time.Time { return o.clock(id).LeaseExpiry() },
@@ -620,6 +620,12 @@
 		o.cell.CompleteWrites(o.writing, true, c.now)
 		o.writing = nil
 	}
+	if o == c.currentOwner() && !o.isolated && o.cell.MembersDirty(c.now) {
+		for _, id := range o.cell.Members() {
+			c.members[id] = o.cell.MemberIncarnation(id, c.now)
+		}
+		o.cell.MarkMembersDurable(o.cell.Members())
+	}
 	if o.writing == nil && o.cell.PendingWrites() > 0 {
 		o.writing = o.cell.NextWrites(20, func(cwmodel.JobID) bool { return true })
 		o.commitAt = c.now.Add(20 * time.Millisecond)
--- a/internal/core/cwcell/lease.go
+++ b/internal/core/cwcell/lease.go
@@ -129,22 +129,17 @@
 	return true
 }
 
-// youngIncarnation is the age up to which an incarnation may have taken calls that an earlier owner meant for the one before: the longest delay
-// of a call, a lease, the time until a later owner has waited for both, and the largest difference between two times of day.
-const youngIncarnation = 45 * time.Second
-
-// isYoungMember reports whether a stored member has restarted a short time before this owner took over, or later. Its start time is
-// compared with the time of day.
-func (c *Cell) isYoungMember(w *worker) bool {
-	return w.inStoredMembers && !w.listedIncarnation.IsZero() && !w.listedIncarnation.Equal(w.storedIncarnation) &&
-		c.opts.TakeoverTime.Sub(w.listedIncarnation) < youngIncarnation
+// isYoungMember reports whether a stored member has restarted, and its present incarnation may still take calls that an earlier owner meant for the one
+// before.
+func (w *worker) isYoungMember() bool {
+	return w.inStoredMembers && !w.listedIncarnation.IsZero() && !w.listedIncarnation.Equal(w.storedIncarnation)
 }
 
 // priorRunsEnded reports whether the runs that earlier owners may have left on a worker are known or have ended, given the latest time up to
 // which this host was the only owner. A young incarnation may carry out their calls late.
 func (c *Cell) priorRunsEnded(w *worker, exclusive time.Time) bool {
 	expiry := c.opts.PriorLeaseExpiry
-	if c.isYoungMember(w) {
+	if w.isYoungMember() {
 		expiry = c.lateCallsExpiry()
 	}
 	return w.hasReported || !exclusive.Before(expiry)
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -77,7 +77,7 @@
 		if !w.Incarnation.IsZero() {
 			c.handleRestart(w, rep.Incarnation, now)
 		}
-		w.Incarnation, w.incarnationSeenAt = rep.Incarnation, now
+		w.Incarnation = rep.Incarnation
 	}
 	if w.unreachable || !w.hasReported {
 		c.markNewCapacity(w)
@@ -93,7 +93,7 @@
 	if w.unsettled && !rep.Unsettled {
 		c.log(LogEntry{Event: "worker-settled", Worker: w.ID, Incarnation: w.Incarnation})
 	}
-	w.unsettled = rep.Unsettled
+	w.setUnsettled(rep.Unsettled, now)
 	c.setReported(w, !w.unsettled)
 	c.setEndsUnread(w, rep.Truncated)
 	w.unreachable, w.replaced, w.pollFailedAt, w.lastContact, w.lastResponse = false, false, time.Time{}, now, now
--- a/internal/core/cwcell/restart_test.go
+++ b/internal/core/cwcell/restart_test.go
@@ -267,7 +267,8 @@
 	}{
 		{"has not restarted", first, first, nil, prior},
 		{"is not listed", first, time.Time{}, nil, prior},
-		{"restarted long ago", first, takeover.Add(-youngIncarnation), nil, prior},
+		{"restarted long ago", takeover.Add(-time.Minute), takeover.Add(-time.Minute), nil, prior},
+		{"restarted, by a clock far behind", first, first.Add(-40 * time.Minute), nil, prior + maxCallDelay + maxLease},
 		{"restarted shortly before", first, takeover.Add(-10 * time.Second), nil, prior + maxCallDelay + maxLease},
 		{"restarted afterwards", first, takeover.Add(time.Second), nil, prior + maxCallDelay + maxLease},
 		{"the first incarnation is young", takeover.Add(-10 * time.Second), takeover.Add(-10 * time.Second), nil, prior},
@@ -279,7 +280,7 @@
 			is := is.New(t)
 			f := newFixture([]cwmodel.HostID{"a"}, plainPolicy)
 			start := f.now
-			f.opts.TakeoverTime, f.opts.PriorLeaseExpiry, f.opts.MaxTaskLease = takeover, start.Add(prior), maxLease
+			f.opts.PriorLeaseExpiry, f.opts.MaxTaskLease = start.Add(prior), maxLease
 			f.RestoreMember("cut-off", tc.stored, f.now)
 			if !tc.listed.IsZero() {
 				f.list("cut-off", tc.listed)
@@ -296,6 +297,41 @@
 	}
 }
 
+// TestStoredIncarnationFollowsARestart guards against takeovers that wait for a silent worker as long as for one that has just restarted: its present
+// incarnation has been in use for long, but the stored list of members still has the one before.
+func TestStoredIncarnationFollowsARestart(t *testing.T) {
+	first := time.Unix(500, 0)
+	next := first.Add(time.Minute)
+	cases := []struct {
+		name   string
+		events func(f *fixture)
+	}{
+		{"restarted under this owner", func(f *fixture) {
+			f.list("a", first)
+			f.HandleReport(&Report{Worker: "a", Incarnation: first, RequestedAt: f.now}, f.now)
+			f.list("a", next)
+			f.HandleReport(&Report{Worker: "a", Incarnation: next, RequestedAt: f.now}, f.now)
+		}},
+		{"restarted before the takeover", func(f *fixture) {
+			f.list("a", next)
+			f.HandleReport(&Report{Worker: "a", Incarnation: next, RequestedAt: f.now}, f.now)
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(nil, plainPolicy)
+			f.opts.MaxTaskLease = 6 * time.Second
+			f.RestoreMember("a", first, f.now)
+			tc.events(f)
+			is.Equal(f.MemberIncarnation("a", f.now), first)
+			f.now = f.now.Add(f.opts.MaxTaskLease)
+			is.True(f.MembersDirty(f.now))
+			is.Equal(f.MemberIncarnation("a", f.now), next)
+		})
+	}
+}
+
 // TestWorkerRestartsWithALowerStartTime guards against jobs that stay running for good because their worker has restarted after the time
 // of day of its host was put back: what its next incarnation says must count, and its ends are numbered anew.
 func TestWorkerRestartsWithALowerStartTime(t *testing.T) {
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -34,7 +34,7 @@
 	unlistedAt        time.Time // when it left the list; valid while listed is false
 	hasReported       bool      // its present incarnation has answered a poll of this owner, and is settled
 	unsettled         bool      // calls that were meant for an earlier incarnation may still have an effect
-	incarnationSeenAt time.Time // when the first report of the present incarnation arrived; zero: there is none
+	settledAt         time.Time // when the first settled report of the present incarnation arrived; zero: there is none
 	storedIncarnation time.Time // in the stored list of members: the first one, or one that is not young; zero: none is known
 	endsUnread        bool      // its latest report was truncated: it lists ends that this owner has not read
 	unreachable       bool      // did not answer the last call
@@ -152,18 +152,33 @@
 }
 
 // MemberIncarnation returns the incarnation of a worker to store in the list of members: the first one that was known. A later one takes its
-// place once it is not young any more, so that a later owner can tell a worker that has restarted a short time ago.
+// place once it is not young any more, so that a later owner can tell a worker that has restarted a short time ago. Its age isn't read from its start
+// time: the times of day of hosts differ.
 func (c *Cell) MemberIncarnation(id cwmodel.HostID, now time.Time) time.Time {
 	w, ok := c.workers[id]
 	if !ok {
 		return time.Time{}
 	}
-	if w.storedIncarnation.IsZero() || (!w.incarnationSeenAt.IsZero() && now.Sub(w.incarnationSeenAt) >= youngIncarnation) {
+	if w.storedIncarnation.IsZero() || !c.isYoung(w, now) {
 		w.storedIncarnation = w.Incarnation
 	}
 	return w.storedIncarnation
 }
 
+// setUnsettled sets whether calls that were meant for an earlier incarnation may still have an effect.
+func (w *worker) setUnsettled(unsettled bool, now time.Time) {
+	w.unsettled = unsettled
+	if !unsettled && w.settledAt.IsZero() {
+		w.settledAt = now
+	}
+}
+
+// isYoung reports whether leases on the worker may have been extended by calls that were meant for an earlier incarnation: it has refused them since it
+// was settled.
+func (c *Cell) isYoung(w *worker, now time.Time) bool {
+	return w.settledAt.IsZero() || now.Sub(w.settledAt) < c.opts.MaxTaskLease
+}
+
 // addWorker adds a worker that has not reported yet.
 func (c *Cell) addWorker(id cwmodel.HostID, now time.Time) *worker {
 	w := &worker{WorkerInfo: WorkerInfo{ID: id}, runs: map[cwwork.TaskKey]*run{}, lastContact: now}
@@ -175,12 +190,12 @@
 }
 
 // MembersDirty reports whether the members differ from the stored list that a later owner would read.
-func (c *Cell) MembersDirty() bool {
+func (c *Cell) MembersDirty(now time.Time) bool {
 	if c.membersRemoved {
 		return true
 	}
 	for _, w := range c.workers {
-		if !w.inStoredMembers {
+		if !w.inStoredMembers || (!w.storedIncarnation.Equal(w.Incarnation) && !c.isYoung(w, now)) {
 			return true
 		}
 	}
@@ -264,7 +279,7 @@
 	c.log(LogEntry{Event: "worker-restarted", Worker: w.ID, Incarnation: incarnation})
 	w.Incarnation = incarnation
 	w.lastSequence, w.ackSequence, w.firstListedEnd, w.pendingEnds = 0, 0, 0, nil
-	w.priorLastResponse, w.lastResponse = w.lastResponse, time.Time{}
+	w.priorLastResponse, w.lastResponse, w.settledAt = w.lastResponse, time.Time{}, time.Time{}
 	c.setReported(w, false)
 	c.setEndsUnread(w, false)
 	w.breaker = breaker{}
