Acknowledge nothing to a worker that is not settled

Cause: an answer to a start, which names no process, showed by its clock that the worker had restarted. The token was raised, but the next poll, with it, still had the number up to which the cell had acknowledged the ends of the earlier process. The present one took note of its first ends by that number and forgot them before anyone had read them, so a task that was done ran again.

Change: a poll acknowledges ends only to a settled worker, whose present process the cell knows by its report.

--- a/internal/core/cwcell/cluster_test.go
+++ b/internal/core/cwcell/cluster_test.go
@@ -739,6 +739,9 @@
 	if !ok {
 		return
 	}
+	if !o.clock(id).IsSettled(call.token) {
+		ack = 0
+	}
 	if o.cell.MayRenewLease(id) {
 		c.grantLease(o, w, &call, simLease)
 	}
