Count the runs of late orders in every check of the soak

The soak left runs out of the checks of TWICE, capacity and tasks per runner that a restarted runner had started by an order to its earlier process before any order to the present one had arrived. The users' rules allow that nowhere: the exception for orders that a runner carried out late is for rules with a time bound. Two runs at the same time, a start over the capacity and a start beyond the limit per runner have none; a start is a task that a runner has begun on an order.

--- a/internal/proof/cwsoak/check.go
+++ b/internal/proof/cwsoak/check.go
@@ -28,9 +28,6 @@
 	endNumber   uint64         // sequence number of its end at the runner
 	ackedAt     time.Time      // when its end was acknowledged; zero if it was not
 	isRunning   bool
-	// isStray is true for a run that a runner has started by an order to an earlier process, which it carried out late, before any order to the
-	// present one had arrived. Nobody can prevent such a run.
-	isStray bool
 }
 
 // endedWithRunner reports whether the run ended with the process of its runner.
@@ -122,7 +119,6 @@
 		record := runRecord{
 			runner: line.Get("worker"), rackName: rk.name, incarnation: intValue(line, "born"), task: key, runNumber: int(intValue(line, "run")),
 			payloadHash: line.Get("spec"), startedAt: timestamp(line), endedAt: p.KilledAt, isRunning: p.KilledAt.IsZero(),
-			isStray: line.Get("stray") == "true",
 		}
 		indexOf[runKey{runnerOf(line), line.Get("task"), record.runNumber}] = len(runs)
 		runs = append(runs, record)
@@ -259,9 +255,6 @@
 	runsOf := map[runnerKey][]runRecord{}
 	for _, run := range c.runs {
 		key := runnerKey{run.runner, run.incarnation}
-		if run.isStray {
-			continue
-		}
 		current := slices.DeleteFunc(runsOf[key], func(o runRecord) bool { return !o.isRunning && !o.endedAt.After(run.startedAt) })
 		current = append(current, run)
 		runsOf[key] = current
@@ -291,7 +284,7 @@
 					concurrent++
 				}
 			}
-			if concurrent > j.Steps[key.Step].MaxPerWorker && !run.isStray {
+			if concurrent > j.Steps[key.Step].MaxPerWorker {
 				c.AddViolation("%d tasks of %s ran at the same time on %s at %s", concurrent, key, run.runner, run.startedAt.Format(clockLayout))
 			}
 		}
@@ -306,7 +299,6 @@
 		return
 	}
 	longRunning := j.Steps[key.Step].LongRunning
-	runs = slices.DeleteFunc(slices.Clone(runs), func(r runRecord) bool { return r.isStray })
 	for n, run := range runs {
 		failed := 0
 		for _, o := range runs[:n] {
