Keep the soak from taking a host without a configuration, or a gang that fits nowhere, for a fault

Three findings of the soak with more restarts, all of the soak itself:

The probe took any answer but 404 for use of the version; now only a success counts, which a host that uses the version gives. Gangs now ask for at most 1.3 processors each. Each job is now looked up at least once; the bound stays.

--- a/internal/proof/cwsoak/load.go
+++ b/internal/proof/cwsoak/load.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"currantward/internal/base/cwhttp"
 	"currantward/internal/base/cwtimer"
 	"currantward/internal/core/cwmodel"
@@ -35,6 +33,8 @@
 	// crashingJobPeriod is the number of jobs of which one has tasks that crash their runners, crashDelay after their start.
 	crashingJobPeriod = 60
 	crashDelay        = 10 * time.Millisecond
+	// maxGangProcessors lets a gang of any size fit on half of the runners while they have half of their processors, in thousandths.
+	maxGangProcessors = 1300
 )
 
 // job is the state that its caller keeps for one job.
@@ -120,8 +120,9 @@
 // probeConfigurations polls the nodes for the configuration version that they use, and records a violation if a process returns to an
 // older one.
 //
-// A lookup in the queue that only one version has is answered with not found (404) by a node that does not use that version. The two
-// newest versions are probed, the newer one first. A response is ignored if the node was restarted meanwhile.
+// A lookup in the queue that only one version has succeeds on a node that uses that version. Others answer with not found (404), or with 503 as long
+// as they have no configuration. The two newest versions are probed, the newer one first. A response is ignored if the node was restarted
+// meanwhile.
 func (l *load) probeConfigurations() {
 	client := &cwstandin.Client{HTTP: l.http, Host: queueHostname, Timeout: callTimeout}
 	newestSeen := map[*cwprocess.Process]uint64{}
@@ -130,7 +131,7 @@
 			process, newest := n.process(), l.cluster.newestVersion.Load()
 			for version := newest; version+2 > newest && version > 0; version-- {
 				client.Prefix = versionPrefix(version)
-				if response := client.Lookup(n.settings.CallerListen, ""); response.Status == 0 || response.Status == fasthttp.StatusNotFound || n.process() != process {
+				if response := client.Lookup(n.settings.CallerListen, ""); !response.Succeeded() || n.process() != process {
 					continue
 				}
 				if version < newestSeen[process] {
@@ -235,6 +236,7 @@
 		j.Steps = append(j.Steps, second, third)
 	case 2:
 		j.Steps[0].Gang, j.Steps[0].Count = true, 2+r.IntN(6)
+		j.Steps[0].Demand.MilliProcessors = min(j.Steps[0].Demand.MilliProcessors, maxGangProcessors)
 	case 3:
 		j.spec.FailureRate = 0.3
 	case 4:
--- a/internal/proof/cwsoak/run.go
+++ b/internal/proof/cwsoak/run.go
@@ -132,11 +132,7 @@
 		}
 	}
 	for _, j := range sortJobs(l.allJobs()) {
-		for !j.acceptedAt.IsZero() && !j.state.IsFinal() && timer.Now().Before(deadline) {
-			if response := l.lookup(j, l.anyNode(r)); !response.Succeeded() || !response.State.IsFinal() {
-				timer.Sleep(nil, 50*time.Millisecond)
-			}
-		}
+		l.awaitEnd(j, deadline, r)
 	}
 	for _, n := range l.cluster.currentNodes() {
 		// Only the newest version has this queue. A lookup in it that names no job succeeds once the node uses that version.
@@ -155,3 +151,14 @@
 	timer.Sleep(nil, stopTimeout) // cancelled runs may take this long to stop
 	return outdated
 }
+
+// awaitEnd looks an accepted job up until it has ended or the deadline has passed, but at least once, so that a job that does not end does not hide
+// the states of the others.
+func (l *load) awaitEnd(j *job, deadline time.Time, r *rand.Rand) {
+	timer := l.cluster.opts.Timer
+	for isFirst := true; !j.acceptedAt.IsZero() && !j.state.IsFinal() && (isFirst || timer.Now().Before(deadline)); isFirst = false {
+		if response := l.lookup(j, l.anyNode(r)); !response.Succeeded() || !response.State.IsFinal() {
+			timer.Sleep(nil, 50*time.Millisecond)
+		}
+	}
+}
