--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -64,6 +64,7 @@
 	SlowClock  float64          `arg:"--slow-clock" help:"part by which their clocks are slow"`
 	Shrinks    time.Duration    `arg:"--shrinks" help:"they have all of their processors in the first of four periods of this length, then half"`
 	Addresses  []netip.AddrPort `arg:"--addresses" help:"addresses that they register, in place of their own"`
+	Clocks     []time.Duration  `arg:"--clocks" help:"first readings of the clocks of each runner's processes, one after the other; further ones are drawn"`
 }
 
 type arguments struct {
@@ -188,6 +189,19 @@
 	return nil
 }
 
+// firstReadings returns a function that returns the given first readings of a runner's clock, one for each of its processes, and drawn ones after
+// the last.
+func firstReadings(readings []time.Duration) func(former time.Duration) time.Duration {
+	return func(former time.Duration) time.Duration {
+		if len(readings) == 0 {
+			return cwstandin.DrawFirstReading(former)
+		}
+		reading := readings[0]
+		readings = readings[1:]
+		return reading
+	}
+}
+
 // runRunners runs stand-ins of the users' runners until a signal arrives. They share one control listener, which sets their faults.
 func runRunners(a *runnersArgs, timer *cwtimer.Service, log *logrus.Logger) error {
 	var stops []func()
@@ -209,7 +223,7 @@
 		}
 		addr, stop, err := cwstandin.NewRestartingRunner(cwstandin.RunnerOptions{
 			Entry: entry, Kind: a.Kind, Listen: netip.AddrPortFrom(controlAddr.Addr(), 0), PlatformControl: a.Platform, Client: client,
-			ClockDrift: a.SlowClock, ShrinkPeriod: a.Shrinks, Faults: faults, Timer: timer, Log: log,
+			ClockDrift: a.SlowClock, FirstReading: firstReadings(a.Clocks), ShrinkPeriod: a.Shrinks, Faults: faults, Timer: timer, Log: log,
 		})
 		if err != nil {
 			return err
--- a/internal/proof/cwsoak/cluster.go
+++ b/internal/proof/cwsoak/cluster.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -40,6 +41,8 @@
 	Runners  int // in each rack
 	// NarrowNodes is how many of the first nodes reach the store over a link of narrowLinkBytesPerSec.
 	NarrowNodes int
+	// Clocks are the first readings of the clocks of each runner's processes, one after the other; further ones are drawn.
+	Clocks []time.Duration
 }
 
 // Capacity of a runner, and names and bounds in the configuration.
@@ -231,6 +234,15 @@
 	return err
 }
 
+// setRunnerFaults sets the faults of all runners of a rack.
+func (c *Cluster) setRunnerFaults(rk *rack, faults cwstandin.RunnerFaults) error {
+	body, err := json.Marshal(faults)
+	if err != nil {
+		return err
+	}
+	return c.sendCommand(rk.controlAddr, "/", body)
+}
+
 // addRack adds a rack and starts it. Each second rack has the label "fast" and a slow clock.
 func (c *Cluster) addRack(ctx context.Context, n int) error {
 	rk := &rack{name: fmt.Sprintf("r%d", n+1), label: []string{"plain", "fast"}[n%2], clockSlowdown: 0.02 * float64(n%2)}
@@ -252,8 +264,15 @@
 	args := []string{
 		"runners", "--platform", c.platformControlAddr.String(), "--data-centre", "z1", "--service", serviceName, "--rack", rk.name, "--kind", rk.label,
 		"--count", fmt.Sprint(c.opts.Runners), "--processors", fmt.Sprint(runnerProcessors), "--memory-mib", fmt.Sprint(runnerMemoryMiB),
-		"--slow-clock", fmt.Sprint(rk.clockSlowdown), "--shrinks", shrinkPeriod.String(), "--addresses",
+		"--slow-clock", fmt.Sprint(rk.clockSlowdown), "--shrinks", shrinkPeriod.String(),
+	}
+	if len(c.opts.Clocks) > 0 {
+		args = append(args, "--clocks")
+		for _, reading := range c.opts.Clocks {
+			args = append(args, reading.String())
+		}
 	}
+	args = append(args, "--addresses")
 	for _, proxy := range rk.proxies {
 		args = append(args, proxy.Address.String())
 	}
--- a/internal/proof/cwsoak/fault.go
+++ b/internal/proof/cwsoak/fault.go
@@ -17,8 +17,10 @@
 type injector struct {
 	cluster *Cluster
 	load    *load
-	rand    *rand.Rand // used only by the goroutine that draws the faults
 	running sync.WaitGroup
+	// Each source is used only by the goroutine that draws faults from it.
+	rand         *rand.Rand
+	takeoverRand *rand.Rand // of the restarts around a takeover
 
 	exclusiveMu sync.RWMutex // locked for reading by each fault, and for writing by an exclusive one
 	mu          sync.Mutex
@@ -89,12 +91,31 @@
 	return cwprocess.NetFaults{Delay: randomDuration(r, 20*time.Millisecond, 300*time.Millisecond)}
 }
 
-// run injects faults for a time, waits until all of them have been undone, and returns the first error.
-func (i *injector) run(ctx context.Context, d time.Duration) error {
-	kinds := i.faultKinds()
+// run injects faults for a time, waits until all of them have been undone, and returns the first error. The restarts around a takeover come in a
+// series of their own, beside the other faults.
+func (i *injector) run(ctx context.Context, d time.Duration, takeoversOnly bool) error {
+	end := i.cluster.opts.Timer.Now().Add(d)
+	var series sync.WaitGroup
+	series.Go(func() {
+		takeover := []faultKind{{name: "restart-rack-and-kill-owner", inject: i.restartRackAndKillOwner}}
+		i.runSeries(ctx, end, takeover, i.takeoverRand, 5*time.Second)
+	})
+	if !takeoversOnly {
+		i.runSeries(ctx, end, i.faultKinds(), i.rand, 1500*time.Millisecond)
+	}
+	series.Wait()
+	i.running.Wait()
+	if len(i.errs) > 0 {
+		return i.errs[0]
+	}
+	return nil
+}
+
+// runSeries starts random faults of the given kinds until end, with a pause of up to maxPause after each. It does not wait for the last ones.
+func (i *injector) runSeries(ctx context.Context, end time.Time, kinds []faultKind, r *rand.Rand, maxPause time.Duration) {
 	timer := i.cluster.opts.Timer
-	for end := timer.Now().Add(d); timer.Now().Before(end) && ctx.Err() == nil; {
-		kind, faultRand := kinds[i.rand.IntN(len(kinds))], rand.New(rand.NewPCG(i.rand.Uint64(), 0))
+	for timer.Now().Before(end) && ctx.Err() == nil {
+		kind, faultRand := kinds[r.IntN(len(kinds))], rand.New(rand.NewPCG(r.Uint64(), 0))
 		i.mu.Lock()
 		i.injected = append(i.injected, fmt.Sprintf("%s@%s", kind.name, cwtimer.WallTime().Format("05.000")))
 		i.mu.Unlock()
@@ -109,13 +130,8 @@
 				i.errs = append(i.errs, fmt.Errorf("%s: %w", kind.name, err))
 			}
 		})
-		timer.Sleep(ctx.Done(), randomDuration(i.rand, 100*time.Millisecond, 1500*time.Millisecond))
+		timer.Sleep(ctx.Done(), randomDuration(r, 100*time.Millisecond, maxPause))
 	}
-	i.running.Wait()
-	if len(i.errs) > 0 {
-		return i.errs[0]
-	}
-	return nil
 }
 
 // sleep waits for the duration of a fault, or until ctx ends.
@@ -128,14 +144,9 @@
 func (i *injector) lockNode(r *rand.Rand) *node {
 	nodes := i.cluster.currentNodes()
 	for _, index := range r.Perm(len(nodes)) {
-		n := nodes[index]
-		if !n.mu.TryLock() {
-			continue
+		if nodes[index].lockToStop() {
+			return nodes[index]
 		}
-		if !n.isReplaced {
-			return n
-		}
-		n.mu.Unlock()
 	}
 	return nil
 }
@@ -362,11 +373,7 @@
 	defer rk.mu.Unlock()
 	rk.restarts++
 	for _, faults := range []cwstandin.RunnerFaults{{LateRate: 0.3}, {LateRate: 0.3, Restarts: rk.restarts}, {Restarts: rk.restarts}} {
-		body, err := json.Marshal(faults)
-		if err != nil {
-			return err
-		}
-		if err = i.cluster.sendCommand(rk.controlAddr, "/", body); err != nil {
+		if err := i.cluster.setRunnerFaults(rk, faults); err != nil {
 			return err
 		}
 		i.sleep(ctx, randomDuration(r, 200*time.Millisecond, 1200*time.Millisecond))
@@ -395,11 +402,7 @@
 		}
 		defer rk.mu.Unlock()
 		for _, faults := range []cwstandin.RunnerFaults{faults, {}} {
-			body, err := json.Marshal(faults)
-			if err != nil {
-				return err
-			}
-			if err = i.cluster.sendCommand(rk.controlAddr, "/", body); err != nil {
+			if err := i.cluster.setRunnerFaults(rk, faults); err != nil {
 				return err
 			}
 			i.sleep(ctx, randomDuration(r, 500*time.Millisecond, 5*time.Second))
--- a/internal/proof/cwsoak/load.go
+++ b/internal/proof/cwsoak/load.go
@@ -27,12 +27,20 @@
 	callTimeout = 3 * time.Second
 	retryPause  = 300 * time.Millisecond
 	maxTries    = 6
+	// maxLookupPause bounds the time between two lookups of a job.
+	maxLookupPause = 520 * time.Millisecond
 )
 
 const (
 	// crashingJobPeriod is the number of jobs of which one has tasks that crash their runners, crashDelay after their start.
 	crashingJobPeriod = 60
 	crashDelay        = 10 * time.Millisecond
+	// longJobPeriod is the number of jobs of which one has small tasks that run for longTaskDuration to maxLongTaskDuration, which outlasts the
+	// leases on a worker that is cut off.
+	longJobPeriod       = 20
+	longTaskDuration    = 10 * time.Second
+	maxLongTaskDuration = 14 * time.Second
+	longTaskProcessors  = 250 // thousandths
 	// maxGangProcessors lets a gang of any size fit on half of the runners while they have half of their processors, in thousandths.
 	maxGangProcessors = 1300
 )
@@ -189,6 +197,14 @@
 	}
 }
 
+// submitLongJobs submits n new jobs with long tasks at the same time.
+func (l *load) submitLongJobs(n int, r *rand.Rand) {
+	for range n {
+		j, jobRand := l.newLongJob(r), rand.New(rand.NewPCG(r.Uint64(), 0))
+		l.callers.Go(func() { l.submit(j, jobRand) })
+	}
+}
+
 // cancelWave cancels about a third of the active jobs.
 func (l *load) cancelWave(r *rand.Rand) {
 	for _, j := range l.allJobs() {
@@ -220,7 +236,7 @@
 // repetition, tasks that run forever, and a required label.
 func (l *load) newJob(r *rand.Rand) *job {
 	number := l.jobCount.Add(1)
-	j := &job{queuePrefix: prefixPlain, Submission: &cwwork.Submission{ID: cwmodel.JobID(fmt.Sprintf("%08x%08x", uint32(l.seed), uint32(number)))}}
+	j := &job{queuePrefix: prefixPlain, Submission: l.newSubmission(number)}
 	j.spec.Duration = time.Duration(20+r.IntN(500)) * time.Millisecond
 	step := func() cwwork.Step {
 		return cwwork.Step{
@@ -254,6 +270,29 @@
 	if number%crashingJobPeriod == crashingJobPeriod/2 && !j.spec.RunForever {
 		j.spec.CrashAfter = crashDelay
 	}
+	if number%longJobPeriod == longJobPeriod/2 && !j.spec.RunForever && j.spec.CrashAfter == 0 {
+		j.Repeats, j.Interval, j.FirstDue = 0, 0, time.Time{}
+		j.makeLong(number)
+	}
+	return l.addJob(j)
+}
+
+// newLongJob returns a job of one step with up to two long tasks.
+func (l *load) newLongJob(r *rand.Rand) *job {
+	number := l.jobCount.Add(1)
+	j := &job{queuePrefix: prefixPlain, Submission: l.newSubmission(number)}
+	j.Steps = []cwwork.Step{{Count: 1 + r.IntN(2), Demand: cwmodel.Resources{MemoryBytes: 64 << 20}}}
+	j.makeLong(number)
+	return l.addJob(j)
+}
+
+// newSubmission returns a submission without steps that identifies a job by its number.
+func (l *load) newSubmission(number int64) *cwwork.Submission {
+	return &cwwork.Submission{ID: cwmodel.JobID(fmt.Sprintf("%08x%08x", uint32(l.seed), uint32(number)))}
+}
+
+// addJob encodes the payload of a job, records the job and returns it.
+func (l *load) addJob(j *job) *job {
 	payload, err := json.Marshal(j.spec)
 	if err != nil {
 		panic(err) // a struct of plain fields always encodes
@@ -265,6 +304,15 @@
 	return j
 }
 
+// makeLong gives the job one step, whose tasks are long.
+func (j *job) makeLong(number int64) {
+	j.spec.Duration = longTaskDuration + time.Duration(number)*time.Second/longJobPeriod%(maxLongTaskDuration-longTaskDuration)
+	j.spec.FailureRate = 0
+	j.Steps = j.Steps[:1]
+	j.Steps[0].RequiredLabel = ""
+	j.Steps[0].Estimate, j.Steps[0].Demand.MilliProcessors = j.spec.Duration, longTaskProcessors
+}
+
 // client returns a client that calls the queue of a job.
 func (l *load) client(j *job) *cwstandin.Client {
 	return &cwstandin.Client{HTTP: l.http, Host: queueHostname, Prefix: j.queuePrefix, Timeout: callTimeout}
@@ -311,7 +359,7 @@
 		return
 	}
 	for range r.IntN(5) {
-		l.cluster.opts.Timer.Sleep(nil, j.spec.Duration)
+		l.cluster.opts.Timer.Sleep(nil, min(j.spec.Duration, maxLookupPause))
 		l.lookup(j, l.anyNode(r))
 	}
 }
--- a/internal/proof/cwsoak/run.go
+++ b/internal/proof/cwsoak/run.go
@@ -28,6 +28,7 @@
 	Racks         int           `arg:"--racks" default:"4" help:"processes of runners"`
 	Runners       int           `arg:"--runners" default:"3" help:"runners in each rack"`
 	Callers       int           `arg:"--callers" default:"10" help:"callers at once"`
+	TakeoversOnly bool          `arg:"--takeovers-only" help:"inject only restarts of runners around takeovers"`
 	Logs          string        `arg:"--logs" default:"soak-logs" help:"folder for the logs of runs with violations"`
 }
 
@@ -99,10 +100,10 @@
 		}
 	}()
 	load, stopLoad := startLoad(cluster, a.Callers, seed)
-	i := &injector{cluster: cluster, load: load, rand: rand.New(rand.NewPCG(seed, 1))}
+	i := &injector{cluster: cluster, load: load, rand: rand.New(rand.NewPCG(seed, 1)), takeoverRand: rand.New(rand.NewPCG(seed, 3))}
 	faultCtx, cancelFaults := context.WithTimeout(context.Background(), faultTimeout)
 	defer cancelFaults()
-	err = i.run(faultCtx, a.FaultDuration)
+	err = i.run(faultCtx, a.FaultDuration, a.TakeoversOnly)
 	stopLoad()
 	if err != nil {
 		return &Report{}, i.injected, err
