Compare each reading with the highest that the known clock can show

Cause: a reading counted as ahead of the known clock only if its request was sent after the stored one was received. A slow start, sent before a report and refused by the next process, showed a clock 3 h ahead, and that reading was stored as one of the earlier process; the worker stayed settled.

Change: the highest reading that the known clock can show when a response is received does not depend on when its request was sent.

--- a/internal/core/cwclock/clock.go
+++ b/internal/core/cwclock/clock.go
@@ -119,10 +119,11 @@
 	return c.isLater(n) && n.Clock+time.Millisecond < c.earliestReading(n.SentAt)
 }
 
-// isAhead reports whether a later reading is above all that the clock of the stored one can have shown until it was received.
+// isAhead reports whether a reading is above all that the clock of the stored one can have shown until it was received, whenever its request was
+// sent.
 func (c *Clock) isAhead(n Reading) bool {
 	latest := c.reading + time.Duration((1+Drift)*float64(n.ReceivedAt.Sub(c.sentAt)))
-	return c.isLater(n) && n.Clock > latest+time.Millisecond
+	return !c.receivedAt.IsZero() && n.Clock > latest+time.Millisecond
 }
 
 // isLater reports whether the request of a reading was sent after the stored one was received.
--- a/internal/core/cwclock/clock_test.go
+++ b/internal/core/cwclock/clock_test.go
@@ -232,6 +232,7 @@
 		{"response with the clock of a later process", Reading{0, time.Time{}, 200 * time.Millisecond, at(time.Second), at(time.Second)}, true, false},
 		{"response with the clock of a later process, which is ahead", Reading{0, time.Time{}, time.Hour, at(time.Second), at(time.Second)}, true, false},
 		{"response with the clock of a later process, which is ahead by 2 s", Reading{0, time.Time{}, 63 * time.Second, at(time.Second), at(time.Second)}, true, false},
+		{"slow response with the clock of a later process, which is ahead", Reading{0, time.Time{}, time.Hour, at(-time.Second), at(time.Second)}, true, false},
 		{"slow response of the same process", Reading{0, time.Time{}, 60 * time.Second, at(0), at(time.Second)}, false, true},
 		{"response to an earlier request", Reading{0, at(-time.Minute), 59 * time.Second, at(-time.Second), at(time.Second)}, false, true},
 	}
