Store no reading of a process that nobody has named

Cause: once an answer to a start had shown a restart by its clock, the next answer without a name, to a stop, became the stored reading. If the first report then named a further process whose clock was behind, its reading counted as a slow response and was not taken: deadlines went on by the clock of a process that was gone, were granted the longest lease, and were recorded as 3.5 s.

Change: after a restart that a clock has shown, or a response of another worker's process, readings are stored only from a response that names the process.

Evidence: TestNamedReportReplacesAnUnnamedReading failed before.

--- a/internal/core/cwclock/clock.go
+++ b/internal/core/cwclock/clock.go
@@ -68,7 +68,8 @@
 //
 // A response of another incarnation shows that the worker has restarted. If it names the incarnation, its reading replaces the stored one,
 // unless its request was sent before the latest response that named one was received: it may then be of an earlier process. If it does not
-// name it, the stored reading is dropped. A response to a call with an outdated token may be of an earlier process, too, so its reading is not stored.
+// name it, the stored reading is dropped, and the next one is stored only if it is named. A response to a call with an outdated token may be of an
+// earlier process, too, so its reading is not stored.
 func (c *Clock) Record(n Reading) {
 	if FenceOf(n.Token) != c.fence {
 		return // of a call under an earlier fence
@@ -86,7 +87,10 @@
 		c.reading, c.sentAt, c.receivedAt = n.Clock, n.SentAt, n.ReceivedAt
 	case n.Incarnation.IsZero() && c.isOfAnotherProcess(n):
 		c.recordRestart()
-		c.reading, c.receivedAt, c.incarnation = 0, time.Time{}, time.Time{}
+		c.forget()
+		c.allowLongestLease(n.ReceivedAt)
+		return
+	case n.Incarnation.IsZero() && c.incarnation.IsZero():
 		c.allowLongestLease(n.ReceivedAt)
 		return
 	case c.receivedAt.IsZero() || n.Clock >= c.earliestReading(n.ReceivedAt):
@@ -186,8 +190,11 @@
 // Drop drops the reading of the clock as the worker's process has been replaced by that of another worker. It keeps the expiry of the leases that were
 // granted to it. Should the worker return, it has restarted.
 func (c *Clock) Drop() {
-	if !c.receivedAt.IsZero() {
+	if !c.incarnation.IsZero() {
 		c.recordRestart()
 	}
-	c.receivedAt, c.reading = time.Time{}, 0
+	c.forget()
 }
+
+// forget drops what is known of the worker's present process.
+func (c *Clock) forget() { c.reading, c.receivedAt, c.incarnation = 0, time.Time{}, time.Time{} }
--- a/internal/core/cwclock/clock_test.go
+++ b/internal/core/cwclock/clock_test.go
@@ -341,3 +341,38 @@
 	is.True(!c.IsSettled(token)) // calls to the earlier process have the same token
 	is.True(!c.LeaseExpiry().Before(report.ReceivedAt.Add(c.maxLease)))
 }
+
+// TestRestartIsNoticedBesideAMatchingClock guards against a restarted worker that counts as settled: while its report was under way, it has answered a start,
+// and its clock shows by chance what that of the earlier process would show.
+func TestRestartIsNoticedBesideAMatchingClock(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	c := newTestClock(start)
+	token, _ := c.OpenCall(3)
+	answer := Reading{Token: token, Clock: time.Hour + 1405*time.Millisecond, SentAt: at(1400 * time.Millisecond), ReceivedAt: at(1410 * time.Millisecond)}
+	report := Reading{Token: token, Incarnation: at(500 * time.Millisecond), Clock: answer.Clock + 600*time.Millisecond, SentAt: at(time.Second), ReceivedAt: at(2 * time.Second)}
+	c.Record(answer)
+	c.Record(report)
+	is.True(!c.IsSettled(token))
+	is.True(!c.LeaseExpiry().Before(report.ReceivedAt.Add(c.maxLease)))
+}
+
+// TestNamedReportReplacesAnUnnamedReading guards against deadlines far ahead of the present clock: a restart was noticed by the clock, a process that no
+// response has named has answered a stop, and the first report that names a process is of the next one, whose clock is behind.
+func TestNamedReportReplacesAnUnnamedReading(t *testing.T) {
+	const lease = 3500 * time.Millisecond
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	c := newTestClock(start)
+	token, _ := c.OpenCall(3)
+	c.Record(Reading{Token: token, Clock: 3 * time.Hour, SentAt: at(time.Second), ReceivedAt: at(time.Second)}) // shows the restart
+	token, _ = c.OpenCall(3)
+	c.Record(Reading{Token: token, Clock: 3*time.Hour + 100*time.Millisecond, SentAt: at(1100 * time.Millisecond), ReceivedAt: at(1100 * time.Millisecond)})
+	report := Reading{Token: token, Incarnation: at(1500 * time.Millisecond), Clock: 20 * time.Minute, SentAt: at(2 * time.Second), ReceivedAt: at(2 * time.Second)}
+	c.Record(report)
+	if deadline, ok := c.GrantDeadline(report.ReceivedAt, lease); ok {
+		is.True(deadline <= report.Clock+lease)
+	}
+}
