Wait for the other try of a start that got no answer and is reported

Cause: a start order without an answer is tried twice. If a report contains the run, one try has started it and the other may still be carried out, also by the next process of the worker. A run accepted at the second try was waited for 18 s on a silent worker for that reason; one whose two tries got no answer was given up with the known leases once it had been reported.

Change: both count as runs with an open try.

Evidence: two new rows of TestLeaseOfTheNextIncarnation failed before.

--- a/internal/core/cwcell/job.go
+++ b/internal/core/cwcell/job.go
@@ -113,6 +113,9 @@
 	return r.orderInFlight() || (r.state != runPlanned && r.incarnation.IsZero())
 }
 
+// hasOpenTry reports whether a try of the start order got no response. Another one may have started the run, so it may still be carried out.
+func (r *run) hasOpenTry() bool { return r.triedTwice || r.startUnanswered }
+
 // isKnownStarted reports whether the worker has accepted the run's order or reported the run.
 func (r *run) isKnownStarted() bool { return !r.confirmedAt.IsZero() || !r.incarnation.IsZero() }
 
--- a/internal/core/cwcell/lease.go
+++ b/internal/core/cwcell/lease.go
@@ -49,7 +49,7 @@
 	switch {
 	case r.state == runPlanned:
 		return true
-	case r.incarnation.IsZero() || r.triedTwice:
+	case r.incarnation.IsZero() || r.hasOpenTry():
 		return false
 	case r.incarnation.Equal(r.worker.Incarnation):
 		return !r.worker.unsettled
@@ -63,7 +63,7 @@
 
 // acceptedLeaseOver reports whether the lease of a run that no report contains yet has expired: only the process that has accepted it can run it.
 func (c *Cell) acceptedLeaseOver(r *run, now time.Time) bool {
-	if r.leaseBound.IsZero() || !r.incarnation.IsZero() || r.triedTwice {
+	if r.leaseBound.IsZero() || !r.incarnation.IsZero() || r.hasOpenTry() {
 		return false
 	}
 	return !now.Before(later(r.leaseBound, c.opts.LeaseExpiry(r.worker.ID).Add(maxAnswerDelay)).Add(leaseGrace))
--- a/internal/core/cwcell/restart_test.go
+++ b/internal/core/cwcell/restart_test.go
@@ -184,6 +184,15 @@
 			f.HandleReport(&Report{Worker: "a", Incarnation: incarnation, RequestedAt: f.now, Running: running(o)}, f.now)
 		}, late},
 		{"without an answer", func(f *fixture, o *StartOrder, _ time.Time) { f.HandleStartResult(o, StartUnanswered, f.now) }, late},
+		{"without an answer, then reported", func(f *fixture, o *StartOrder, incarnation time.Time) {
+			f.HandleStartResult(o, StartUnanswered, f.now) // one of its two tries was carried out; the other one may be, late
+			f.HandleReport(&Report{Worker: "a", Incarnation: incarnation, RequestedAt: f.now, Running: running(o)}, f.now)
+		}, late},
+		{"without an answer, reported, then restarted", func(f *fixture, o *StartOrder, incarnation time.Time) {
+			f.HandleStartResult(o, StartUnanswered, f.now)
+			f.HandleReport(&Report{Worker: "a", Incarnation: incarnation, RequestedAt: f.now, Running: running(o)}, f.now)
+			f.HandleReport(&Report{Worker: "a", Incarnation: incarnation.Add(time.Millisecond), RequestedAt: f.now, Unsettled: true}, f.now)
+		}, late},
 		{"reported by the next incarnation, which still takes calls to the earlier one", func(f *fixture, o *StartOrder, incarnation time.Time) {
 			f.HandleStartResult(o, StartAccepted, f.now)
 			f.HandleReport(&Report{Worker: "a", Incarnation: incarnation.Add(time.Millisecond), RequestedAt: f.now, Running: running(o), Unsettled: true}, f.now)
@@ -214,6 +223,26 @@
 	}
 }
 
+// TestAcceptedRunOutlivesTheGrantsByTheDelayOfItsAnswer guards against a task that runs twice because the process that has accepted it is a later one than
+// the known one, whose clock is behind by less than the answer took: this owner's deadlines end there that much later.
+func TestAcceptedRunOutlivesTheGrantsByTheDelayOfItsAnswer(t *testing.T) {
+	is := is.New(t)
+	f := newFixture([]cwmodel.HostID{"a", "b"}, plainPolicy)
+	f.opts.MaxTaskLease = 6 * time.Second
+	f.admit(step(1, 6000, false))
+	o := f.decide().Starts[0]
+	granted := f.now.Add(3500 * time.Millisecond)
+	f.opts.LeaseExpiry = func(cwmodel.HostID) time.Time { return granted }
+	f.BoundLease(&o, f.now)
+	f.HandleStartResult(&o, StartAccepted, f.now)
+	f.now = granted.Add(maxAnswerDelay)
+	f.MarkUnreachable("a", f.now)
+	is.Equal(len(f.workers["a"].runs), 1)
+	f.now = f.now.Add(leaseGrace)
+	f.MarkUnreachable("a", f.now)
+	is.Equal(len(f.workers["a"].runs), 0)
+}
+
 // TestReportGoesBeforeTheAnswerToAStart guards against a task that runs twice because its worker has restarted and is cut off: the report of the later
 // process contains the run, and then the answer to its start bounds its lease.
 func TestReportGoesBeforeTheAnswerToAStart(t *testing.T) {
@@ -228,7 +257,7 @@
 	f.BoundLease(&o, f.now.Add(f.opts.MaxTaskLease))
 	f.HandleStartResult(&o, StartAccepted, f.now)
 	f.MarkUnreachable("a", f.now)
-	f.now = f.now.Add(f.opts.MaxTaskLease) // calls to the earlier process may extend the lease until later
+	f.now = f.now.Add(f.opts.MaxTaskLease + 2*leaseGrace) // calls to the earlier process may extend the lease until later
 	f.MarkUnreachable("a", f.now)
 	is.Equal(len(f.decideDurably()), 0)
 }
@@ -304,15 +333,20 @@
 	next := first.Add(time.Minute)
 	cases := []struct {
 		name   string
-		events func(f *fixture)
+		events func(t *testing.T, f *fixture)
 	}{
-		{"restarted under this owner", func(f *fixture) {
+		{"restarted under this owner", func(t *testing.T, f *fixture) {
 			f.list("a", first)
 			f.HandleReport(&Report{Worker: "a", Incarnation: first, RequestedAt: f.now}, f.now)
+			f.now = f.now.Add(f.opts.MaxTaskLease)
 			f.list("a", next)
+			f.HandleReport(&Report{Worker: "a", Incarnation: next, RequestedAt: f.now, Unsettled: true}, f.now)
+			is.New(t).Equal(f.MemberIncarnation("a", f.now), first)
+			f.now = f.now.Add(f.opts.MaxTaskLease)
+			is.New(t).Equal(f.MemberIncarnation("a", f.now), first)
 			f.HandleReport(&Report{Worker: "a", Incarnation: next, RequestedAt: f.now}, f.now)
 		}},
-		{"restarted before the takeover", func(f *fixture) {
+		{"restarted before the takeover", func(_ *testing.T, f *fixture) {
 			f.list("a", next)
 			f.HandleReport(&Report{Worker: "a", Incarnation: next, RequestedAt: f.now}, f.now)
 		}},
@@ -323,7 +357,7 @@
 			f := newFixture(nil, plainPolicy)
 			f.opts.MaxTaskLease = 6 * time.Second
 			f.RestoreMember("a", first, f.now)
-			tc.events(f)
+			tc.events(t, f)
 			is.Equal(f.MemberIncarnation("a", f.now), first)
 			f.now = f.now.Add(f.opts.MaxTaskLease)
 			is.True(f.MembersDirty(f.now))
