Count a member's incarnation as stored once it is durable

A takeover waits longer for a silent worker whose stored incarnation is not the listed one. The owner took an incarnation for stored when it built the transaction; if that failed, nothing asked for another one, and later takeovers waited 18 s for a worker that had restarted long ago.

Change: the incarnation counts as stored with MarkMembersDurable. TestStoredIncarnationIsWrittenAgain failed before.

--- a/internal/core/cwcell/restart_test.go
+++ b/internal/core/cwcell/restart_test.go
@@ -366,6 +366,23 @@
 	}
 }
 
+// TestStoredIncarnationIsWrittenAgain guards against takeovers that wait for a silent worker as for one that has just restarted: the transaction
+// with its present incarnation has failed, and nothing asks for another one.
+func TestStoredIncarnationIsWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	first := time.Unix(500, 0)
+	next := first.Add(time.Minute)
+	f := newFixture(nil, plainPolicy)
+	f.opts.MaxTaskLease = 6 * time.Second
+	f.RestoreMember("a", first, f.now)
+	f.list("a", next)
+	f.HandleReport(&Report{Worker: "a", Incarnation: next, RequestedAt: f.now}, f.now)
+	f.now = f.now.Add(f.opts.MaxTaskLease)
+	is.True(f.MembersDirty(f.now))
+	is.Equal(f.MemberIncarnation("a", f.now), next) // the transaction is built, and fails: no MarkMembersDurable follows
+	is.True(f.MembersDirty(f.now))
+}
+
 // TestWorkerRestartsWithALowerStartTime guards against jobs that stay running for good because their worker has restarted after the time
 // of day of its host was put back: what its next incarnation says must count, and its ends are numbered anew.
 func TestWorkerRestartsWithALowerStartTime(t *testing.T) {
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -36,26 +36,28 @@
 	unsettled         bool      // calls that were meant for an earlier incarnation may still have an effect
 	settledAt         time.Time // when the first settled report of the present incarnation arrived; zero: there is none
 	storedIncarnation time.Time // in the stored list of members: the first one, or one that is not young; zero: none is known
-	endsUnread        bool      // its latest report was truncated: it lists ends that this owner has not read
-	unreachable       bool      // did not answer the last call
-	pollFailedAt      time.Time // first poll without a response since the latest report; zero: there is none
-	lastContact       time.Time // time of the latest report, or when the worker was added
-	lastResponse      time.Time // time of the latest response of its present incarnation to any call, or of its end; zero: there is none
-	priorLastResponse time.Time // the same of the incarnation before; zero: there is none
-	replaced          bool      // the process of another worker answers at its address
-	lastSequence      uint64    // sequence number of the latest end that was processed
-	ackSequence       uint64    // sequence number of the latest end whose effect is durable
-	firstListedEnd    uint64    // sequence number of the first end in the latest report; zero: it has none
-	pendingEnds       []pendingEnd
-	breaker           breaker
-	heldBy            *run        // the run of a suspect, beside which nothing is started on the worker; nil: there is none
-	cordonedFor       *group      // the worker is kept for a suspect of this group; nil: it is not
-	inStoredMembers   bool        // in the stored list of members, so that a later owner polls it
-	evicted           bool        // removed from the cell
-	latencySensitive  int         // number of runs whose step has a tail latency limit
-	opportunistic     int         // number of runs that use idle processors and slow latency-sensitive ones
-	foreignRuns       int         // number of runs in the latest report that this owner does not track; their demands are unknown
-	unresolvedRuns    []RunStatus // reported runs of jobs that are not loaded yet
+	// storingIncarnation is the same in the transaction that stores the list; it is the stored one once that is durable.
+	storingIncarnation time.Time
+	endsUnread         bool      // its latest report was truncated: it lists ends that this owner has not read
+	unreachable        bool      // did not answer the last call
+	pollFailedAt       time.Time // first poll without a response since the latest report; zero: there is none
+	lastContact        time.Time // time of the latest report, or when the worker was added
+	lastResponse       time.Time // time of the latest response of its present incarnation to any call, or of its end; zero: there is none
+	priorLastResponse  time.Time // the same of the incarnation before; zero: there is none
+	replaced           bool      // the process of another worker answers at its address
+	lastSequence       uint64    // sequence number of the latest end that was processed
+	ackSequence        uint64    // sequence number of the latest end whose effect is durable
+	firstListedEnd     uint64    // sequence number of the first end in the latest report; zero: it has none
+	pendingEnds        []pendingEnd
+	breaker            breaker
+	heldBy             *run        // the run of a suspect, beside which nothing is started on the worker; nil: there is none
+	cordonedFor        *group      // the worker is kept for a suspect of this group; nil: it is not
+	inStoredMembers    bool        // in the stored list of members, so that a later owner polls it
+	evicted            bool        // removed from the cell
+	latencySensitive   int         // number of runs whose step has a tail latency limit
+	opportunistic      int         // number of runs that use idle processors and slow latency-sensitive ones
+	foreignRuns        int         // number of runs in the latest report that this owner does not track; their demands are unknown
+	unresolvedRuns     []RunStatus // reported runs of jobs that are not loaded yet
 }
 
 // pendingEnd is an end to be acknowledged once the state of its job is durable.
@@ -159,10 +161,11 @@
 	if !ok {
 		return time.Time{}
 	}
+	w.storingIncarnation = w.storedIncarnation
 	if w.storedIncarnation.IsZero() || !c.isYoung(w, now) {
-		w.storedIncarnation = w.Incarnation
+		w.storingIncarnation = w.Incarnation
 	}
-	return w.storedIncarnation
+	return w.storingIncarnation
 }
 
 // setUnsettled sets whether calls that were meant for an earlier incarnation may still have an effect.
@@ -215,7 +218,7 @@
 func (c *Cell) MarkMembersDurable(ids []cwmodel.HostID) {
 	for _, id := range ids {
 		if w, ok := c.workers[id]; ok {
-			w.inStoredMembers = true
+			w.inStoredMembers, w.storedIncarnation = true, w.storingIncarnation
 			c.markNewCapacity(w)
 		}
 	}
