Bound an accepted run by how far its clock may be behind

Cause: an answer to a start bounded the run if its reading was not behind the known clock at the time when the call was stamped, and the cell added the 0.5 s that an answer may take. A host that is suspended between the stamp and the call gets an answer much later than that: a process whose clock is behind by as long went unnoticed.

Change: the reading is compared at the receipt of the answer, and may be behind by MaxAnswerDelay, which the cell adds to the expiry of this owner's grants. So a slow answer, and one that was sent before the stored reading arrived, are bounded, too.

A process 0.1 s behind, and an answer that was sent earlier, had no bound before and have one now; the allowance of 0.5 s covers both.

--- a/internal/core/cwcell/lease.go
+++ b/internal/core/cwcell/lease.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"currantward/internal/core/cwclock"
 	"currantward/internal/core/cwmodel"
 )
 
@@ -57,16 +58,12 @@
 	return true // its incarnation has ended
 }
 
-// maxAnswerDelay is the longest time until the answer to a start order, by which the clock of the process that has answered may be behind
-// the known one unnoticed.
-const maxAnswerDelay = 500 * time.Millisecond
-
 // acceptedLeaseOver reports whether the lease of a run that no report contains yet has expired: only the process that has accepted it can run it.
 func (c *Cell) acceptedLeaseOver(r *run, now time.Time) bool {
 	if r.leaseBound.IsZero() || !r.incarnation.IsZero() || r.hasOpenTry() {
 		return false
 	}
-	return !now.Before(later(r.leaseBound, c.opts.LeaseExpiry(r.worker.ID).Add(maxAnswerDelay)).Add(leaseGrace))
+	return !now.Before(later(r.leaseBound, c.opts.LeaseExpiry(r.worker.ID).Add(cwclock.MaxAnswerDelay)).Add(leaseGrace))
 }
 
 // lateCallsOver reports whether every call that may start the run, or extend its lease, has been carried out, and the longest lease from
--- a/internal/core/cwclock/clock.go
+++ b/internal/core/cwclock/clock.go
@@ -35,6 +35,9 @@
 	maxRestarts = 1<<restartBits - 1
 )
 
+// MaxAnswerDelay is the longest delay of an answer with which LeaseBound takes its process for the known one.
+const MaxAnswerDelay = 500 * time.Millisecond
+
 // FirstToken returns the fencing token of an owner's calls to a worker that has not restarted under it.
 func FirstToken(fence uint64) uint64 { return fence << restartBits }
 
@@ -175,10 +178,10 @@
 func (c *Clock) IsOutdated(token uint64) bool { return token < c.token() }
 
 // LeaseBound returns the time by which the leases that earlier calls have left on the process which has answered a call with the given reading
-// have expired: it refuses calls with lower tokens from then on. The leases that this owner grants there expire by LeaseExpiry, even if a later process
-// than the known one has answered, as its clock is not behind. If that is not certain, LeaseBound returns the zero time.
+// have expired: it refuses calls with lower tokens from then on. The leases that this owner grants there expire MaxAnswerDelay after LeaseExpiry, even if
+// a later process than the known one has answered, as its clock is behind by no more. If that is not certain, LeaseBound returns the zero time.
 func (c *Clock) LeaseBound(n Reading) time.Time {
-	if n.Token != c.token() || !c.isLater(n) || c.isBehind(n) {
+	if n.Token != c.token() || c.receivedAt.IsZero() || n.Clock+MaxAnswerDelay < c.earliestReading(n.ReceivedAt) {
 		return time.Time{}
 	}
 	return c.longestLeaseFrom(n.ReceivedAt)
