Adopt no members of different runs of a gang

Cause: late orders of two earlier owners had started two members of a gang under different numbers, and the next owner adopted both. They wait for the other members of their own runs, and as no member was missing, nothing stopped them until the runners' own timeout.

Change: a member is adopted only beside members of the same run; the others are then stopped as those of an incomplete run are, and the gang starts anew.

Evidence: TestMembersOfDifferentRunsAreNotAdopted failed before.

--- a/internal/core/cwcell/gang.go
+++ b/internal/core/cwcell/gang.go
@@ -119,6 +119,14 @@
 	}
 }
 
+// hasMembersOfOtherRun reports whether the group is a gang with members that belong to another run than the given one: they would wait for each
+// other in vain.
+func (g *group) hasMembersOfOtherRun(number int) bool {
+	return g.step.Gang && slices.ContainsFunc(g.tasks, func(t task) bool {
+		return slices.ContainsFunc(t.runs, func(r *run) bool { return r.number != number })
+	})
+}
+
 // incompleteGrace gives the ends of a gang's members time to arrive.
 const incompleteGrace = time.Second
 
--- a/internal/core/cwcell/owner_test.go
+++ b/internal/core/cwcell/owner_test.go
@@ -122,6 +122,34 @@
 	}
 }
 
+// TestMembersOfDifferentRunsAreNotAdopted guards against a gang that never ends: late orders of earlier owners have started its members under different
+// numbers, so that they wait for each other in vain.
+func TestMembersOfDifferentRunsAreNotAdopted(t *testing.T) {
+	is := is.New(t)
+	f := newFixture([]cwmodel.HostID{"a", "b"}, plainPolicy)
+	f.opts.RunNumberBase = 2000
+	s := &cwwork.Submission{ID: "job", Queue: "q", Steps: []cwwork.Step{step(2, 5000, true)}, AcceptedAt: f.now, Policy: plainPolicy}
+	f.Admit(s, nil, true, f.now, f.now)
+	member := func(index int) cwwork.TaskKey {
+		return cwwork.TaskKey{StepKey: cwwork.StepKey{Job: "job"}, Index: index}
+	}
+	running := []RunStatus{{Task: member(0), Run: 1003}, {Task: member(1), Run: 1}}
+	ids := []cwmodel.HostID{"a", "b"}
+	for n, id := range ids {
+		f.HandleReport(&Report{Worker: id, Incarnation: time.Unix(1000, 0), RequestedAt: f.now, Running: running[n : n+1]}, f.now)
+	}
+	stops := f.decide().Stops
+	is.Equal(len(stops), 1) // of the member that was adopted last
+	f.HandleReport(&Report{Worker: "b", Incarnation: time.Unix(1000, 0), RequestedAt: f.now, Ended: []RunEnd{{Sequence: 1, Task: member(1), Run: 1, Kind: EndStopped}}}, f.now)
+	f.decide()
+	f.now = f.now.Add(2 * incompleteGrace)
+	f.HandleReport(&Report{Worker: "a", Incarnation: time.Unix(1000, 0), RequestedAt: f.now, Running: running[:1]}, f.now)
+	stops = f.decide().Stops
+	is.Equal(len(stops), 1) // of the other member
+	f.HandleReport(&Report{Worker: "a", Incarnation: time.Unix(1000, 0), RequestedAt: f.now, Ended: []RunEnd{{Sequence: 1, Task: member(0), Run: 1003, Kind: EndStopped}}}, f.now)
+	is.Equal(len(f.decideDurably()), 2)
+}
+
 // TestRunsEndWithTheLeasesOfFormerOwners guards against a task that runs twice on a worker which restarted shortly before the owner changed: the
 // new process carries out a call of the former owner whose deadline is meant for the clock of the process before, and grants its longest
 // lease. The new owner must not count on its own grants alone when the worker falls silent.
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -172,13 +172,13 @@
 	}
 }
 
-// adoptRun takes over a run that an earlier owner started. It stops the run if its task is done or has another run, or if
-// the outcome of the job is decided.
+// adoptRun takes over a run that an earlier owner started. It stops the run if its task is done or has another run, if other members of its gang
+// belong to another run, or if the outcome of the job is decided.
 func (c *Cell) adoptRun(w *worker, g *group, rep *RunStatus, now time.Time) {
 	t := &g.tasks[rep.Task.Index]
 	r := &run{group: g, taskIndex: rep.Task.Index, number: rep.Run, worker: w, state: runRunning, adopted: true, confirmedAt: now, orderedAt: now, progressedAt: now, percent: rep.Percent, incarnation: w.Incarnation, orderedTo: w.Incarnation}
 	// Dependencies are not checked here: they were done when the run started, even if their ends are not reported yet.
-	keep := !t.done && len(t.runs) == 0 && g.job.outcome == ""
+	keep := !t.done && len(t.runs) == 0 && g.job.outcome == "" && !g.hasMembersOfOtherRun(rep.Run)
 	w.allocate(r)
 	c.markStarted(g.job)
 	if rep.Run > g.job.runNumberBase {
