Keep the members of the latest run of an adopted gang

Found by the reviewer. A stray member of an earlier run that was reported first kept the members of the present run from being adopted. The members of the latest run are kept now, and those of earlier ones stopped; both orders are rows of TestMembersOfDifferentRunsAreNotAdopted, of which "the earlier run is reported first" failed before.

Also from the review: loseEarlierRuns no longer asks whether a run would have been reported, as releaseMissingRuns does; no test failed without it.

--- a/internal/core/cwcell/gang.go
+++ b/internal/core/cwcell/gang.go
@@ -119,11 +119,11 @@
 	}
 }
 
-// hasMembersOfOtherRun reports whether the group is a gang with members that belong to another run than the given one: they would wait for each
-// other in vain.
-func (g *group) hasMembersOfOtherRun(number int) bool {
+// hasMemberOfLaterRun reports whether the group is a gang with a member that belongs to a later run than the given one: members of different runs
+// would wait for each other in vain.
+func (g *group) hasMemberOfLaterRun(number int) bool {
 	return g.step.Gang && slices.ContainsFunc(g.tasks, func(t task) bool {
-		return slices.ContainsFunc(t.runs, func(r *run) bool { return r.number != number })
+		return slices.ContainsFunc(t.runs, func(r *run) bool { return r.number > number })
 	})
 }
 
--- a/internal/core/cwcell/owner_test.go
+++ b/internal/core/cwcell/owner_test.go
@@ -124,31 +124,49 @@
 }
 
 // TestMembersOfDifferentRunsAreNotAdopted guards against a gang that never ends: late orders of earlier owners have started its members under different
-// numbers, so that they wait for each other in vain.
+// numbers, so that they wait for each other in vain. Those of the latest run are kept.
 func TestMembersOfDifferentRunsAreNotAdopted(t *testing.T) {
-	is := is.New(t)
-	f := newFixture([]cwmodel.HostID{"a", "b"}, plainPolicy)
-	f.opts.RunNumberBase = 2000
-	s := &cwwork.Submission{ID: "job", Queue: "q", Steps: []cwwork.Step{step(2, 5000, true)}, AcceptedAt: f.now, Policy: plainPolicy}
-	f.Admit(s, nil, true, f.now, f.now)
-	member := func(index int) cwwork.TaskKey {
-		return cwwork.TaskKey{StepKey: cwwork.StepKey{Job: "job"}, Index: index}
+	cases := []struct {
+		name string
+		runs [2]int // of the members on a and b; that on a is reported first
+		keep int    // index of the member that is kept at first
+	}{
+		{"the later run is reported first", [2]int{1003, 1}, 0},
+		{"the earlier run is reported first", [2]int{1, 1003}, 1},
 	}
-	running := []RunStatus{{Task: member(0), Run: 1003}, {Task: member(1), Run: 1}}
-	ids := []cwmodel.HostID{"a", "b"}
-	for n, id := range ids {
-		f.HandleReport(&Report{Worker: id, Incarnation: time.Unix(1000, 0), RequestedAt: f.now, Running: running[n : n+1]}, f.now)
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			ids := []cwmodel.HostID{"a", "b"}
+			f := newFixture(ids, plainPolicy)
+			f.opts.RunNumberBase = 2000
+			s := &cwwork.Submission{ID: "job", Queue: "q", Steps: []cwwork.Step{step(2, 5000, true)}, AcceptedAt: f.now, Policy: plainPolicy}
+			f.Admit(s, nil, true, f.now, f.now)
+			report := func(n int, ended []RunEnd) {
+				task := cwwork.TaskKey{StepKey: cwwork.StepKey{Job: "job"}, Index: n}
+				r := &Report{Worker: ids[n], Incarnation: time.Unix(1000, 0), RequestedAt: f.now}
+				if ended == nil {
+					r.Running = []RunStatus{{Task: task, Run: tc.runs[n]}}
+				} else {
+					r.Ended = []RunEnd{{Sequence: 1, Task: task, Run: tc.runs[n], Kind: EndStopped}}
+				}
+				f.HandleReport(r, f.now)
+			}
+			report(0, nil)
+			report(1, nil)
+			stops := f.decide().Stops
+			is.Equal(len(stops), 1)
+			is.Equal(stops[0].Worker, ids[1-tc.keep])
+			report(1-tc.keep, []RunEnd{})
+			f.decide()
+			f.now = f.now.Add(2 * incompleteGrace)
+			report(tc.keep, nil)
+			stops = f.decide().Stops
+			is.Equal(len(stops), 1) // its other members are missing
+			report(tc.keep, []RunEnd{})
+			is.Equal(len(f.decideDurably()), 2)
+		})
 	}
-	stops := f.decide().Stops
-	is.Equal(len(stops), 1) // of the member that was adopted last
-	f.HandleReport(&Report{Worker: "b", Incarnation: time.Unix(1000, 0), RequestedAt: f.now, Ended: []RunEnd{{Sequence: 1, Task: member(1), Run: 1, Kind: EndStopped}}}, f.now)
-	f.decide()
-	f.now = f.now.Add(2 * incompleteGrace)
-	f.HandleReport(&Report{Worker: "a", Incarnation: time.Unix(1000, 0), RequestedAt: f.now, Running: running[:1]}, f.now)
-	stops = f.decide().Stops
-	is.Equal(len(stops), 1) // of the other member
-	f.HandleReport(&Report{Worker: "a", Incarnation: time.Unix(1000, 0), RequestedAt: f.now, Ended: []RunEnd{{Sequence: 1, Task: member(0), Run: 1003, Kind: EndStopped}}}, f.now)
-	is.Equal(len(f.decideDurably()), 2)
 }
 
 // TestRunsEndWithTheLeasesOfFormerOwners guards against a task that runs twice on a worker which restarted shortly before the owner changed: the
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -106,7 +106,7 @@
 		c.handleRunning(w, r, now)
 	}
 	if !rep.Unsettled {
-		c.loseEarlierRuns(w, rep, now)
+		c.loseEarlierRuns(w, now)
 	}
 	if !rep.Unsettled && !rep.Truncated {
 		c.releaseMissingRuns(w, reported, rep.RequestedAt, now)
@@ -172,13 +172,13 @@
 	}
 }
 
-// adoptRun takes over a run that an earlier owner started. It stops the run if its task is done or has another run, if other members of its gang
-// belong to another run, or if the outcome of the job is decided.
+// adoptRun takes over a run that an earlier owner started. It stops the run if its task is done or has another run, if another member of its gang
+// belongs to a later run, or if the outcome of the job is decided. It stops the members of earlier runs.
 func (c *Cell) adoptRun(w *worker, g *group, rep *RunStatus, now time.Time) {
 	t := &g.tasks[rep.Task.Index]
 	r := &run{group: g, taskIndex: rep.Task.Index, number: rep.Run, worker: w, state: runRunning, adopted: true, confirmedAt: now, orderedAt: now, progressedAt: now, percent: rep.Percent, incarnation: w.Incarnation, orderedTo: w.Incarnation}
 	// Dependencies are not checked here: they were done when the run started, even if their ends are not reported yet.
-	keep := !t.done && len(t.runs) == 0 && g.job.outcome == "" && !g.hasMembersOfOtherRun(rep.Run)
+	keep := !t.done && len(t.runs) == 0 && g.job.outcome == "" && !g.hasMemberOfLaterRun(rep.Run)
 	w.allocate(r)
 	c.markStarted(g.job)
 	if rep.Run > g.job.runNumberBase {
@@ -188,6 +188,8 @@
 	c.log(LogEntry{Event: "run-adopted", Job: g.job.ID, Task: rep.Task, Worker: w.ID, Run: rep.Run, Detail: strconv.FormatBool(keep)})
 	if !keep {
 		c.stopRun(r)
+	} else if g.step.Gang {
+		c.stopMembersBefore(g, rep.Run)
 	}
 	if g.waiting == 0 {
 		c.dequeueGroup(g)
@@ -422,9 +424,19 @@
 
 // stopMembers stops all members of the gang's run with the given number.
 func (c *Cell) stopMembers(g *group, number int) {
+	c.stopMembersIf(g, func(r *run) bool { return r.number == number })
+}
+
+// stopMembersBefore stops all members of earlier runs of the gang than that with the given number.
+func (c *Cell) stopMembersBefore(g *group, number int) {
+	c.stopMembersIf(g, func(r *run) bool { return r.number < number })
+}
+
+// stopMembersIf stops the members of a gang for which the condition holds.
+func (c *Cell) stopMembersIf(g *group, condition func(r *run) bool) {
 	for n := range g.tasks {
 		for _, r := range slices.Clone(g.tasks[n].runs) { // stopRun may remove runs
-			if r.number == number {
+			if condition(r) {
 				c.stopRun(r)
 			}
 		}
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -294,12 +294,10 @@
 }
 
 // loseEarlierRuns releases the runs of earlier incarnations of a settled worker, after it has reported its runs. A run whose order may
-// still have been carried out by the present one is kept: its result, or the stop of it, tells. A run that was accepted at the first try before
-// the poll was sent would be in the report, unless that is truncated.
-func (c *Cell) loseEarlierRuns(w *worker, rep *Report, now time.Time) {
+// still have been carried out by the present one is kept: its result, the stop of it, or a later report tells.
+func (c *Cell) loseEarlierRuns(w *worker, now time.Time) {
 	for _, r := range w.sortedRuns() {
-		wouldBeReported := !rep.Truncated && !r.confirmedAt.IsZero() && !r.triedTwice && rep.RequestedAt.After(r.confirmedAt)
-		if r.belongsToEarlierIncarnation() && !r.orderInFlight() && (wouldBeReported || !r.mayBelongToNextIncarnation()) {
+		if r.belongsToEarlierIncarnation() && !r.mayBelongToNextIncarnation() {
 			c.loseRun(r, lostWorkerRestarted, now)
 		}
 	}
