Compare answers that overtake each other without a clock that runs backwards

Found by the reviewer, by reading: if the answer of an earlier call is recorded after that of a later one, the time between the two is negative, and the clock seemed to be ahead: a false restart, which costs the worker a poll. The time counts as zero then.

--- a/internal/core/cwclock/clock.go
+++ b/internal/core/cwclock/clock.go
@@ -129,7 +129,7 @@
 // isAhead reports whether a reading is above all that the clock of the stored one can have shown until it was received, whenever its request was
 // sent.
 func (c *Clock) isAhead(n Reading) bool {
-	latest := c.reading + time.Duration((1+Drift)*float64(n.ReceivedAt.Sub(c.sentAt)))
+	latest := c.reading + time.Duration((1+Drift)*float64(max(0, n.ReceivedAt.Sub(c.sentAt))))
 	return !c.receivedAt.IsZero() && n.Clock > latest+time.Millisecond
 }
 
