--- a/internal/adapter/cwcellmemory/fleet.go
+++ b/internal/adapter/cwcellmemory/fleet.go
@@ -141,15 +141,15 @@
 	return report, f.runEnded, nil
 }
 
-func (f *Fleet) start(w cwcellport.WorkerEntry, o *cwcell.StartOrder, fence uint64, _ time.Duration) (result cwcell.StartResult, leaseBound time.Time) {
+func (f *Fleet) start(w cwcellport.WorkerEntry, o *cwcell.StartOrder, fence uint64, _ time.Duration) (result cwcell.StartResult, earlierLeaseExpiry time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	target := f.workers[w.ID]
 	switch {
 	case target.down:
-		return cwcell.StartNotSent, leaseBound
+		return cwcell.StartNotSent, earlierLeaseExpiry
 	case fence < target.fence:
-		return cwcell.StartStaleFence, leaseBound
+		return cwcell.StartStaleFence, earlierLeaseExpiry
 	}
 	target.fence = fence
 	target.runs[o.Task] = o.Run
--- a/internal/app/cwcellowner/link.go
+++ b/internal/app/cwcellowner/link.go
@@ -170,8 +170,8 @@
 
 // startOutcome is the result of a start order.
 type startOutcome struct {
-	result     cwcell.StartResult
-	leaseBound time.Time // when the leases of earlier owners' calls on the process that has accepted it have expired; zero: not known
+	result             cwcell.StartResult
+	earlierLeaseExpiry time.Time // when the leases of earlier owners' calls on the process that has accepted it have expired; zero: not known
 }
 
 // sendStartBatch sends start orders to one worker. If the worker has no link or the call pool is full, each order gets the
@@ -218,7 +218,7 @@
 			s.owner.opts.OnSuperseded()
 		}
 		if outcome.result == cwcell.StartAccepted {
-			s.cell.BoundLease(&batch[n], outcome.leaseBound)
+			s.cell.RecordEarlierLeases(&batch[n], outcome.earlierLeaseExpiry)
 		}
 		s.cell.HandleStartResult(&batch[n], outcome.result, now)
 	}
@@ -233,11 +233,11 @@
 		if !s.holdsLease() {
 			break // the host was suspended after the decision, or has acquired the lease anew
 		}
-		switch result, leaseBound := s.owner.opts.Workers.Start(w, o, s.grant.Fence, s.owner.opts.StartWindow); {
+		switch result, earlierLeaseExpiry := s.owner.opts.Workers.Start(w, o, s.grant.Fence, s.owner.opts.StartWindow); {
 		case result == cwcell.StartUnanswered:
 			unanswered = true
 		case !unanswered:
-			return startOutcome{result, leaseBound}
+			return startOutcome{result, earlierLeaseExpiry}
 		case result == cwcell.StartAccepted:
 			return startOutcome{result: cwcell.StartAcceptedOnRetry}
 		}
--- a/internal/core/cwcell/cluster_test.go
+++ b/internal/core/cwcell/cluster_test.go
@@ -718,16 +718,16 @@
 // readClock records a response's reading of the worker's clock. It returns the bound of the leases on the process that has answered, and
 // whether the worker has refused the call because the owner has raised its token since. After another refusal there is a
 // later owner.
-func (c *cluster) readClock(o *simOwner, w *simWorker, call *simCall, r *simResponse) (leaseBound time.Time, isOutdated bool) {
+func (c *cluster) readClock(o *simOwner, w *simWorker, call *simCall, r *simResponse) (earlierLeaseExpiry time.Time, isOutdated bool) {
 	clock := o.clock(w.info.ID)
 	n := cwclock.Reading{Token: call.token, Incarnation: r.incarnation, Clock: r.clock, SentAt: call.sentAt, ReceivedAt: c.now}
-	leaseBound = clock.LeaseBound(n)
+	earlierLeaseExpiry = clock.EarlierLeaseExpiry(n)
 	clock.Record(n)
 	if r.refused {
 		isOutdated = clock.IsOutdated(call.token)
 		o.superseded = o.superseded || !isOutdated
 	}
-	return leaseBound, isOutdated
+	return earlierLeaseExpiry, isOutdated
 }
 
 // poll polls a worker for an owner, under a random fault, and passes the report or its absence to the owner's cell.
@@ -877,11 +877,11 @@
 		if f == faultNotSent {
 			result = StartNotSent
 		}
-		var leaseBound time.Time
+		var earlierLeaseExpiry time.Time
 		if r != nil {
 			result = r.result
 			var isOutdated bool
-			if leaseBound, isOutdated = c.readClock(o, w, &call, r); isOutdated {
+			if earlierLeaseExpiry, isOutdated = c.readClock(o, w, &call, r); isOutdated {
 				result = StartWorkerRestarted
 			}
 		}
@@ -889,7 +889,7 @@
 			return
 		}
 		if result == StartAccepted {
-			o.cell.BoundLease(order, leaseBound)
+			o.cell.RecordEarlierLeases(order, earlierLeaseExpiry)
 		}
 		o.cell.HandleStartResult(order, result, c.now)
 	})
--- a/internal/core/cwcell/job.go
+++ b/internal/core/cwcell/job.go
@@ -76,30 +76,30 @@
 
 // run is one run of one task. It keeps capacity allocated on its worker.
 type run struct {
-	group           *group
-	taskIndex       int // of its task in group.tasks
-	number          int // higher for each later run of the task; the members of a gang's run share it
-	worker          *worker
-	state           runState
-	confirmedAt     time.Time // when its worker accepted the start order or first reported it
-	orderedAt       time.Time // when it was planned, ordered or adopted, whichever was last
-	stopSentAt      time.Time // when the stop order was last sent; zero: never
-	stopConfirmedAt time.Time // when the worker answered the stop order; zero: not yet
-	percent         int       // in the latest report
-	firstPercent    int       // in the first report
-	firstReportedAt time.Time // zero: not reported yet
-	progressedAt    time.Time // when the percentage last rose
-	adopted         bool      // started by an earlier owner
-	isolated        bool      // the run of a suspect; no other run of its worker is in its CrashWindow
-	requiredVersion int       // version of the job that must be durable before an isolated run is ordered
-	resumed         bool      // its order has a checkpoint
-	lost            bool      // it has ended with its worker
-	startUnanswered bool      // the start order got no response
-	triedTwice      bool      // it was accepted at the second try; the first one got no response and may still be carried out
-	startResolvedAt time.Time // when the result of the start order was received; zero: it is in flight, or the run was adopted
-	incarnation     time.Time // incarnation of the worker that reported the run; zero: none has
-	leaseBound      time.Time // when the leases of earlier owners' calls on the process that has accepted it have expired; zero: not known
-	orderedTo       time.Time // incarnation of the worker that was known when the run was planned or adopted
+	group              *group
+	taskIndex          int // of its task in group.tasks
+	number             int // higher for each later run of the task; the members of a gang's run share it
+	worker             *worker
+	state              runState
+	confirmedAt        time.Time // when its worker accepted the start order or first reported it
+	orderedAt          time.Time // when it was planned, ordered or adopted, whichever was last
+	stopSentAt         time.Time // when the stop order was last sent; zero: never
+	stopConfirmedAt    time.Time // when the worker answered the stop order; zero: not yet
+	percent            int       // in the latest report
+	firstPercent       int       // in the first report
+	firstReportedAt    time.Time // zero: not reported yet
+	progressedAt       time.Time // when the percentage last rose
+	adopted            bool      // started by an earlier owner
+	isolated           bool      // the run of a suspect; no other run of its worker is in its CrashWindow
+	requiredVersion    int       // version of the job that must be durable before an isolated run is ordered
+	resumed            bool      // its order has a checkpoint
+	lost               bool      // it has ended with its worker
+	startUnanswered    bool      // the start order got no response
+	triedTwice         bool      // it was accepted at the second try; the first one got no response and may still be carried out
+	startResolvedAt    time.Time // when the result of the start order was received; zero: it is in flight, or the run was adopted
+	incarnation        time.Time // incarnation of the worker that reported the run; zero: none has
+	earlierLeaseExpiry time.Time // when the leases of earlier owners' calls on the process that has accepted it have expired; zero: not known
+	orderedTo          time.Time // incarnation of the worker that was known when the run was planned or adopted
 }
 
 // orderInFlight reports whether a start order was issued whose result has not been received.
--- a/internal/core/cwcell/lease.go
+++ b/internal/core/cwcell/lease.go
@@ -15,7 +15,8 @@
 const maxCallDelay = 12 * time.Second
 
 // expireLeases releases the runs of an unreachable worker once its leases have expired: those that this owner granted, and
-// those of earlier owners. A run that a later incarnation may have started, or whose lease a call that was meant for an earlier
+// those of earlier owners. A run that was accepted and not reported yet lasts until the leases on the process that has accepted it have
+// expired, whichever that is. A run that a later incarnation may have started, or whose lease a call that was meant for an earlier
 // incarnation may extend, lasts for up to maxCallDelay and MaxTaskLease after the last such call, since the deadlines were
 // readings of the clock of the earlier one. A lease that a later owner may have extended counts as valid.
 func (c *Cell) expireLeases(w *worker, now time.Time) {
@@ -60,10 +61,10 @@
 
 // acceptedLeaseOver reports whether the lease of a run that no report contains yet has expired: only the process that has accepted it can run it.
 func (c *Cell) acceptedLeaseOver(r *run, now time.Time) bool {
-	if r.leaseBound.IsZero() || !r.incarnation.IsZero() || r.hasOpenTry() {
+	if r.earlierLeaseExpiry.IsZero() || !r.incarnation.IsZero() || r.hasOpenTry() {
 		return false
 	}
-	return !now.Before(later(r.leaseBound, c.opts.LeaseExpiry(r.worker.ID).Add(cwclock.MaxAnswerDelay)).Add(leaseGrace))
+	return !now.Before(later(r.earlierLeaseExpiry, c.opts.LeaseExpiry(r.worker.ID).Add(cwclock.MaxClockLag)).Add(leaseGrace))
 }
 
 // lateCallsOver reports whether every call that may start the run, or extend its lease, has been carried out, and the longest lease from
--- a/internal/core/cwcell/order.go
+++ b/internal/core/cwcell/order.go
@@ -108,12 +108,12 @@
 	c.stopIncompleteGang(g, r.number)
 }
 
-// BoundLease records by when the leases of earlier owners' calls on the process that has accepted a start order have expired; zero: it is not
+// RecordEarlierLeases records by when the leases of earlier owners' calls on the process that has accepted a start order have expired; zero: it is not
 // known. This owner's end by LeaseExpiry. The bound counts until a report contains the run.
-func (c *Cell) BoundLease(o *StartOrder, expiry time.Time) {
+func (c *Cell) RecordEarlierLeases(o *StartOrder, expiry time.Time) {
 	if w, ok := c.workers[o.Worker]; ok {
 		if r := w.runs[o.Task]; r != nil && r.number == o.Run {
-			r.leaseBound = expiry
+			r.earlierLeaseExpiry = expiry
 		}
 	}
 }
--- a/internal/core/cwcell/restart_test.go
+++ b/internal/core/cwcell/restart_test.go
@@ -173,7 +173,7 @@
 			f.HandleStartResult(o, StartAccepted, f.now)
 		}, late},
 		{"accepted, its lease is bounded", func(f *fixture, o *StartOrder, _ time.Time) {
-			f.BoundLease(o, f.now.Add(maxLease))
+			f.RecordEarlierLeases(o, f.now.Add(maxLease))
 			f.HandleStartResult(o, StartAccepted, f.now)
 		}, maxLease},
 		{"accepted, then reported", func(f *fixture, o *StartOrder, incarnation time.Time) {
@@ -234,9 +234,9 @@
 	o := f.decide().Starts[0]
 	granted := f.now.Add(3500 * time.Millisecond)
 	f.opts.LeaseExpiry = func(cwmodel.HostID) time.Time { return granted }
-	f.BoundLease(&o, f.now)
+	f.RecordEarlierLeases(&o, f.now)
 	f.HandleStartResult(&o, StartAccepted, f.now)
-	f.now = granted.Add(cwclock.MaxAnswerDelay)
+	f.now = granted.Add(cwclock.MaxClockLag)
 	f.MarkUnreachable("a", f.now)
 	is.Equal(len(f.workers["a"].runs), 1)
 	f.now = f.now.Add(leaseGrace)
@@ -255,7 +255,7 @@
 	o := f.decide().Starts[0]
 	is.Equal(o.Worker, cwmodel.HostID("a"))
 	f.HandleReport(&Report{Worker: "a", Incarnation: next, RequestedAt: f.now, Running: []RunStatus{{Task: o.Task, Run: o.Run}}, Unsettled: true}, f.now)
-	f.BoundLease(&o, f.now.Add(f.opts.MaxTaskLease))
+	f.RecordEarlierLeases(&o, f.now.Add(f.opts.MaxTaskLease))
 	f.HandleStartResult(&o, StartAccepted, f.now)
 	f.MarkUnreachable("a", f.now)
 	f.now = f.now.Add(f.opts.MaxTaskLease + 2*leaseGrace) // calls to the earlier process may extend the lease until later
@@ -271,7 +271,7 @@
 	next := f.now.Add(time.Second)
 	f.admit(step(1, 6000, false))
 	o := f.decide().Starts[0]
-	f.BoundLease(&o, f.now.Add(6*time.Second))
+	f.RecordEarlierLeases(&o, f.now.Add(6*time.Second))
 	f.HandleStartResult(&o, StartAccepted, f.now)
 	f.now = next.Add(time.Second)
 	f.list("a", next)
--- a/internal/core/cwclock/clock.go
+++ b/internal/core/cwclock/clock.go
@@ -35,8 +35,9 @@
 	maxRestarts = 1<<restartBits - 1
 )
 
-// MaxAnswerDelay is the longest delay of an answer with which LeaseBound takes its process for the known one.
-const MaxAnswerDelay = 500 * time.Millisecond
+// MaxClockLag is how far the clock of a process that has answered without its name may be behind the known clock, so that the expiry of the leases
+// granted by the known clock holds there with this margin.
+const MaxClockLag = 500 * time.Millisecond
 
 // FirstToken returns the fencing token of an owner's calls to a worker that has not restarted under it.
 func FirstToken(fence uint64) uint64 { return fence << restartBits }
@@ -138,8 +139,8 @@
 	return !c.receivedAt.IsZero() && !n.SentAt.Before(c.receivedAt)
 }
 
-// allowLongestLease records that the worker may have taken deadlines for the clock of its earlier process until now, which are limited by its
-// longest lease alone.
+// allowLongestLease records that the worker may have taken deadlines for the clock of its earlier process until now, from this owner or a former
+// one, which are limited by its longest lease alone.
 func (c *Clock) allowLongestLease(now time.Time) {
 	if expiry := c.longestLeaseFrom(now); expiry.After(c.leaseExpiry) {
 		c.leaseExpiry = expiry
@@ -177,11 +178,11 @@
 // IsOutdated reports whether the worker's fencing token has been raised since a call with the given one was sent.
 func (c *Clock) IsOutdated(token uint64) bool { return token < c.token() }
 
-// LeaseBound returns the time by which the leases that earlier calls have left on the process which has answered a call with the given reading
-// have expired: it refuses calls with lower tokens from then on. The leases that this owner grants there expire MaxAnswerDelay after LeaseExpiry, even if
-// a later process than the known one has answered, as its clock is behind by no more. If that is not certain, LeaseBound returns the zero time.
-func (c *Clock) LeaseBound(n Reading) time.Time {
-	if n.Token != c.token() || c.receivedAt.IsZero() || n.Clock+MaxAnswerDelay < c.earliestReading(n.ReceivedAt) {
+// EarlierLeaseExpiry returns the time by which the leases that earlier calls have left on the process which has answered a call with the given reading
+// have expired: it refuses calls with lower tokens from then on. The leases that this owner grants there expire MaxClockLag after LeaseExpiry, even if
+// a later process than the known one has answered, as its clock is behind by no more. If that is not certain, EarlierLeaseExpiry returns the zero time.
+func (c *Clock) EarlierLeaseExpiry(n Reading) time.Time {
+	if n.Token != c.token() || c.receivedAt.IsZero() || n.Clock+MaxClockLag < c.earliestReading(n.ReceivedAt) {
 		return time.Time{}
 	}
 	return c.longestLeaseFrom(n.ReceivedAt)
--- a/internal/core/cwclock/clock_test.go
+++ b/internal/core/cwclock/clock_test.go
@@ -149,9 +149,9 @@
 	is.True(!ok)
 }
 
-// TestLeaseBound guards against a run that is given up while it lives, as a later process than the known one has accepted it: the answer to a start does
+// TestEarlierLeaseExpiry guards against a run that is given up while it lives, as a later process than the known one has accepted it: the answer to a start does
 // not name the process, and its clock begins anywhere. Only if it is not behind the known one do this owner's deadlines bound its leases.
-func TestLeaseBound(t *testing.T) {
+func TestEarlierLeaseExpiry(t *testing.T) {
 	start := time.Unix(1000, 0)
 	at := func(d time.Duration) time.Time { return start.Add(d) }
 	cases := []struct {
@@ -180,7 +180,7 @@
 			if tc.outdated {
 				c.recordRestart()
 			}
-			bound := c.LeaseBound(n)
+			bound := c.EarlierLeaseExpiry(n)
 			is.Equal(!bound.IsZero(), tc.bounded)
 			is.True(!tc.bounded || !bound.Before(n.ReceivedAt.Add(c.maxLease*100/98)))
 		})
--- a/internal/port/cwcellport/port.go
+++ b/internal/port/cwcellport/port.go
@@ -95,9 +95,9 @@
 	// RenewLeases returns the worker's report. StaleEpoch means that a later owner has called the worker, NotFound that the process of
 	// another worker answers at its address.
 	RenewLeases func(w WorkerEntry, r LeaseRenewal) (*cwcell.Report, error)
-	// Start requests a worker to start a run; the worker refuses an order that arrives after the window. leaseBound is the
+	// Start requests a worker to start a run; the worker refuses an order that arrives after the window. earlierLeaseExpiry is the
 	// time by which the leases of earlier owners' calls on the process that has accepted the order have expired; zero: it is not known.
-	Start func(w WorkerEntry, o *cwcell.StartOrder, fence uint64, window time.Duration) (result cwcell.StartResult, leaseBound time.Time)
+	Start func(w WorkerEntry, o *cwcell.StartOrder, fence uint64, window time.Duration) (result cwcell.StartResult, earlierLeaseExpiry time.Time)
 	// Stop requests a worker to stop a run.
 	Stop func(w WorkerEntry, o *cwcell.StopOrder, fence uint64) error
 	// LeaseExpiry returns the time by which every lease that this process granted on a worker has expired.
