Keep a task waiting for an earlier run of it that a late order has started

Cause: the first settled report of a restarted worker listed an earlier run of a task, which a late order had started there, while the owner tracked a later run of the same task on that worker. The report showed that the later run was gone; it was released, and the task started elsewhere at once, beside the earlier run, whose stop was only just ordered.

Change: the reported run of a task whose tracked run was lost with the same report is tracked and stopped, and the task waits until it has ended.

Evidence: TestTaskWaitsForAnEarlierRunOfTheNextIncarnation failed before.

--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -111,6 +111,7 @@
 	if !rep.Unsettled && !rep.Truncated {
 		c.releaseMissingRuns(w, reported, rep.RequestedAt, now)
 	}
+	c.trackForeignRuns(w, rep.Running, now)
 	c.resolveLosses(w, now)
 	for _, r := range w.sortedRuns() {
 		if r.group.hasLosses {
@@ -196,6 +197,21 @@
 	}
 }
 
+// trackForeignRuns tracks and stops the reported runs of tasks whose tracked run on the worker was lost with the same report: a late order has
+// started an earlier run there. Their tasks wait until these have ended.
+func (c *Cell) trackForeignRuns(w *worker, running []RunStatus, now time.Time) {
+	for n := range running {
+		rep := &running[n]
+		g := c.group(rep.Task.StepKey)
+		if g == nil || rep.Task.Index >= len(g.tasks) || w.runs[rep.Task] != nil {
+			continue
+		}
+		w.foreignRuns--
+		c.adoptRun(w, g, rep, now)
+		c.stopRun(w.runs[rep.Task])
+	}
+}
+
 // isUnresolved reports whether a job is unknown to the cell. Until MarkJobsLoaded is called, such a job may still be loaded
 // from the store; afterwards it has ended.
 func (c *Cell) isUnresolved(id cwmodel.JobID) bool {
--- a/internal/core/cwcell/restart_test.go
+++ b/internal/core/cwcell/restart_test.go
@@ -102,6 +102,37 @@
 	f.HandleReport(report, f.now)
 }
 
+// TestTaskWaitsForAnEarlierRunOfTheNextIncarnation guards against a task that runs twice because a late order has started an earlier run of it in the next
+// incarnation of its worker: the report that shows this run also shows that the later one, of the incarnation before, is gone.
+func TestTaskWaitsForAnEarlierRunOfTheNextIncarnation(t *testing.T) {
+	is := is.New(t)
+	f := newFixture([]cwmodel.HostID{"a"}, plainPolicy)
+	incarnation := f.now
+	f.admit(step(1, 6000, false))
+	first := f.decide().Starts[0]
+	for _, e := range []restartEvent{eventUnanswered, eventStopConfirmed} {
+		f.applyRestartEvent(e, &first, incarnation, incarnation)
+	}
+	f.HandleReport(&Report{Worker: "a", Incarnation: incarnation, RequestedAt: f.now}, f.now)
+	second := f.decideDurably()[0]
+	is.Equal(second.Run, first.Run+1)
+	f.HandleStartResult(&second, StartAccepted, f.now)
+	f.HandleReport(&Report{Worker: "a", Incarnation: incarnation, RequestedAt: f.now, Running: []RunStatus{{Task: second.Task, Run: second.Run}}}, f.now)
+	f.list("b", incarnation)
+	f.HandleReport(&Report{Worker: "b", Incarnation: incarnation, RequestedAt: f.now}, f.now)
+	f.MarkMembersDurable([]cwmodel.HostID{"b"})
+
+	f.now = f.now.Add(time.Second)
+	next := f.now
+	f.applyRestartEvent(eventNextReports, &first, incarnation, next)
+	is.Equal(len(f.decideDurably()), 0)
+	f.now = f.now.Add(time.Second)
+	f.HandleReport(&Report{
+		Worker: "a", Incarnation: next, RequestedAt: f.now, Ended: []RunEnd{{Sequence: 1, Task: first.Task, Run: first.Run, Kind: EndStopped}},
+	}, f.now)
+	is.Equal(len(f.decideDurably()), 1)
+}
+
 // TestStopIsRepeatedWhileTheRunIsReported guards against a run that goes on for good because its stop was confirmed by an earlier
 // incarnation of its worker than the one that started it.
 func TestStopIsRepeatedWhileTheRunIsReported(t *testing.T) {
