--- a/internal/proof/cwsoak/takeover.go
+++ b/internal/proof/cwsoak/takeover.go
@@ -56,7 +56,7 @@
 	} else {
 		restarted <- nil // another fault is stopping or starting it
 	}
-	i.load.submitLongJobs(max(1, len(rk.proxies)*len(i.cluster.racks)/runnersPerLongJob), r)
+	i.load.submitLongJobs(max(1, (len(rk.proxies)*len(i.cluster.racks)-smallFleet)/runnersPerLongJob), r)
 	i.sleep(ctx, cutAfter)
 	for _, p := range rk.proxies {
 		p.SetFaults(cwprocess.NetFaults{StallTo: true, StallFrom: true})
@@ -84,9 +84,10 @@
 const (
 	// takeoverLateRate is the fraction of the orders that are carried out late before the restart of a rack around a takeover.
 	takeoverLateRate = 0.9
-	// runnersPerLongJob is the number of runners for each job with long tasks that is submitted while no owner acts, so that the next one starts
-	// them at once.
+	// runnersPerLongJob is the number of runners beyond smallFleet for each job with long tasks that is submitted while no owner acts, so that the
+	// next one starts them at once. A small fleet isolates few of the tasks at a time that were on several runners when these ended.
 	runnersPerLongJob = 2
+	smallFleet        = 4
 )
 
 // maxReturnTime bounds the wait for the return of runners that were ordered to restart. A crash of one of them delays its own return.
