--- a/internal/proof/cwsoak/formerlease.go
+++ b/internal/proof/cwsoak/formerlease.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/netip"
 	"time"
 
@@ -11,7 +10,6 @@
 	"github.com/valyala/fasthttp"
 
 	"currantward/internal/base/cwfault"
-	"currantward/internal/base/cwhttp"
 	"currantward/internal/base/cwtimer"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwwork"
@@ -113,14 +111,11 @@
 // holdAsFormerOwner sends the restarted runner a lease renewal of the former owner and returns the status of the response.
 func (f *formerLeaseTest) holdAsFormerOwner(deadline time.Duration) (status int, err error) {
 	addr := f.restarted.EventLines("runner-started")[0].Get("address")
-	body := fmt.Appendf(nil, `{"deadline_ms":%d,"fence":1,"ack_cursor":0}`, deadline.Milliseconds())
 	target, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return 0, err
 	}
-	status, _, err = f.client.RoundTrip(fasthttp.MethodPost, target, "/v1/hold", body, time.Second,
-		cwhttp.Header{Name: "X-Expect-Instance", Value: restartedRunner})
-	return status, err
+	return cwstandin.RenewLeases(f.client, target, restartedRunner, 1, deadline, time.Second)
 }
 
 // startTasksAndCut submits a job whose tasks start on the restarted runner, cuts that runner off, and waits until the tasks have been started on the
