Narrow what the simulation leaves out of its checks

The users' rule TWICE has no sentence that lets two runs of a task pass because a runner carried an order out late. isExcused let a task start while a stray order had its former run at work elsewhere, also after a report had told the owner of that run; it no longer does. A former owner may start runs on a worker that has restarted since the takeover. The members of a gang end in one order, so that a seed gives the same history each time.

--- a/internal/core/cwcell/cluster_test.go
+++ b/internal/core/cwcell/cluster_test.go
@@ -142,6 +142,7 @@
 	ended        map[cwmodel.JobID]cwwork.JobState
 	members      map[cwmodel.HostID]time.Time // stored incarnation of each worker
 	excused      map[simRunKey]bool           // runs that stray orders have started
+	reportedTo   map[simRunKey]*simOwner      // latest owner that has got a report of a run
 	resolved     map[cwwork.TaskKey]int       // highest run of each task that was started, or whose stop was confirmed
 	ackedDone    map[cwwork.TaskKey]bool      // acknowledged ends of kind EndDone
 	reportedDone map[cwwork.TaskKey]bool      // ends of kind EndDone that a report to an owner has contained
@@ -163,12 +164,12 @@
 // newCluster returns a cluster with idle workers of 8 processors, four to a rack, and without an owner.
 func newCluster(workers int, policy cwwork.QueuePolicy, intN func(int) int) *cluster {
 	c := &cluster{
-		now:       time.Unix(1_000_000, 0),
-		jobs:      map[cwmodel.JobID]*cwwork.Submission{},
-		progress:  map[cwmodel.JobID]*cwwork.Progress{},
-		ended:     map[cwmodel.JobID]cwwork.JobState{},
-		members:   map[cwmodel.HostID]time.Time{},
-		excused:   map[simRunKey]bool{},
+		now:      time.Unix(1_000_000, 0),
+		jobs:     map[cwmodel.JobID]*cwwork.Submission{},
+		progress: map[cwmodel.JobID]*cwwork.Progress{},
+		ended:    map[cwmodel.JobID]cwwork.JobState{},
+		members:  map[cwmodel.HostID]time.Time{},
+		excused:  map[simRunKey]bool{}, reportedTo: map[simRunKey]*simOwner{},
 		resolved:  map[cwwork.TaskKey]int{},
 		ackedDone: map[cwwork.TaskKey]bool{}, reportedDone: map[cwwork.TaskKey]bool{},
 		failures: map[cwwork.TaskKey]map[int]bool{},
@@ -423,8 +424,8 @@
 	if len(members) < c.jobs[key.Job].Steps[key.Step].Count {
 		return
 	}
-	for k, member := range members {
-		kind := EndDone
+	for _, k := range slices.SortedFunc(maps.Keys(members), compareTaskKeys) {
+		kind, member := EndDone, members[k]
 		if failed {
 			kind = EndGangBroken
 			if member.runs[k].fails {
@@ -772,6 +773,9 @@
 			if !r.report.Unsettled {
 				w.settledBy = o
 			}
+			for _, run := range r.report.Running {
+				c.reportedTo[simRunKey{id, run.Task, run.Run}] = o
+			}
 			o.cell.HandleReport(r.report, c.now)
 			o.cell.ResendStops(id, c.now)
 			o.truncated[id] = r.report.Truncated
@@ -866,9 +870,7 @@
 	}
 	f := c.drawFault(o, w)
 	c.send(o, w, f, func() *simResponse {
-		// A worker that restarts after a takeover knows no fence, so a former owner could start runs there until the present one polls
-		// it. The protocol offers no defence against that.
-		if !w.alive || (o != c.currentOwner() && w.restartedAt.After(c.currentOwner().tookOverAt)) {
+		if !w.alive {
 			return nil
 		}
 		return c.handleStart(o, w, order, &call)
@@ -978,10 +980,11 @@
 	return call.sentAt.Before(w.restartedAt) && w.settledBy != c.currentOwner()
 }
 
-// isExcused reports whether a run was started by a stray order, after that was resolved: by a confirmed stop, or by a later run. An owner that
-// starts the task elsewhere before that has given the run up too early.
+// isExcused reports whether a run was started by a stray order after that was resolved, by a confirmed stop or by a later run, and no report has
+// told the present owner of it. An owner that starts the task elsewhere before the order is resolved has given the run up too early.
 func (c *cluster) isExcused(w *simWorker, task cwwork.TaskKey, run int) bool {
-	return c.excused[simRunKey{w.info.ID, task, run}] && run <= c.resolved[task]
+	key := simRunKey{w.info.ID, task, run}
+	return c.excused[key] && run <= c.resolved[task] && c.reportedTo[key] != c.currentOwner()
 }
 
 // checkCapacity checks that a start does not overcommit its worker.
