--- a/internal/core/cwclock/clock_test.go
+++ b/internal/core/cwclock/clock_test.go
@@ -71,18 +71,26 @@
 	start := time.Unix(1000, 0)
 	cases := []struct {
 		name        string
+		restarted   bool // a report has shown a restart before
 		incarnation time.Time
 		settled     bool
 	}{
-		{"report", start, true},
-		{"response that names no process", time.Time{}, false},
+		{"report", false, start, true},
+		{"response that names no process", false, time.Time{}, false},
+		{"report after a restart", true, start, true},
+		{"response that names no process, after a restart", true, time.Time{}, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			c := New(6 * time.Second)
+			if tc.restarted {
+				c = newTestClock(start.Add(-time.Second))
+				token, _ := c.OpenCall(3)
+				c.Record(Reading{token, start, 2 * time.Hour, start, start})
+			}
 			token, _ := c.OpenCall(3)
-			c.Record(Reading{token, tc.incarnation, time.Hour, start, start})
+			c.Record(Reading{token, tc.incarnation, 2 * time.Hour, start, start})
 			is.Equal(c.IsSettled(token), tc.settled)
 		})
 	}
