Review case 15: after a restart of the owner, waiting jobs are said not to wait

Shows that jobs whose only start order got no answer count as started after a change of the owner, so that pending is 0 while 17 jobs wait (rule MIXED). One disruption: srv_crash, one runner of seven lost for good; planned: a restart of the owner.

--- a/review/stand3/deployment.go
+++ b/review/stand3/deployment.go
@@ -102,6 +102,7 @@
 	control string // address of the store for runners and operators
 	fronts  []string
 	ready   []string
+	mu      sync.Mutex // of procs
 	procs   []*exec.Cmd
 	client  *http.Client
 }
@@ -127,13 +128,17 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	d.mu.Lock()
 	d.procs = append(d.procs, cmd)
+	d.mu.Unlock()
 	d.rec.note("process-started", "name", name, "pid", cmd.Process.Pid)
 	return nil
 }
 
 // stop ends all processes that were started.
 func (d *deployment) stop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for _, p := range d.procs {
 		_ = p.Process.Signal(syscall.SIGKILL)
 		_ = p.Wait()
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -24,6 +24,7 @@
 	"gang-crash": gangCrash,
 	"quarantine": quarantine,
 	"suspect":    suspect,
+	"pending":    pending,
 }
 
 func main() {
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -66,6 +66,7 @@
 	cores     int
 	server    *http.Server
 	up        bool
+	dark      bool // it has no power: calls to it get no answer
 	born      int64
 	startedAt time.Time
 	clockBase int64
@@ -154,8 +155,15 @@
 	WaitMS     int    `json:"wait_ms"`
 }
 
-// serve answers a call.
+// serve answers a call. Without power it answers nothing.
 func (r *runner) serve(w http.ResponseWriter, req *http.Request) {
+	r.f.mu.Lock()
+	dark := r.dark
+	r.f.mu.Unlock()
+	if dark {
+		<-req.Context().Done()
+		return
+	}
 	if req.Header.Get("X-Expect-Instance") != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -355,6 +363,10 @@
 	deadline := time.Now().Add(min(time.Duration(o.WaitMS)*time.Millisecond, 2*time.Second))
 	for {
 		r.f.mu.Lock()
+		if r.dark {
+			r.f.mu.Unlock()
+			select {} // the answer never leaves
+		}
 		if !r.up || o.Fence < r.fence {
 			r.f.mu.Unlock()
 			return conflict("fence")
