Review case 15: one hopeless job closes all workers, in place of the count of waiting jobs

The stand-in of the former case accepted connections without power, which no machine does; with connections that hang only one job was in that state. The case of the hopeless job takes its place.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")" || exit 2
 root=../..
 [ -x "$root/target/review-3/stand3" ] && [ -x "$root/target/currantward" ] || exit 2
-exec "$root/target/review-3/stand3" -case pending -record record.txt -bin "$root/target/currantward" -standin "$root/target/review-3/standin"
+exec "$root/target/review-3/stand3" -case quarantine -record record.txt -bin "$root/target/currantward" -standin "$root/target/review-3/standin"
