--- a/review/stand3/deployment.go
+++ b/review/stand3/deployment.go
@@ -267,12 +267,13 @@
 
 // step is one step of a job.
 type step struct {
-	Count       int  `json:"count"`
-	CPU         int  `json:"cpu,omitempty"`
-	MemMB       int  `json:"mem_mb,omitempty"`
-	EstimateMS  int  `json:"estimate_ms,omitempty"`
-	Gang        bool `json:"gang,omitempty"`
-	LongRunning bool `json:"long_running,omitempty"`
+	Count        int  `json:"count"`
+	CPU          int  `json:"cpu,omitempty"`
+	MemMB        int  `json:"mem_mb,omitempty"`
+	EstimateMS   int  `json:"estimate_ms,omitempty"`
+	Gang         bool `json:"gang,omitempty"`
+	LongRunning  bool `json:"long_running,omitempty"`
+	AntiAffinity int  `json:"anti_affinity,omitempty"`
 }
 
 // submit hands in a job of one step, at one entry host after the other until it is accepted.
--- a/review/stand3/gangcrash.go
+++ b/review/stand3/gangcrash.go
@@ -12,7 +12,7 @@
 // crashes under it. Without trouble the gang is done.
 func gangCrash(o *options) (broken bool, err error) {
 	const id, task = "00000000000000b1", "00000000000000b1.0.0.0"
-	if err := o.startAll(6, 64, 6000, 3); err != nil {
+	if _, err := o.startAll(6, 64, 6000, 3); err != nil {
 		return false, err
 	}
 	spec := taskSpec{RunMS: 3000, Gang: 2}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(o *options) (broken bool, err error){
 	"gang-crash": gangCrash,
 	"quarantine": quarantine,
+	"suspect":    suspect,
 }
 
 func main() {
@@ -80,22 +81,22 @@
 }
 
 // startAll starts the store, three entry hosts and the runners, and waits until a job has been done.
-func (o *options) startAll(runners, cores, backMS, attempts int) error {
+func (o *options) startAll(runners, cores, backMS, attempts int) (f *fleet, err error) {
 	configuration := map[string]any{
 		"version": 1, "routes": []any{route("/work/", attempts)}, "services": []any{map[string]any{"name": "repair-portal"}},
 		"limits": map[string]int{"max_body_bytes": 262144},
 	}
 	if err := o.d.startStore(configuration); err != nil {
-		return err
+		return nil, err
 	}
-	if _, err := newFleet(o.rec, "127.0.0.1", "repair-portal", runners, cores, backMS, o.d.report); err != nil {
-		return err
+	if f, err = newFleet(o.rec, "127.0.0.1", "repair-portal", runners, cores, backMS, o.d.report); err != nil {
+		return nil, err
 	}
 	if err := o.d.startFronts(3); err != nil {
-		return err
+		return nil, err
 	}
 	if err := o.d.submit("/work/", "00000000000000aa", taskSpec{RunMS: 200}, step{Count: runners, CPU: 1000, MemMB: 100, EstimateMS: 200}); err != nil {
-		return err
+		return nil, err
 	}
-	return o.d.await("the first job", func() bool { return o.d.state("/work/", "00000000000000aa") == "completed" })
+	return f, o.d.await("the first job", func() bool { return o.d.state("/work/", "00000000000000aa") == "completed" })
 }
--- a/review/stand3/quarantine.go
+++ b/review/stand3/quarantine.go
@@ -16,7 +16,7 @@
 // in one ordinary job and one that lasts. It checks whether these get a run while all runners are up and empty.
 func quarantine(o *options) (broken bool, err error) {
 	const runners = 8
-	if err := o.startAll(runners, 64, 3000, 3); err != nil {
+	if _, err := o.startAll(runners, 64, 3000, 3); err != nil {
 		return false, err
 	}
 	hopeless := taskSpec{RunMS: 1500, Fails: o.trouble}
