--- a/review/stand3/deployment.go
+++ b/review/stand3/deployment.go
@@ -80,6 +80,18 @@
 	return list
 }
 
+// count returns the number of events with a name.
+func (c *recorder) count(name string) (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.events {
+		if e.name == name {
+			n++
+		}
+	}
+	return n
+}
+
 // eventsNamed returns the events with a name and a value of one field, oldest first.
 func (c *recorder) eventsNamed(name, key, value string) (list []event) {
 	c.mu.Lock()
@@ -270,6 +282,9 @@
 	return nil
 }
 
+// queuePrefix is the path prefix of the queue.
+const queuePrefix = "/work/"
+
 // step is one step of a job.
 type step struct {
 	Count        int  `json:"count"`
@@ -282,12 +297,12 @@
 }
 
 // submit hands in a job of one step, at one entry host after the other until it is accepted.
-func (d *deployment) submit(prefix, id string, spec taskSpec, s step) error {
+func (d *deployment) submit(id string, spec taskSpec, s step) error {
 	payload, _ := json.Marshal(spec)
 	body, _ := json.Marshal(map[string]any{"spec": string(payload), "steps": []step{s}})
 	for n := range 40 {
 		front := d.fronts[n%len(d.fronts)]
-		status := d.status(http.MethodPost, front, prefix+id, body)
+		status := d.status(http.MethodPost, front, queuePrefix+id, body)
 		d.rec.note("job-sent", "job", id, "front", front, "steps", fmt.Sprintf("%+v", s), "spec", string(payload), "status", status)
 		if status == http.StatusOK {
 			return nil
@@ -298,8 +313,8 @@
 }
 
 // state asks for the state of a job.
-func (d *deployment) state(prefix, id string) string {
-	status, body := d.call(http.MethodGet, d.fronts[0], prefix+id, nil)
+func (d *deployment) state(id string) string {
+	status, body := d.call(http.MethodGet, d.fronts[0], queuePrefix+id, nil)
 	var answer struct {
 		State string `json:"state"`
 	}
--- a/review/stand3/gangcrash.go
+++ b/review/stand3/gangcrash.go
@@ -12,18 +12,18 @@
 // crashes under it. Without trouble the gang is done.
 func gangCrash(o *options) (broken bool, err error) {
 	const id, task = "00000000000000b1", "00000000000000b1.0.0.0"
-	if _, err := o.startAll(6, 64, 6000, 3); err != nil {
+	if _, err := o.startAll(6, 6000); err != nil {
 		return false, err
 	}
 	spec := taskSpec{RunMS: 3000, Gang: 2}
 	if o.trouble {
 		spec.CrashMS = 1000
 	}
-	if err := o.d.submit("/work/", id, spec, step{Count: 2, CPU: 18000, MemMB: 1000, EstimateMS: 3000, Gang: true}); err != nil {
+	if err := o.d.submit(id, spec, step{Count: 2, CPU: 18000, MemMB: 1000, EstimateMS: 3000, Gang: true}); err != nil {
 		return false, err
 	}
 	for end := time.Now().Add(60 * time.Second); time.Now().Before(end); time.Sleep(time.Second) {
-		state := o.d.state("/work/", id)
+		state := o.d.state(id)
 		crashes := o.rec.eventsNamed("runner-crashed", "under", task)
 		more := 0
 		if len(crashes) >= crashesBefore {
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -24,6 +24,7 @@
 	"gang-crash": gangCrash,
 	"quarantine": quarantine,
 	"suspect":    suspect,
+	"late-tries": lateTries,
 	"pending":    pending,
 }
 
@@ -74,30 +75,30 @@
 }
 
 // route is a queue of the operator's configuration.
-func route(prefix string, attempts int) map[string]any {
+func route(prefix string) map[string]any {
 	return map[string]any{
-		"host": "jobs.example", "path_prefix": prefix, "service": "repair-portal", "priority": 1, "max_attempts": attempts, "stretch": 2.2,
+		"host": "jobs.example", "path_prefix": prefix, "service": "repair-portal", "priority": 1, "max_attempts": 3, "stretch": 2.2,
 		"target_latency_ms": 1000,
 	}
 }
 
 // startAll starts the store, three entry hosts and the runners, and waits until a job has been done.
-func (o *options) startAll(runners, cores, backMS, attempts int) (f *fleet, err error) {
+func (o *options) startAll(runners, backMS int) (f *fleet, err error) {
 	configuration := map[string]any{
-		"version": 1, "routes": []any{route("/work/", attempts)}, "services": []any{map[string]any{"name": "repair-portal"}},
+		"version": 1, "routes": []any{route(queuePrefix)}, "services": []any{map[string]any{"name": "repair-portal"}},
 		"limits": map[string]int{"max_body_bytes": 262144},
 	}
 	if err := o.d.startStore(configuration); err != nil {
 		return nil, err
 	}
-	if f, err = newFleet(o.rec, "127.0.0.1", "repair-portal", runners, cores, backMS, o.d.report); err != nil {
+	if f, err = newFleet(o.rec, "127.0.0.1", "repair-portal", runners, backMS, o.d.report); err != nil {
 		return nil, err
 	}
 	if err := o.d.startFronts(3); err != nil {
 		return nil, err
 	}
-	if err := o.d.submit("/work/", "00000000000000aa", taskSpec{RunMS: 200}, step{Count: runners, CPU: 1000, MemMB: 100, EstimateMS: 200}); err != nil {
+	if err := o.d.submit("00000000000000aa", taskSpec{RunMS: 200}, step{Count: runners, CPU: 1000, MemMB: 100, EstimateMS: 200}); err != nil {
 		return nil, err
 	}
-	return f, o.d.await("the first job", func() bool { return o.d.state("/work/", "00000000000000aa") == "completed" })
+	return f, o.d.await("the first job", func() bool { return o.d.state("00000000000000aa") == "completed" })
 }
--- a/review/stand3/pending.go
+++ b/review/stand3/pending.go
@@ -27,7 +27,7 @@
 // pending hands in short jobs, lets the busiest runner lose power for good, and stops and starts the owner 3 s later as planned work. It checks how
 // many jobs the other entry hosts say to be waiting, against those that no runner has started.
 func pending(o *options) (broken bool, err error) {
-	f, err := o.startAll(7, 64, 0, 3)
+	f, err := o.startAll(7, 0)
 	if err != nil {
 		return false, err
 	}
@@ -35,7 +35,7 @@
 	begin, lost, restarted, owner := time.Now(), !o.trouble, false, -1
 	for n := 0; time.Since(begin) < 9*time.Second; n++ {
 		id := fmt.Sprintf("000000000000d%03x", n)
-		if err := o.d.submit("/work/", id, taskSpec{RunMS: 700}, step{Count: 1, CPU: 2000, MemMB: 500, EstimateMS: 700}); err != nil {
+		if err := o.d.submit(id, taskSpec{RunMS: 700}, step{Count: 1, CPU: 2000, MemMB: 500, EstimateMS: 700}); err != nil {
 			return false, err
 		}
 		jobs = append(jobs, accepted{id, time.Now()})
@@ -65,7 +65,7 @@
 // judgePending asks one entry host for the waiting jobs and reports whether it names under half of them.
 func (o *options) judgePending(front int, jobs []accepted) (broken bool) {
 	askedAt := time.Now()
-	status, body := o.d.call(http.MethodGet, o.d.fronts[front], "/work/", nil)
+	status, body := o.d.call(http.MethodGet, o.d.fronts[front], queuePrefix, nil)
 	var answer struct {
 		Pending int `json:"pending"`
 	}
--- a/review/stand3/quarantine.go
+++ b/review/stand3/quarantine.go
@@ -16,7 +16,7 @@
 // in one ordinary job and one that lasts. It checks whether these get a run while all runners are up and empty.
 func quarantine(o *options) (broken bool, err error) {
 	const runners = 8
-	if _, err := o.startAll(runners, 64, 3000, 3); err != nil {
+	if _, err := o.startAll(runners, 3000); err != nil {
 		return false, err
 	}
 	hopeless := taskSpec{RunMS: 1500, Fails: o.trouble}
@@ -26,28 +26,28 @@
 		if n == 10 {
 			spec, s = hopeless, step{Count: 40, CPU: 12000, MemMB: 12000, EstimateMS: 1500}
 		}
-		if err := o.d.submit("/work/", id, spec, s); err != nil {
+		if err := o.d.submit(id, spec, s); err != nil {
 			return false, err
 		}
 		time.Sleep(150 * time.Millisecond)
 	}
 	lastPoison := time.Now()
 	time.Sleep(8 * time.Second)
-	o.rec.note("calm", "since-last-hopeless-job", time.Since(lastPoison).Seconds(), "state", o.d.state("/work/", "000000000000010a"))
+	o.rec.note("calm", "since-last-hopeless-job", time.Since(lastPoison).Seconds(), "state", o.d.state("000000000000010a"))
 	plain, lasting := "00000000000002aa", "00000000000002bb"
 	sentAt := time.Now()
-	if err := o.d.submit("/work/", plain, taskSpec{RunMS: 300}, step{Count: 1, CPU: 3900, MemMB: 8000, EstimateMS: 300}); err != nil {
+	if err := o.d.submit(plain, taskSpec{RunMS: 300}, step{Count: 1, CPU: 3900, MemMB: 8000, EstimateMS: 300}); err != nil {
 		return false, err
 	}
-	if err := o.d.submit("/work/", lasting, taskSpec{Lasts: true}, step{Count: 1, CPU: 3900, MemMB: 8000, EstimateMS: 300, LongRunning: true}); err != nil {
+	if err := o.d.submit(lasting, taskSpec{Lasts: true}, step{Count: 1, CPU: 3900, MemMB: 8000, EstimateMS: 300, LongRunning: true}); err != nil {
 		return false, err
 	}
 	for end := time.Now().Add(50 * time.Second); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
 		if len(o.rec.startsOf(plain+".0.0.0")) > 0 && len(o.rec.startsOf(lasting+".0.0.0")) > 0 {
 			break
 		}
-		o.d.state("/work/", plain)
-		o.d.state("/work/", lasting)
+		o.d.state(plain)
+		o.d.state(lasting)
 	}
 	for _, id := range []string{plain, lasting} {
 		waited := time.Since(sentAt)
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -28,6 +28,7 @@
 	gangTimeout = 3 * time.Second
 	heartbeat   = time.Second
 	maxEnds     = 500
+	runnerCores = 64
 )
 
 // fleet is the runners of one service. One lock guards them all, since the tasks of a gang act together.
@@ -37,7 +38,9 @@
 	service string
 	report  func(id string, entry []byte) error // writes the entry of a runner to the platform's store
 	runners []*runner
-	backMS  int // time after a crash until the runner is back
+	backMS  int              // time after a crash until the runner is back
+	late    float64          // share of the start orders that get no answer and are carried out late
+	noted   map[string]int64 // tasks of which an end done was taken note of, and the life of the runner that had it
 }
 
 // run is one run of a task on a runner.
@@ -63,7 +66,6 @@
 	f         *fleet
 	id, rack  string
 	address   string
-	cores     int
 	server    *http.Server
 	up        bool
 	dark      bool // it has no power: calls to it get no answer
@@ -78,6 +80,7 @@
 	highest   map[string]int // highest run of each task that was stopped or has ended here
 	changed   chan struct{}
 	seq       int
+	started   int // runs, in all lives
 }
 
 // start begins a life of the runner. The caller holds the lock, unless nothing else knows the runner yet.
@@ -87,7 +90,7 @@
 		return err
 	}
 	r.address = listener.Addr().String()
-	r.up, r.born, r.startedAt, r.clockBase = true, time.Now().UnixMilli(), time.Now(), rand.Int64N(1_000_000)
+	r.up, r.born, r.startedAt, r.clockBase = true, time.Now().UnixMilli(), time.Now(), rand.Int64N(1000)
 	r.fence, r.hold, r.sequence, r.ended = 0, 0, 0, nil
 	r.runs, r.highest, r.changed = map[string]*run{}, map[string]int{}, make(chan struct{})
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: 5 * time.Second}
@@ -136,7 +139,7 @@
 	r.seq++
 	entry, _ := json.Marshal(map[string]any{
 		"service": r.f.service, "address": r.address, "zone": "cairo-1", "version": "1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-		"seq": r.seq, "born": r.born, "capacity": map[string]int{"cpu": r.cores * 1000, "mem_mb": 262144, "gpu": 0}, "labels": []string{"a", r.rack},
+		"seq": r.seq, "born": r.born, "capacity": map[string]int{"cpu": runnerCores * 1000, "mem_mb": 262144, "gpu": 0}, "labels": []string{"a", r.rack},
 	})
 	r.f.mu.Unlock()
 	if err := r.f.report(r.id, entry); err != nil {
@@ -161,8 +164,7 @@
 	dark := r.dark
 	r.f.mu.Unlock()
 	if dark {
-		<-req.Context().Done()
-		return
+		select {} // nor does it close the connection
 	}
 	if req.Header.Get("X-Expect-Instance") != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -175,6 +177,12 @@
 	}
 	var status int
 	var body map[string]any
+	if req.URL.Path == "/v1/run-start" && r.f.isLate() {
+		r.f.rec.note("order-late", "runner", r.id, "task", o.Task, "run", o.Run)
+		time.AfterFunc(lateFrom+rand.N(lateTo-lateFrom), func() { r.startLate(&o) })
+		<-req.Context().Done()
+		return
+	}
 	switch req.URL.Path {
 	case "/v1/run-start":
 		status, body = r.runStart(&o)
@@ -229,6 +237,10 @@
 	}
 	x := &run{task: o.Task, number: o.Run, spec: spec, arrivedAt: time.Now()}
 	r.runs[o.Task] = x
+	r.started++
+	if born, ok := r.f.noted[o.Task]; ok {
+		r.f.rec.note("started-after-done", "runner", r.id, "born", r.born, "task", o.Task, "run", o.Run, "done-in-life", born)
+	}
 	r.f.rec.start(startNote{Runner: r.id, Born: r.born, Task: o.Task, Run: o.Run})
 	if spec.Gang == 0 {
 		r.work(x)
@@ -362,35 +374,42 @@
 func (r *runner) holdAll(o *order) (int, map[string]any) {
 	deadline := time.Now().Add(min(time.Duration(o.WaitMS)*time.Millisecond, 2*time.Second))
 	for {
-		r.f.mu.Lock()
-		if r.dark {
-			r.f.mu.Unlock()
-			select {} // the answer never leaves
-		}
-		if !r.up || o.Fence < r.fence {
-			r.f.mu.Unlock()
-			return conflict("fence")
-		}
-		r.fence = o.Fence
-		if o.DeadlineMS > 0 {
-			r.extend(o.DeadlineMS)
+		status, body, changed := r.holdOnce(o, time.Until(deadline) <= 0)
+		if changed == nil {
+			return status, body
 		}
-		for len(r.ended) > 0 && r.ended[0].sequence <= o.AckCursor {
-			r.ended = r.ended[1:]
-		}
-		wait := time.Until(deadline)
-		if len(r.ended) > 0 || wait <= 0 {
-			body := r.lists()
-			r.f.mu.Unlock()
-			return http.StatusOK, body
-		}
-		changed := r.changed
-		r.f.mu.Unlock()
 		select {
 		case <-changed:
-		case <-time.After(wait):
+		case <-time.After(max(time.Until(deadline), 10*time.Millisecond)):
+		}
+	}
+}
+
+// holdOnce does the same without a wait. It returns a channel that is closed by the next end if there is none to list yet.
+func (r *runner) holdOnce(o *order, isLast bool) (status int, body map[string]any, changed <-chan struct{}) {
+	r.f.mu.Lock()
+	defer r.f.mu.Unlock()
+	if r.dark {
+		return 0, nil, make(chan struct{}) // the answer never leaves
+	}
+	if !r.up || o.Fence < r.fence {
+		status, body = conflict("fence")
+		return status, body, nil
+	}
+	r.fence = o.Fence
+	if o.DeadlineMS > 0 {
+		r.extend(o.DeadlineMS)
+	}
+	for len(r.ended) > 0 && r.ended[0].sequence <= o.AckCursor {
+		if e := r.ended[0]; e.how == "done" {
+			r.f.noted[e.task] = r.born
 		}
+		r.ended = r.ended[1:]
+	}
+	if len(r.ended) > 0 || isLast {
+		return http.StatusOK, r.lists(), nil
 	}
+	return 0, nil, r.changed
 }
 
 // lists returns what runs and what has ended. The caller holds the lock.
@@ -428,10 +447,10 @@
 }
 
 // newFleet starts runners at free ports of one loopback address, and the duties that write their entries and check their leases.
-func newFleet(rec *recorder, host, service string, count, cores, backMS int, report func(id string, entry []byte) error) (*fleet, error) {
-	f := &fleet{rec: rec, service: service, report: report, backMS: backMS}
+func newFleet(rec *recorder, host, service string, count, backMS int, report func(id string, entry []byte) error) (*fleet, error) {
+	f := &fleet{noted: map[string]int64{}, rec: rec, service: service, report: report, backMS: backMS}
 	for n := range count {
-		r := &runner{f: f, id: "w-" + strconv.Itoa(n), rack: fmt.Sprintf("r-%d", n/8), address: net.JoinHostPort(host, "0"), cores: cores}
+		r := &runner{f: f, id: "w-" + strconv.Itoa(n), rack: fmt.Sprintf("r-%d", n/8), address: net.JoinHostPort(host, "0")}
 		if err := r.start(); err != nil {
 			return nil, err
 		}
@@ -452,3 +471,28 @@
 	}()
 	return f, nil
 }
+
+// Bounds of the delay of an order that is carried out late.
+const (
+	lateFrom = 2 * time.Second
+	lateTo   = 12 * time.Second
+)
+
+// isLate draws whether an order gets no answer and is carried out late.
+func (f *fleet) isLate() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return rand.Float64() < f.late
+}
+
+// startLate carries out an order that got no answer, in the life that the runner has by then.
+func (r *runner) startLate(o *order) {
+	r.f.mu.Lock()
+	up := r.up
+	r.f.mu.Unlock()
+	if !up {
+		return
+	}
+	status, body := r.runStart(o)
+	r.f.rec.note("late-order-carried-out", "runner", r.id, "task", o.Task, "run", o.Run, "status", status, "reason", body["reason"])
+}
--- a/review/stand3/suspect.go
+++ b/review/stand3/suspect.go
@@ -15,12 +15,12 @@
 // checks whether all short jobs have ended finish and idle after the traffic.
 func suspect(o *options) (broken bool, err error) {
 	const runners = 7
-	f, err := o.startAll(runners, 64, 3000, 3)
+	f, err := o.startAll(runners, 3000)
 	if err != nil {
 		return false, err
 	}
 	service := step{Count: runners, CPU: 4000, MemMB: 1000, EstimateMS: 1000, LongRunning: true, AntiAffinity: 1}
-	if err := o.d.submit("/work/", "00000000000000c1", taskSpec{Lasts: true}, service); err != nil {
+	if err := o.d.submit("00000000000000c1", taskSpec{Lasts: true}, service); err != nil {
 		return false, err
 	}
 	if err := o.d.await("the service", func() bool { return f.lasting() == runners }); err != nil {
@@ -31,7 +31,7 @@
 	for n := 0; time.Since(begin) < 12*time.Second; n++ {
 		id := fmt.Sprintf("000000000000c%03x", n)
 		ids = append(ids, id)
-		if err := o.d.submit("/work/", id, taskSpec{RunMS: 700}, step{Count: 2, CPU: 2000, MemMB: 500, EstimateMS: 700}); err != nil {
+		if err := o.d.submit(id, taskSpec{RunMS: 700}, step{Count: 2, CPU: 2000, MemMB: 500, EstimateMS: 700}); err != nil {
 			return false, err
 		}
 		if !crashed && time.Since(begin) > 5*time.Second {
@@ -56,7 +56,7 @@
 // unended returns the jobs that have not ended.
 func (o *options) unended(ids []string) (list []string) {
 	for _, id := range ids {
-		if state := o.d.state("/work/", id); state != "completed" && state != "failed" {
+		if state := o.d.state(id); state != "completed" && state != "failed" {
 			list = append(list, id+":"+state)
 		}
 	}
