Bound the late calls of each former owner from its own end

Cause: a task whose start order got no answer waits until no late call can start that run any more. The wait was computed from the takeover of the present owner, also for orders of owners long before it, so owners that change more often than each 22 s began it anew for ever. The stored loss did not say whose order it was, and the lease's row had one bound for all former owners.

The line could not show the wait for proof; it now counts those tasks (unproven).

Change: a stored loss names the term of its owner, and the lease's row passes on how long the calls of each former owner may have an effect. Losses in doubt, which were dropped 15 s after each owner had read them, use the same bound. Rows without a term wait as before.

--- a/internal/adapter/cwcellcodec/codec.go
+++ b/internal/adapter/cwcellcodec/codec.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"currantward/internal/core/cwclock"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwwork"
 )
@@ -144,11 +145,38 @@
 	Cells      int                `json:"cells,omitempty"` // number of cells of the deployment; 0 means one
 	// PriorLeases is the time from the write of the row until all task leases of the owners before the holder have expired.
 	PriorLeases milliseconds `json:"prior-leases,omitempty"`
+	// FormerOwners bounds the calls of the owners before the holder, each by itself.
+	FormerOwners []formerOwner `json:"former-owners,omitempty"`
+}
+
+// formerOwner is the stored form of a former owner.
+type formerOwner struct {
+	Term  int          `json:"term"`
+	Calls milliseconds `json:"calls,omitempty"` // from the write of the row until its calls have no effect any more
 }
 
 // SetPriorLeases sets PriorLeases, rounded up to a stored precision.
-func (l *Lease) SetPriorLeases(d time.Duration) {
-	l.PriorLeases = milliseconds((max(0, d) + time.Millisecond - 1).Truncate(time.Millisecond))
+func (l *Lease) SetPriorLeases(d time.Duration) { l.PriorLeases = roundedUp(d) }
+
+// roundedUp returns a duration that is not negative, rounded up to a stored precision.
+func roundedUp(d time.Duration) milliseconds {
+	return milliseconds((max(0, d) + time.Millisecond - 1).Truncate(time.Millisecond))
+}
+
+// SetFormerOwners sets FormerOwners for a row that is written at now or later.
+func (l *Lease) SetFormerOwners(list cwclock.FormerOwners, now time.Time) {
+	l.FormerOwners = nil
+	for _, o := range list {
+		l.FormerOwners = append(l.FormerOwners, formerOwner{o.Term, roundedUp(o.CallsExpiry.Sub(now))})
+	}
+}
+
+// FormerOwnersAfter returns FormerOwners of a row that was written before t.
+func (l *Lease) FormerOwnersAfter(t time.Time) (list cwclock.FormerOwners) {
+	for _, o := range l.FormerOwners {
+		list = append(list, cwclock.FormerOwner{Term: o.Term, CallsExpiry: t.Add(max(0, time.Duration(o.Calls)))})
+	}
+	return list
 }
 
 // PriorLeasesAfter returns the time by which all task leases of the owners before the holder have expired, if the row was written
--- a/internal/adapter/cwcellcodec/codec_test.go
+++ b/internal/adapter/cwcellcodec/codec_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"currantward/internal/core/cwclock"
 	"currantward/internal/core/cwwork"
 )
 
@@ -20,7 +21,7 @@
 		{"done and failed", cwwork.Progress{Steps: []cwwork.StepProgress{{Occurrence: 2, Step: 1, Done: []int{0, 3}, Failed: []cwwork.TaskRun{{Index: 1, Run: 1004}}}}}},
 		{"lost", cwwork.Progress{Steps: []cwwork.StepProgress{{Lost: []cwwork.LostRun{
 			{TaskRun: cwwork.TaskRun{Index: 4, Run: 2}, Worker: "i-1", Incarnation: time.UnixMilli(1_700_000_000_123), Early: true},
-			{TaskRun: cwwork.TaskRun{Index: 4, Run: 1003}, Worker: "i-2", Incarnation: time.UnixMilli(1_700_000_004_000), Early: true, Alone: true, Started: true, Crashed: true},
+			{TaskRun: cwwork.TaskRun{Index: 4, Run: 1003}, Worker: "i-2", Incarnation: time.UnixMilli(1_700_000_004_000), Early: true, Alone: true, Started: true, Crashed: true, Term: 3},
 		}}}}},
 	}
 	for _, tc := range cases {
@@ -68,6 +69,41 @@
 	}
 }
 
+// TestFormerOwnersSurviveEncoding guards against a successor that takes the late calls of a former owner for carried out too early, or of all
+// owners for those of the last one.
+func TestFormerOwnersSurviveEncoding(t *testing.T) {
+	now, read := time.Unix(10, 0), time.Unix(500, 0) // the clocks of two hosts
+	cases := []struct {
+		name   string
+		stored []time.Duration // until the calls of the owners of the terms 1, 2 and so on have no effect any more
+		read   []time.Duration
+	}{
+		{"none", nil, nil},
+		{"one", []time.Duration{1500*time.Millisecond + time.Nanosecond}, []time.Duration{1501 * time.Millisecond}},
+		{"one has passed", []time.Duration{-time.Second, time.Second}, []time.Duration{0, time.Second}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			var list cwclock.FormerOwners
+			for n, d := range tc.stored {
+				list = append(list, cwclock.FormerOwner{Term: n + 1, CallsExpiry: now.Add(d)})
+			}
+			var l Lease
+			l.SetFormerOwners(list, now)
+			data, err := EncodeLease(l)
+			is.NoErr(err)
+			decoded, err := DecodeLease(data)
+			is.NoErr(err)
+			var expected cwclock.FormerOwners
+			for n, d := range tc.read {
+				expected = append(expected, cwclock.FormerOwner{Term: n + 1, CallsExpiry: read.Add(d)})
+			}
+			is.Equal(decoded.FormerOwnersAfter(read), expected)
+		})
+	}
+}
+
 // TestPriorLeasesAreRoundedUp guards against a successor that takes leases for expired a moment too early.
 func TestPriorLeasesAreRoundedUp(t *testing.T) {
 	is := is.New(t)
--- a/internal/adapter/cwcellcodec/progress.go
+++ b/internal/adapter/cwcellcodec/progress.go
@@ -63,6 +63,7 @@
 	Alone       bool           `json:"alone,omitempty"`
 	Started     bool           `json:"started,omitempty"`
 	Crashed     bool           `json:"crashed,omitempty"`
+	Term        int            `json:"term,omitempty"`
 }
 
 // EncodeProgress returns the stored form of a job's progress. The runs of each step must be sorted by task index.
@@ -88,7 +89,7 @@
 func groupLost(list []cwwork.LostRun) (groups []lostRuns) {
 	for n := range list {
 		l := &list[n]
-		r := lostRun{l.Run, l.Worker, l.Incarnation.UnixMilli(), l.Early, l.Alone, l.Started, l.Crashed}
+		r := lostRun{l.Run, l.Worker, l.Incarnation.UnixMilli(), l.Early, l.Alone, l.Started, l.Crashed, l.Term}
 		at := slices.IndexFunc(groups, func(g lostRuns) bool { return g.lostRun == r })
 		if at < 0 {
 			at = len(groups)
@@ -136,7 +137,7 @@
 		for _, index := range indexes {
 			list = append(list, cwwork.LostRun{
 				TaskRun: cwwork.TaskRun{Index: index, Run: g.Run}, Worker: g.Worker, Incarnation: time.UnixMilli(g.Incarnation),
-				Early: g.Early, Alone: g.Alone, Started: g.Started, Crashed: g.Crashed,
+				Early: g.Early, Alone: g.Alone, Started: g.Started, Crashed: g.Crashed, Term: g.Term,
 			})
 		}
 	}
--- a/internal/app/cwcellowner/session.go
+++ b/internal/app/cwcellowner/session.go
@@ -69,9 +69,11 @@
 		Seed:             o.opts.Seed ^ g.Fence,
 		RunNumberBase:    (g.Term - 1) * runsPerTerm,
 		PriorLeaseExpiry: g.PriorLeaseExpiry,
+		Term:             g.Term,
+		FormerOwners:     g.FormerOwners,
 		StatusRetention:  o.opts.StatusRetention,
 		TaskLease:        o.opts.TaskLease,
-		MaxTaskLease:     time.Duration(float64(o.opts.MaxTaskLease) / (1 - cwclock.Drift)),
+		MaxTaskLease:     cwclock.LongestLease(o.opts.MaxTaskLease),
 		StopTimeout:      o.opts.StopTimeout,
 		Policy:           o.opts.Policy,
 		LeaseExpiry:      o.opts.Workers.LeaseExpiry,
@@ -263,7 +265,7 @@
 	for _, w := range s.cell.LongWaitingGroups(minLoggedWait, maxWaiterLines, now) {
 		s.owner.opts.Log.WithFields(cwlog.Fields{
 			"step": w.Step.String(), "tasks": w.Tasks, "need": w.Demand.String(), "requires": w.RequiredLabel, "waited": now.Sub(w.WaitingSince), "good-workers": w.EligibleWorkers,
-			"asking": w.AdvicePending, "settled": w.RunsReconciled, "jobs": jobs, "waiting-steps": waiting, "usable-workers": workers,
+			"asking": w.AdvicePending, "unproven": w.Unproven, "settled": w.RunsReconciled, "jobs": jobs, "waiting-steps": waiting, "usable-workers": workers,
 		}).Info("tasks-waiting")
 	}
 }
--- a/internal/app/cwlease/hold.go
+++ b/internal/app/cwlease/hold.go
@@ -31,7 +31,9 @@
 	if previousVersion > 0 {
 		priorLeaseExpiry = e.priorLeaseExpiry(previous, seenAt, sentAt)
 	}
+	formerOwners := e.formerOwnersAfter(previous, priorLeaseExpiry, seenAt, sentAt)
 	lease.SetPriorLeases(priorLeaseExpiry.Sub(sentAt))
+	lease.SetFormerOwners(formerOwners, sentAt)
 	version, current, err := e.commitLease(lease, previousVersion, true)
 	if err != nil {
 		e.opts.Log.WithFields(cwlog.Fields{"why": reason, "version": previousVersion, "error": err.Error()}).Info("lease-not-taken")
@@ -43,8 +45,9 @@
 	lease.Fence = version
 	e.lease, e.rowVersion, e.versionSeenAt = lease, version, sentAt
 	e.isOwner, e.fence, e.validUntil, e.renewedAt, e.priorExpiry = true, version, sentAt.Add(TTL), sentAt, priorLeaseExpiry
+	e.formerOwners = formerOwners
 	e.failedHeartbeats, e.nextRenewalAt = 0, sentAt.Add(renewPeriod)
-	g := Grant{Fence: version, Term: lease.Term, ChainVersion: version, PriorLeaseExpiry: priorLeaseExpiry, Layout: cwlayout.Layout{Cells: cells}}
+	g := Grant{Fence: version, Term: lease.Term, ChainVersion: version, PriorLeaseExpiry: priorLeaseExpiry, FormerOwners: formerOwners, Layout: cwlayout.Layout{Cells: cells}}
 	e.opts.Log.WithFields(cwlog.Fields{
 		"why": reason, "cell": e.opts.Cell, "fence": version, "term": lease.Term, "former-owner": previous.Holder, "former-version": previousVersion,
 	}).Info("lease-taken")
@@ -71,6 +74,23 @@
 	return expiry
 }
 
+// formerOwnersAfter returns the owners before a new one. The calls of the last one may have an effect until those of its leases that last longest
+// would: it has sent none later than it granted the last of them. The bounds of the owners before it stand in its row, so that they do not
+// move with each change of the owner.
+func (e *Elector) formerOwnersAfter(previous cwcellcodec.Lease, priorLeaseExpiry, seenAt, now time.Time) cwclock.FormerOwners {
+	if previous.Term == 0 {
+		return nil
+	}
+	last := cwclock.FormerOwner{Term: previous.Term, CallsExpiry: cwclock.CallsExpiry(priorLeaseExpiry, cwclock.LongestLease(e.opts.MaxTaskLease))}
+	return previous.FormerOwnersAfter(seenAt).With(last, now)
+}
+
+// setPriorBounds sets in a row of this host's lease how long the leases and calls of the owners before it may last.
+func (e *Elector) setPriorBounds(lease *cwcellcodec.Lease, now time.Time) {
+	lease.SetPriorLeases(e.priorExpiry.Sub(now))
+	lease.SetFormerOwners(e.formerOwners, now)
+}
+
 // commitLease writes the lease's row if the row still has the expected version, or does not exist if that is 0. If acquiring is set,
 // the transaction also changes the chain row; renewals and releases leave it as it is. It returns the row's new version, or after a
 // conflict the current row.
@@ -103,7 +123,7 @@
 	lease := e.lease
 	lease.Fence = e.fence
 	lease.Renewal++
-	lease.SetPriorLeases(e.priorExpiry.Sub(sentAt))
+	e.setPriorBounds(&lease, sentAt)
 	version, current, err := e.commitLease(lease, e.rowVersion, false)
 	switch {
 	case err == nil:
@@ -130,7 +150,7 @@
 	e.opts.OnLeaseLost()
 	lease := e.lease
 	lease.Fence, lease.Released = e.fence, true
-	lease.SetPriorLeases(e.priorExpiry.Sub(e.opts.Timer.Now()))
+	e.setPriorBounds(&lease, e.opts.Timer.Now())
 	version, _, err := e.commitLease(lease, e.rowVersion, false)
 	if err != nil {
 		e.opts.Log.WithFields(cwlog.Fields{"fence": e.fence, "error": err.Error()}).Warn("lease-not-released")
--- a/internal/app/cwlease/lease.go
+++ b/internal/app/cwlease/lease.go
@@ -13,6 +13,7 @@
 	"currantward/internal/base/cwduty"
 	"currantward/internal/base/cwring"
 	"currantward/internal/base/cwtimer"
+	"currantward/internal/core/cwclock"
 	"currantward/internal/core/cwlayout"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/port/cwcellport"
@@ -32,6 +33,8 @@
 	Capacity float64
 	// TaskLease is how long a worker runs tasks without a renewal of their leases.
 	TaskLease time.Duration
+	// MaxTaskLease is the longest lease that a worker grants, on its clock.
+	MaxTaskLease time.Duration
 	// StartWindow is the longest transit time of a start order; its worker refuses a later one.
 	StartWindow time.Duration
 
@@ -58,7 +61,9 @@
 	ChainVersion uint64 // version of the chain row at the acquisition
 	// PriorLeaseExpiry is the time by which every run that previous owners may have left on an unreachable worker has ended.
 	PriorLeaseExpiry time.Time
-	Layout           cwlayout.Layout
+	// FormerOwners bounds the calls of the previous owners, each by itself.
+	FormerOwners cwclock.FormerOwners
+	Layout       cwlayout.Layout
 }
 
 // Timing of the lease.
@@ -136,8 +141,9 @@
 	isOwner          bool
 	fence            uint64 // of this host's last lease, as are the next two
 	validUntil       time.Time
-	renewedAt        time.Time // start of the last successful renewal
-	priorExpiry      time.Time // PriorLeaseExpiry of this host's last grant
+	renewedAt        time.Time            // start of the last successful renewal
+	priorExpiry      time.Time            // PriorLeaseExpiry of this host's last grant
+	formerOwners     cwclock.FormerOwners // those of this host's last grant
 	nextRenewalAt    time.Time
 	failedHeartbeats int          // consecutive heartbeats without a response
 	peerQueryCount   int          // requests to peers for the owner; selects the next peer
--- a/internal/app/cwlease/lease_test.go
+++ b/internal/app/cwlease/lease_test.go
@@ -1,6 +1,7 @@
 package cwlease
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -45,7 +46,7 @@
 	self := cwcellport.EntryHost{ID: id, Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)}
 	e := &Elector{opts: Options{
 		Self: self, Store: h.store.Port(4), Timer: h.timer.Service, Log: cwlog.Discard(), Capacity: 1,
-		TaskLease: 3 * time.Second, StartWindow: 2 * time.Second,
+		TaskLease: 3 * time.Second, MaxTaskLease: 6 * time.Second, StartWindow: 2 * time.Second,
 		Peers:           cwcellport.Peers{Heartbeat: func(a netip.AddrPort, _ cwcellport.Heartbeat) (cwcellport.HeartbeatResponse, error) { return h.peer(a) }},
 		OnLeaseAcquired: func(t Grant) { h.grants[id] = t }, OnLeaseLost: func() { delete(h.grants, id) },
 		OnHeartbeatResponse: func(cwcellport.HeartbeatResponse) {}, Successors: func() []cwcellport.EntryHost { return h.successors },
@@ -230,6 +231,51 @@
 	is.True(!h.grants["c"].PriorLeaseExpiry.After(h.timer.Now().Add(4 * time.Second)))
 }
 
+// TestCallBoundsStayWithTheirOwners guards against a wait for the calls of a former owner that begins anew with each change of the owner: its bound
+// stays, whoever owns the cell and however often that changes, and is dropped once it has passed.
+func TestCallBoundsStayWithTheirOwners(t *testing.T) {
+	cases := []struct {
+		name    string
+		pause   time.Duration // between the changes
+		changes int
+		listed  int // owners whose calls are still bounded afterwards, with the last one that is not
+	}{
+		{"released once", 2 * time.Second, 1, 1},
+		{"each 2 s", 2 * time.Second, 4, 4},
+		{"each 16 s", 16 * time.Second, 4, 3},
+		{"each 40 s", 40 * time.Second, 3, 2},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness()
+			owner := h.elector("host-0", 1)
+			h.run(time.Second, owner)
+			var first time.Time
+			for n := range tc.changes {
+				owner.handle(eventResign)
+				owner = h.elector(cwmodel.HostID(fmt.Sprintf("host-%d", n+1)), uint16(n+2))
+				released := h.timer.Now()
+				h.run(tc.pause, owner)
+				is.True(owner.isOwner)
+				g := h.grants[owner.opts.Self.ID]
+				expiry, ok := g.FormerOwners.CallsExpiry(1)
+				is.True(ok)
+				if n == 0 {
+					first = expiry
+					is.True(first.After(released.Add(cwclock.MaxCallDelay + 6*time.Second)))
+				}
+				// the age of a row is not known when it is read for the first time
+				is.True(expiry.Sub(first) <= time.Duration(n)*renewPeriod || !expiry.After(released.Add(renewPeriod)))
+				last, _ := g.FormerOwners.CallsExpiry(g.Term - 1)
+				is.True(last.After(released.Add(cwclock.MaxCallDelay + 6*time.Second)))
+				is.Equal(len(g.FormerOwners) <= tc.listed, true)
+			}
+			is.Equal(len(h.grants[owner.opts.Self.ID].FormerOwners), tc.listed)
+		})
+	}
+}
+
 // TestStepDownReleasesTheLease checks that an owner that steps down releases the lease, and acquires it again if no other host
 // does.
 func TestStepDownReleasesTheLease(t *testing.T) {
--- a/internal/app/cwnode/role.go
+++ b/internal/app/cwnode/role.go
@@ -46,7 +46,7 @@
 	r.elector = cwlease.New(cwlease.Options{
 		Cell: cell, Cells: cells,
 		Self: n.opts.Self, Store: n.opts.Store, Peers: n.opts.Peers, Timer: n.opts.Timer, Log: n.opts.Log, Capacity: n.opts.Capacity,
-		TaskLease: n.taskLease(), StartWindow: startWindow,
+		TaskLease: n.taskLease(), MaxTaskLease: n.opts.MaxTaskLease, StartWindow: startWindow,
 		OnLeaseAcquired: r.activateOwner, OnLeaseLost: owner.Deactivate, OnHeartbeatResponse: r.handleHeartbeatResponse,
 		Successors:           func() []cwcellport.EntryHost { return r.latestResponse.Load().Peers },
 		OtherCells:           func() int { return n.otherOwnedCells(r) },
--- a/internal/core/cwcell/cell.go
+++ b/internal/core/cwcell/cell.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"currantward/internal/core/cwclock"
 	"currantward/internal/core/cwevidence"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwwork"
@@ -22,6 +23,10 @@
 	// PriorLeaseExpiry is the time at which all leases granted by earlier owners have expired, also those on unreachable
 	// workers.
 	PriorLeaseExpiry time.Time
+	// Term is that of this owner's lease; 0: it is not known.
+	Term int
+	// FormerOwners bounds the calls of earlier owners, each by itself. Those that it does not bound end after PriorLeaseExpiry.
+	FormerOwners cwclock.FormerOwners
 	// StatusRetention is how long the final state of a job can be looked up.
 	StatusRetention time.Duration
 	// TaskLease is the lease that owners grant.
@@ -279,6 +284,7 @@
 	WaitingSince    time.Time
 	EligibleWorkers int  // number of workers that advice allows; -1: the group needs no advice, so all workers are allowed
 	AdvicePending   bool // a request for advice has not been answered
+	Unproven        int  // waiting tasks that must not start before it is known how their earlier runs have ended
 	RunsReconciled  bool // this owner knows every run of the job that an earlier owner started; until then no task of it starts
 }
 
@@ -290,6 +296,11 @@
 		}
 		// EligibleWorkers stays -1 if the group needs no advice.
 		w := WaitingGroup{Step: g.key, Tasks: g.waiting, Demand: g.step.Demand, RequiredLabel: g.step.RequiredLabel, WaitingSince: g.waitingSince, EligibleWorkers: -1, RunsReconciled: c.runsReconciled(g.job, now)}
+		for index := range g.tasks {
+			if t := &g.tasks[index]; !t.done && len(t.runs) == 0 && c.awaitsProof(t) {
+				w.Unproven++
+			}
+		}
 		if g.advice != nil {
 			w.EligibleWorkers, w.AdvicePending = len(g.advice.tickets), g.advice.pendingEvaluations+g.advice.pendingRenewals > 0
 		}
--- a/internal/core/cwcell/cluster_test.go
+++ b/internal/core/cwcell/cluster_test.go
@@ -111,12 +111,14 @@
 type simOwner struct {
 	cell        *Cell
 	fence       uint64
+	term        int
 	tookOverAt  time.Time
 	renewedAt   time.Time // latest renewal of its lease
 	leaseUntil  time.Time
 	loadAt      time.Time // when it reads the store
 	loaded      bool
 	priorExpiry time.Time              // when all leases of earlier owners have expired, as it believes
+	formers     cwclock.FormerOwners   // bounds of the calls of earlier owners
 	priorJobs   map[cwmodel.JobID]bool // jobs that were accepted before its takeover
 	host        *simHost
 	clocks      map[cwmodel.HostID]*cwclock.Clock // of the process in which it acts
@@ -249,6 +251,15 @@
 	return later(former.priorExpiry, stops.Add(lease))
 }
 
+// formerOwners returns the bounds of the calls of earlier owners, by the rule of the elector.
+func (c *cluster) formerOwners(priorExpiry time.Time) cwclock.FormerOwners {
+	if len(c.owners) == 0 {
+		return nil
+	}
+	former := c.currentOwner()
+	return former.formers.With(cwclock.FormerOwner{Term: former.term, CallsExpiry: cwclock.CallsExpiry(priorExpiry, cwclock.LongestLease(c.maxLease))}, c.now)
+}
+
 // takeOverOn adds a new owner on a host, on which no earlier one acts any more.
 func (c *cluster) takeOverOn(h *simHost) {
 	c.term++
@@ -257,12 +268,14 @@
 		former.superseded = former.superseded || former.host == h
 	}
 	o := &simOwner{
-		fence: uint64(c.term * 100), tookOverAt: c.now, renewedAt: c.now, leaseUntil: c.now.Add(simOwnerTTL), priorExpiry: c.priorLeaseExpiry(h),
+		term: c.term, fence: uint64(c.term * 100), tookOverAt: c.now, renewedAt: c.now, leaseUntil: c.now.Add(simOwnerTTL), priorExpiry: c.priorLeaseExpiry(h),
 		priorJobs: map[cwmodel.JobID]bool{}, nextPollAt: map[cwmodel.HostID]time.Time{}, polling: map[cwmodel.HostID]bool{},
 		host: h, clocks: h.clocks, cutOff: map[cwmodel.HostID]bool{}, truncated: map[cwmodel.HostID]bool{}, listed: map[cwmodel.HostID]int{},
 	}
+	o.formers = c.formerOwners(o.priorExpiry)
 	o.cell = New(Options{
 		Seed: uint64(c.term), RunNumberBase: (c.term - 1) * 1000, PriorLeaseExpiry: o.priorExpiry, StatusRetention: time.Minute,
+		Term: o.term, FormerOwners: o.formers,
 		StopTimeout: 200 * time.Millisecond, TaskLease: simLease, MaxTaskLease: c.maxLease * 100 / 98,
 		Policy:      func(cwwork.QueueName) (cwwork.QueuePolicy, bool) { return c.policy, true },
 		LeaseExpiry: func(id cwmodel.HostID) time.Time { return o.clock(id).LeaseExpiry() },
--- a/internal/core/cwcell/isolate.go
+++ b/internal/core/cwcell/isolate.go
@@ -167,7 +167,7 @@
 	r.isolated = true
 	w.heldBy, w.cordonedFor = r, nil
 	t.losses = append(t.losses, cwevidence.Loss{RecordedAt: now, LostRun: cwwork.LostRun{
-		TaskRun: cwwork.TaskRun{Index: index, Run: r.number}, Worker: w.ID, Incarnation: r.orderedTo, Early: true, Alone: true,
+		TaskRun: cwwork.TaskRun{Index: index, Run: r.number}, Worker: w.ID, Incarnation: r.orderedTo, Early: true, Alone: true, Term: c.opts.Term,
 	}})
 	c.addDoubt(g, index, r.number, w.ID)
 	c.markDirty(g.job)
--- a/internal/core/cwcell/lease.go
+++ b/internal/core/cwcell/lease.go
@@ -11,13 +11,10 @@
 // leaseGrace is the time that a worker may take to end a task after its lease has expired.
 const leaseGrace = 100 * time.Millisecond
 
-// maxCallDelay is the longest delay with which a worker carries out a call that has got no response.
-const maxCallDelay = 12 * time.Second
-
 // expireLeases releases the runs of an unreachable worker once its leases have expired: those that this owner granted, and
 // those of earlier owners. A run that was accepted and not reported yet lasts until the leases on the process that has accepted it have
 // expired, whichever that is. A run that a later incarnation may have started, or whose lease a call that was meant for an earlier
-// incarnation may extend, lasts for up to maxCallDelay and MaxTaskLease after the last such call, since the deadlines were
+// incarnation may extend, lasts for up to cwclock.MaxCallDelay and MaxTaskLease after the last such call, since the deadlines were
 // readings of the clock of the earlier one. A lease that a later owner may have extended counts as valid.
 func (c *Cell) expireLeases(w *worker, now time.Time) {
 	now = c.exclusiveUntil(now)
@@ -78,7 +75,7 @@
 	if r.startResolvedAt.After(last) {
 		last = r.startResolvedAt
 	}
-	return !now.Before(last.Add(maxCallDelay + c.opts.MaxTaskLease + leaseGrace))
+	return !now.Before(cwclock.CallsExpiry(last, c.opts.MaxTaskLease).Add(leaseGrace))
 }
 
 // leasesExpired reports whether all leases that this owner granted on a worker have expired, and the tasks under them have ended.
@@ -149,7 +146,15 @@
 
 // lateCallsExpiry returns the time at which every call of an earlier owner has been carried out, and the longest lease from then on has expired.
 func (c *Cell) lateCallsExpiry() time.Time {
-	return c.opts.PriorLeaseExpiry.Add(maxCallDelay + c.opts.MaxTaskLease)
+	return cwclock.CallsExpiry(c.opts.PriorLeaseExpiry, c.opts.MaxTaskLease)
+}
+
+// lateCallsExpiryOf returns the same for the calls of the owner of one term, and of those before it. It does not move with later changes of the owner.
+func (c *Cell) lateCallsExpiryOf(term int) time.Time {
+	if expiry, ok := c.opts.FormerOwners.CallsExpiry(term); ok {
+		return expiry
+	}
+	return c.lateCallsExpiry()
 }
 
 // awaitsUnreadEnds reports whether some worker lists ends that this owner has not read. They no longer count once the worker is
--- a/internal/core/cwcell/loss.go
+++ b/internal/core/cwcell/loss.go
@@ -52,7 +52,7 @@
 		return
 	}
 	t.losses = append(t.losses, cwevidence.Loss{RecordedAt: now, Resumed: r.resumed, LostRun: cwwork.LostRun{
-		TaskRun: cwwork.TaskRun{Index: r.taskIndex, Run: r.number}, Worker: r.worker.ID, Incarnation: r.orderedTo, Early: early, Alone: r.isolated, Started: started,
+		TaskRun: cwwork.TaskRun{Index: r.taskIndex, Run: r.number}, Worker: r.worker.ID, Incarnation: r.orderedTo, Early: early, Alone: r.isolated, Started: started, Term: c.opts.Term,
 	}})
 	c.addDoubt(g, r.taskIndex, r.number, r.worker.ID)
 	if early {
@@ -219,7 +219,7 @@
 			isTracked := known && w.runs[cwwork.TaskKey{StepKey: d.group.key, Index: d.index}] != nil
 			switch {
 			case l == nil:
-			case isTracked || now.Sub(l.RecordedAt) < doubtExpiry || (l.Restored && now.Before(c.lateCallsExpiry())):
+			case isTracked || now.Before(c.doubtExpiryOf(l)):
 				open = append(open, d)
 			default:
 				c.dropLoss(d.group, d.index, d.run)
@@ -231,6 +231,19 @@
 	}
 }
 
+// doubtExpiryOf returns the time from which on it is too late to learn whether the worker of a loss has crashed. For a loss of an earlier owner
+// that is when no late call of it can have an effect any more; it does not move with later changes of the owner.
+func (c *Cell) doubtExpiryOf(l *cwevidence.Loss) time.Time {
+	expiry := l.RecordedAt.Add(doubtExpiry)
+	if !l.Restored {
+		return expiry
+	}
+	if bound, ok := c.opts.FormerOwners.CallsExpiry(l.Term); ok {
+		return bound
+	}
+	return later(expiry, c.lateCallsExpiry())
+}
+
 // restoreLosses restores the stored losses of a group after a change of the owner.
 func (c *Cell) restoreLosses(g *group, list []cwwork.LostRun, now time.Time) {
 	for _, l := range list {
@@ -253,7 +266,10 @@
 	if len(t.losses) == 0 {
 		return false
 	}
-	return t.losses.AwaitsProof() || (t.losses.HasUnanswered() && c.exclusiveUntil(c.now).Before(c.lateCallsExpiry()))
+	exclusive := c.exclusiveUntil(c.now)
+	return t.losses.AwaitsProof() || slices.ContainsFunc(t.losses, func(l cwevidence.Loss) bool {
+		return l.IsUnanswered() && exclusive.Before(c.lateCallsExpiryOf(l.Term))
+	})
 }
 
 // resolveRestoredLosses resolves the losses on the workers that have reported before the job with these losses was loaded.
--- a/internal/core/cwcell/loss_test.go
+++ b/internal/core/cwcell/loss_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"currantward/internal/core/cwclock"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwwork"
 )
@@ -58,7 +59,7 @@
 			} else {
 				f.MarkUnreachable("a", f.now)
 			}
-			f.now = f.now.Add(maxCallDelay + 10*time.Second)
+			f.now = f.now.Add(cwclock.MaxCallDelay + 10*time.Second)
 			f.MarkUnreachable("a", f.now)
 			entries := f.decide().LogEntries
 			at := slices.IndexFunc(entries, func(e LogEntry) bool { return e.Event == "run-lost" })
--- a/internal/core/cwcell/owner_test.go
+++ b/internal/core/cwcell/owner_test.go
@@ -268,3 +268,40 @@
 		t.Fatalf("%s\n%s", strings.Join(c.violations, "\n"), strings.Join(c.history, "\n"))
 	}
 }
+
+// TestUnansweredOrderDoesNotWaitAnewUnderEachOwner guards against a task that never starts again after an order without an answer to a worker that is
+// lost for good: each owner counts the wait for late calls from its own takeover, and owners change more often than it takes.
+func TestUnansweredOrderDoesNotWaitAnewUnderEachOwner(t *testing.T) {
+	cases := []struct {
+		name  string
+		pause time.Duration // between changes of the owner
+	}{
+		{"each 21 s", 21 * time.Second},
+		{"each 16 s", 16 * time.Second},
+		{"each 8 s", 8 * time.Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(3, crashPolicy, func(int) int { return 0 })
+			c.crashes.noFailures = true
+			c.takeOver()
+			c.advance(2*time.Second + simPollPeriod/2) // the orders come before the next poll
+			for _, w := range c.workers {
+				w.alive = w.info.ID == "w00"
+			}
+			c.submit(c.crashingJob("job", 12, false, 0))
+			c.advance(4 * time.Second)
+			is.True(len(c.progress["job"].Steps[0].Lost) > 0) // the orders without an answer
+			const takeover = simOwnerTTL + 2*simLease         // until the leases of the former owner have expired, which each owner has to wait for
+			bound := cwclock.CallsExpiry(c.now.Add(takeover), simMaxLease).Sub(c.now) + takeover
+			for passed := time.Duration(0); passed < bound; passed += tc.pause {
+				c.takeOverOn(c.otherHost())
+				c.advance(min(tc.pause, bound-passed))
+			}
+			c.advance(2 * time.Second) // the tasks run for less
+			is.Equal(c.ended["job"], cwwork.StateCompleted)
+			is.Equal(len(c.violations), 0)
+		})
+	}
+}
--- a/internal/core/cwcell/restart_test.go
+++ b/internal/core/cwcell/restart_test.go
@@ -194,7 +194,7 @@
 func TestLeaseOfTheNextIncarnation(t *testing.T) {
 	const maxLease, lease = 6 * time.Second, 3500 * time.Millisecond
 	running := func(o *StartOrder) []RunStatus { return []RunStatus{{Task: o.Task, Run: o.Run}} }
-	late := maxCallDelay + maxLease
+	late := cwclock.MaxCallDelay + maxLease
 	cases := []struct {
 		name   string
 		events func(f *fixture, o *StartOrder, incarnation time.Time)
@@ -329,11 +329,11 @@
 		{"has not restarted", first, first, nil, prior},
 		{"is not listed", first, time.Time{}, nil, prior + maxLease - taskLease},
 		{"restarted long ago", takeover.Add(-time.Minute), takeover.Add(-time.Minute), nil, prior},
-		{"restarted, by a clock far behind", first, first.Add(-40 * time.Minute), nil, prior + maxCallDelay + maxLease},
-		{"restarted shortly before", first, takeover.Add(-10 * time.Second), nil, prior + maxCallDelay + maxLease},
-		{"restarted afterwards", first, takeover.Add(time.Second), nil, prior + maxCallDelay + maxLease},
+		{"restarted, by a clock far behind", first, first.Add(-40 * time.Minute), nil, prior + cwclock.MaxCallDelay + maxLease},
+		{"restarted shortly before", first, takeover.Add(-10 * time.Second), nil, prior + cwclock.MaxCallDelay + maxLease},
+		{"restarted afterwards", first, takeover.Add(time.Second), nil, prior + cwclock.MaxCallDelay + maxLease},
 		{"the first incarnation is young", takeover.Add(-10 * time.Second), takeover.Add(-10 * time.Second), nil, prior},
-		{"an order to it got no answer", first, time.Time{}, []cwwork.LostRun{{TaskRun: cwwork.TaskRun{Run: 1}, Worker: "cut-off", Incarnation: first, Early: true}}, prior + maxCallDelay + maxLease},
+		{"an order to it got no answer", first, time.Time{}, []cwwork.LostRun{{TaskRun: cwwork.TaskRun{Run: 1}, Worker: "cut-off", Incarnation: first, Early: true}}, prior + cwclock.MaxCallDelay + maxLease},
 		{"a run there was lost early", first, first, []cwwork.LostRun{{TaskRun: cwwork.TaskRun{Run: 1}, Worker: "cut-off", Incarnation: first, Early: true, Started: true}}, prior},
 	}
 	for _, tc := range cases {
--- a/internal/core/cwclock/clock.go
+++ b/internal/core/cwclock/clock.go
@@ -149,7 +149,7 @@
 
 // longestLeaseFrom returns the time at which the longest lease has expired that the worker may have granted until now.
 func (c *Clock) longestLeaseFrom(now time.Time) time.Time {
-	return now.Add(time.Duration(float64(c.maxLease) / (1 - Drift)))
+	return now.Add(LongestLease(c.maxLease))
 }
 
 // earliestReading returns the lowest reading that the worker's clock can show at now, a time of this host's clock: that of a clock
--- a/internal/core/cwevidence/evidence.go
+++ b/internal/core/cwevidence/evidence.go
@@ -101,10 +101,8 @@
 // AwaitsProof reports whether the task must not be started before it is known whether its earlier runs have crashed their workers.
 func (ls Losses) AwaitsProof() bool { return len(ls) >= maxUnprovenCrashes && ls.Crashes() < len(ls) }
 
-// HasUnanswered reports whether an order of an earlier owner got no answer, and nothing is known of its worker since.
-func (ls Losses) HasUnanswered() bool {
-	return slices.ContainsFunc(ls, func(l Loss) bool { return l.Restored && !l.Crashed && (!l.Started || l.Alone) })
-}
+// IsUnanswered reports whether the run's order is one of an earlier owner that got no answer, and nothing is known of its worker since.
+func (l *Loss) IsUnanswered() bool { return l.Restored && !l.Crashed && (!l.Started || l.Alone) }
 
 // count returns the number of losses for which include returns true.
 func (ls Losses) count(include func(l *Loss) bool) (n int) {
--- a/internal/core/cwwork/work.go
+++ b/internal/core/cwwork/work.go
@@ -204,4 +204,5 @@
 	Alone       bool      // no other run could have crashed the worker at its start
 	Started     bool      // the worker is known to have started the run, or nothing else can have crashed it; false: its order got no answer
 	Crashed     bool      // the worker's process has ended; false: not known
+	Term        int       // of the owner that ordered the run, or adopted it; 0: not known
 }
