Start suspects beside tasks that last

Cause: such a task is a suspect and may start on a worker whose other runs have outlived 0.3 s, but a worker was kept for it only if it would be empty at some time, and one with a lasting task never is. After three crashes of its workers a task needed an empty worker by both rules.

Change: one rule. A suspect starts on a worker whose other runs have outlived its probation (0.3 s, or 10 s after three crashes), and isolationAt estimates when that will be: runs end or outlive it, and those that leave no room or exclude the task end. Of workers that are ready at once the one with the fewest runs is kept.

The simulation can now run tasks that last.

--- a/internal/core/cwcell/cluster_test.go
+++ b/internal/core/cwcell/cluster_test.go
@@ -941,6 +941,9 @@
 	}
 	step := c.jobs[order.Task.Job].Steps[order.Task.Step]
 	r := &simRun{number: order.Run, endsAt: c.now.Add(step.Estimate), fails: !c.crashes.noFailures && c.intN(20) == 0}
+	if step.LongRunning {
+		r.endsAt = time.Time{}
+	}
 	delay, isCrashing := c.crashes.crashing[order.Task]
 	if isCrashing && delay > 0 {
 		r.kills = c.now.Add(delay)
--- a/internal/core/cwcell/crash_test.go
+++ b/internal/core/cwcell/crash_test.go
@@ -253,3 +253,60 @@
 		c.crashFor(up[k], 3*time.Second, otherID)
 	}
 }
+
+// TestSuspectsStartBesideLastingTasks guards against tasks that never start again after a crash of their worker: they wait for a worker without any
+// run, and a service has a lasting task on each.
+func TestSuspectsStartBesideLastingTasks(t *testing.T) {
+	const workers = 7
+	cases := []struct {
+		name     string
+		tasks    int           // that lose their runs
+		estimate time.Duration // of these tasks
+		crashes  int           // of their workers
+		pause    time.Duration // from the start of a run to the crash
+	}{
+		{"started just before a crash", 4, 700 * time.Millisecond, 1, 200 * time.Millisecond},
+		{"at work in three crashes", 2, 12 * time.Second, 3, 2 * time.Second},
+	}
+	for _, tc := range cases {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprintf("%s, seed %d", tc.name, seed), func(t *testing.T) {
+				c := newCluster(workers, crashPolicy, rand.New(rand.NewPCG(seed, 45)).IntN)
+				c.crashes.noFailures = true
+				c.takeOver()
+				c.advance(2 * time.Second)
+				service := &cwwork.Submission{ID: "service", Queue: "q", Steps: []cwwork.Step{{
+					Count: workers, Demand: cwmodel.Resources{MilliProcessors: 500}, Estimate: time.Second, LongRunning: true, MaxPerWorker: 1,
+				}}}
+				c.submit(service)
+				c.advance(15 * time.Second)
+				s := c.crashingJob("job", tc.tasks, false, 0)
+				s.Steps[0].Estimate = tc.estimate
+				c.submit(s)
+				for range tc.crashes {
+					w := c.awaitRun(t, "job")
+					c.advance(tc.pause)
+					c.crashFor(w, 3*time.Second, false)
+				}
+				c.advance(14*time.Second + tc.estimate + time.Duration(tc.tasks)*longProbation)
+				if c.ended["job"] != cwwork.StateCompleted || len(c.violations) > 0 {
+					t.Fatalf("job is %q: %s\n%s\n%s", c.ended["job"], describeJob(c.currentOwner().cell, "job"), strings.Join(c.violations, "\n"), lastLines(c.history, 60))
+				}
+			})
+		}
+	}
+}
+
+// awaitRun advances the clock until a worker runs the first task of a job, and returns the worker. It gives up after a minute.
+func (c *cluster) awaitRun(t *testing.T, id cwmodel.JobID) *simWorker {
+	t.Helper()
+	for end := c.now.Add(time.Minute); c.now.Before(end); c.advance(20 * time.Millisecond) {
+		for _, w := range c.workers {
+			if w.alive && w.runs[cwwork.TaskKey{StepKey: cwwork.StepKey{Job: id}}] != nil {
+				return w
+			}
+		}
+	}
+	t.Fatalf("no worker runs %s: %s", id, describeJob(c.currentOwner().cell, id))
+	return nil
+}
--- a/internal/core/cwcell/isolate.go
+++ b/internal/core/cwcell/isolate.go
@@ -1,6 +1,7 @@
 package cwcell
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -9,14 +10,14 @@
 	"currantward/internal/core/cwwork"
 )
 
-// A task that may crash its workers is a suspect: it is started in isolation, on a worker whose other runs have all outlived their
-// CrashWindow, and nothing else is started there until it has, too. A crash meanwhile is then its own.
+// A task that may crash its workers is a suspect: it is started in isolation, on a worker whose other runs have all outlived its probation, and nothing
+// else is started there until it has, too. A crash meanwhile is then its own.
 const (
 	// isolatedShareDivisor limits the workers that are kept for suspects to 1/isolatedShareDivisor of the usable ones.
 	isolatedShareDivisor = 4
 	// silentShareDivisor limits the silent workers that suspects may have crashed to 1/silentShareDivisor of all.
 	silentShareDivisor = 3
-	// longProbation is the run time after which a suspect is cleared that stays isolated while it runs.
+	// longProbation is the probation of a suspect that stays isolated while it runs; that of the others is their CrashWindow.
 	longProbation = 10 * time.Second
 )
 
@@ -63,20 +64,30 @@
 // isOpen reports whether the worker takes tasks that are not suspects.
 func (w *worker) isOpen() bool { return w.heldBy == nil && w.cordonedFor == nil }
 
-// mayIsolate reports whether a suspect may be started on the worker now. One that stays isolated while it runs needs an empty worker.
-func (w *worker) mayIsolate(g *group, index int) bool {
+// probation returns how long a suspect must have run to be cleared.
+func (g *group) probation(index int) time.Duration {
 	if g.tasks[index].losses.StaysIsolated() {
-		return len(w.runs) == 0
+		return longProbation
 	}
+	return cwevidence.CrashWindow
+}
+
+// hasOutlived reports whether the run is known to have lived for a probation, so that a crash from now on is not taken for its own.
+func (r *run) hasOutlived(probation time.Duration) bool {
+	return r.state != runPlanned && !r.orderInFlight() && r.survived() >= probation
+}
+
+// mayIsolate reports whether a suspect may be started on the worker now.
+func (w *worker) mayIsolate(g *group, index int) bool {
 	for _, r := range w.runs {
-		if r.state == runPlanned || r.orderInFlight() || r.survived() < cwevidence.CrashWindow {
+		if !r.hasOutlived(g.probation(index)) {
 			return false
 		}
 	}
 	return g.step.Demand.FitsIn(w.free()) && !g.atAntiAffinityLimit(w)
 }
 
-// cordonWorkers keeps workers for the waiting suspects, those that will be empty soonest, and opens those of the last call.
+// cordonWorkers keeps workers for the waiting suspects, those on which they can be started soonest, and opens those of the last call.
 func (c *Cell) cordonWorkers(now, wall time.Time) {
 	usable, isolated, silent := 0, 0, 0
 	for _, w := range c.sortedWorkers() {
@@ -98,46 +109,81 @@
 	}
 	vacancies := min(max(1, usable/isolatedShareDivisor)-isolated, max(1, len(c.workers)/silentShareDivisor)-silent-isolated)
 	for _, g := range c.waitingGroups {
-		n := c.waitingSuspects(g)
-		if n == 0 || !g.mayStart(now, wall) || !c.runsReconciled(g.job, now) {
+		if g.hasLosses && g.mayStart(now, wall) && c.runsReconciled(g.job, now) {
+			vacancies -= c.cordonFor(g, vacancies, now)
+		}
+	}
+}
+
+// cordonFor keeps workers, limit at most, for the waiting suspects of a group, and returns how many.
+func (c *Cell) cordonFor(g *group, limit int, now time.Time) (kept int) {
+	shortest := time.Duration(math.MaxInt64) // probation for which there was no worker
+	for index := 0; index < len(g.tasks) && kept < limit; index++ {
+		probation := g.probation(index)
+		if probation >= shortest || !c.isWaitingSuspect(g, index) {
 			continue
 		}
-		for ; n > 0 && vacancies > 0; n-- {
-			w := c.soonestEmpty(g, now)
-			if w == nil {
-				break
-			}
+		if w := c.soonestIsolation(g, probation, now); w != nil {
 			w.cordonedFor = g
-			vacancies--
+			kept++
+		} else {
+			shortest = probation
 		}
 	}
+	return kept
 }
 
-// soonestEmpty returns the open worker that may run the group and will be empty soonest, or nil if there is none.
-func (c *Cell) soonestEmpty(g *group, now time.Time) (best *worker) {
+// soonestIsolation returns the open worker on which a suspect of the group can be started soonest, the one with the fewest runs of several, or nil if
+// there is none.
+func (c *Cell) soonestIsolation(g *group, probation time.Duration, now time.Time) (best *worker) {
 	policy := c.policy(g.job)
 	var bestAt time.Time
 	for _, w := range c.sortedWorkers() {
 		if !w.isOpen() || !w.usable(now) || !c.isCompatibleEmpty(w, g, policy) || (g.advice != nil && !g.advice.isEligible(w)) {
 			continue
 		}
-		if at, ok := c.emptyAt(w, now); ok && (best == nil || at.Before(bestAt)) {
+		at, ok := c.isolationAt(w, g, probation, now)
+		if ok && (best == nil || at.Before(bestAt) || (at.Equal(bestAt) && len(w.runs) < len(best.runs))) {
 			best, bestAt = w, at
 		}
 	}
 	return best
 }
 
-// emptyAt estimates when the worker will be empty if nothing more is started there; ok is false if that is not foreseeable.
-func (c *Cell) emptyAt(w *worker, now time.Time) (at time.Time, ok bool) {
-	at = now
+// isolationAt estimates when a suspect of the group can be started on the worker if nothing more is started there: all runs have ended or outlived
+// its probation, and those beside which it can't run have ended. ok is false if that is not foreseeable, as tasks that last don't end.
+func (c *Cell) isolationAt(w *worker, g *group, probation time.Duration, now time.Time) (at time.Time, ok bool) {
+	at, free := now, w.free()
+	fits, atLimit := g.step.Demand.FitsIn(free), g.atAntiAffinityLimit(w)
+	var ends []expectedEnd
 	for _, r := range w.runs {
+		outlivesAt := now
+		if !r.hasOutlived(probation) {
+			outlivesAt = now.Add(probation - r.survived())
+		}
+		isExcluding := interfere(r.group.step, g.step) || (atLimit && r.group == g)
 		if r.group.step.LongRunning {
-			return at, false
+			if isExcluding {
+				return at, false
+			}
+			at = later(at, outlivesAt)
+			continue
+		}
+		end := c.expectedEnd(r, now)
+		if isExcluding || end.Before(outlivesAt) {
+			outlivesAt = end
 		}
-		at = later(at, c.expectedEnd(r, now))
+		at = later(at, outlivesAt)
+		if !fits {
+			ends = append(ends, expectedEnd{end, r.group.step.Demand})
+		}
+	}
+	slices.SortFunc(ends, func(a, b expectedEnd) int { return a.at.Compare(b.at) })
+	for n := 0; !fits && n < len(ends); n++ {
+		free, at = free.Add(ends[n].freed), later(at, ends[n].at)
+		fits = g.step.Demand.FitsIn(free)
 	}
-	return at, true
+	return at, fits
 }
 
 // placeSuspects plans the waiting suspects of a group on the workers that are kept for it. Each is started once its possible loss is
@@ -203,8 +249,7 @@
 	}
 }
 
-// noteSurvival clears the task of a run that has outlived its CrashWindow, and ends its isolation. A suspect
-// that stays isolated is cleared after longProbation.
+// noteSurvival clears the task of a run that has outlived its CrashWindow, or its probation if it is isolated, and ends its isolation.
 func (c *Cell) noteSurvival(r *run) {
 	if r.state != runRunning || r.survived() < cwevidence.CrashWindow {
 		return
--- a/internal/core/cwcell/preempt.go
+++ b/internal/core/cwcell/preempt.go
@@ -17,9 +17,13 @@
 	}
 }
 
-// interferes reports whether a task of the step must not run beside the worker's present runs. Opportunistic tasks
-// increase the response times of latency-sensitive ones by amounts that are not known beforehand, so the two are kept on
-// separate workers.
+// interfere reports whether tasks of the two steps must not run on one worker. Opportunistic tasks increase the response times of latency-sensitive
+// ones by amounts that are not known beforehand, so the two are kept on separate workers.
+func interfere(a, b *cwwork.Step) bool {
+	return (a.Opportunistic && b.TailLatencyLimit > 0) || (a.TailLatencyLimit > 0 && b.Opportunistic)
+}
+
+// interferes reports whether a task of the step must not run beside the worker's present runs, as interfere tells.
 func (w *worker) interferes(s *cwwork.Step) bool {
 	return (s.Opportunistic && w.latencySensitive > 0) || (s.TailLatencyLimit > 0 && w.opportunistic > 0)
 }
