Call a restarted worker before its late orders

Cause: the first try of a start order gets no answer, and the second one is accepted. Nothing but a call with a raised token keeps the next process of the runner from the first try, and the owner made that call late: polls of a worker that is down back off for up to 0.8 s, each connection of the pool that had died with the former process failed one more poll, and the first call that arrived had the token of the late orders.

Without second tries the task would run elsewhere, and the open try start it again, so they are not the cause.

Change: the end of one connection makes a client dial the others to that address anew before their next requests (workers, peers, store); nothing is sent twice. A poll whose connection is refused or ended raises the token before the next call. While an order of the last 12 s has got no answer, the link of a worker that refuses connections calls it each 1 ms instead of backing off.

--- a/internal/app/cwcellowner/link.go
+++ b/internal/app/cwcellowner/link.go
@@ -21,14 +21,17 @@
 	stop       func()    // stops the duty that makes the calls
 	nextCallAt time.Time // the next call starts at this time, or earlier once the ended runs of the last one are durable
 	failures   int       // consecutive calls without a response
+	// reconnectUntil makes the next call repeat itself until the worker answers, or this time; zero: it is made once.
+	reconnectUntil time.Time
 	// knownAddress is where the worker has last answered this owner, or was called by the previous one; invalid: neither is known.
 	knownAddress netip.AddrPort
 }
 
 // renewalCall is one lease renewal with the worker's current registry entry.
 type renewalCall struct {
-	entry   cwcellport.WorkerEntry
-	renewal cwcellport.LeaseRenewal
+	entry          cwcellport.WorkerEntry
+	renewal        cwcellport.LeaseRenewal
+	reconnectUntil time.Time // it is repeated until then while the worker refuses or ends the connection; zero: it is not
 }
 
 // Timing of the calls to one worker.
@@ -43,6 +46,11 @@
 	// minBackoff and maxBackoff bound the pause after a call without a response.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// reconnectPause separates the calls to a worker that is down while its next process might carry out orders to the present one: it takes them
+	// until its first call. Links that reconnect at the same time share the rate.
+	reconnectPause = time.Millisecond
+	// maxReconnect bounds the time without a look at the worker's entry and its runs.
+	maxReconnect = 500 * time.Millisecond
 )
 
 // updateWorker applies an entry of the platform's registry and starts the calls to a new worker. It ignores workers of other
@@ -89,7 +97,7 @@
 			c.renewal.TaskLease = 0 // 0 leaves the leases unchanged
 		}
 		sentAt := s.owner.opts.Timer.Now()
-		report, err := s.owner.opts.Workers.RenewLeases(c.entry, c.renewal)
+		report, err := s.renewLeases(ctx, &c)
 		// A call that fails while the worker delays its response has lost its connection; later it may have timed out.
 		if cwfault.CodeOf(err) == cwfault.Indefinite && s.owner.opts.Timer.Now().Sub(sentAt) < c.renewal.Wait {
 			s.post(func(now time.Time) { s.cell.MarkDisconnected(c.entry.ID, now) })
@@ -98,8 +106,27 @@
 	}
 }
 
+// renewLeases makes a renewal call, and repeats it if the call says so.
+func (s *session) renewLeases(ctx context.Context, c *renewalCall) (report *cwcell.Report, err error) {
+	report, err = s.owner.opts.Workers.RenewLeases(c.entry, c.renewal)
+	if c.reconnectUntil.IsZero() {
+		return report, err
+	}
+	timer := s.owner.opts.Timer
+	s.reconnecting.Add(1)
+	defer s.reconnecting.Add(-1)
+	for cwfault.IsDisconnected(err) && timer.Now().Before(c.reconnectUntil) && s.holdsLease() {
+		if !timer.Sleep(ctx.Done(), time.Duration(s.reconnecting.Load())*reconnectPause) {
+			break
+		}
+		report, err = s.owner.opts.Workers.RenewLeases(c.entry, c.renewal)
+	}
+	return report, err
+}
+
 // handleReport passes a worker's report to the cell and repeats the stop orders that the worker has not confirmed. After a
-// failed call, for which report is nil, it sets a backoff that doubles with each failure. The worker then counts as unreachable,
+// failed call, for which report is nil, it sets a backoff that doubles with each failure, or reconnects at once if the process has ended and the next one
+// might carry out orders of this owner that got no answer. The worker then counts as unreachable,
 // unless it refused this owner's fence, which is evidence of a later owner. If another worker answers at its known address, its
 // process has ended. At another address, its entry may be wrong.
 func (s *session) handleReport(l *workerLink, report *cwcell.Report, err error, now time.Time) {
@@ -120,6 +147,9 @@
 	}
 	l.failures++
 	l.nextCallAt = now.Add(min(minBackoff<<min(l.failures-1, 3), maxBackoff))
+	if late := s.cell.LateOrdersUntil(l.entry.ID); cwfault.IsDisconnected(err) && now.Before(late) {
+		l.nextCallAt, l.reconnectUntil = now, now.Add(min(late.Sub(now), maxReconnect))
+	}
 }
 
 // pollWorkers queues the next call of each idle link whose ended runs are all durable or whose nextCallAt has passed. After a
@@ -146,7 +176,8 @@
 				renewal.Wait = shortPollWait
 			}
 		}
-		l.calls.Offer(renewalCall{entry: l.entry, renewal: renewal})
+		l.calls.Offer(renewalCall{l.entry, renewal, l.reconnectUntil})
+		l.reconnectUntil = time.Time{}
 	}
 	clear(s.idleLinks[len(stillIdle):])
 	s.idleLinks = stillIdle
--- a/internal/app/cwcellowner/session.go
+++ b/internal/app/cwcellowner/session.go
@@ -1,6 +1,7 @@
 package cwcellowner
 
 import (
+	"sync/atomic"
 	"time"
 
 	"currantward/internal/adapter/cwcellcodec"
@@ -34,6 +35,7 @@
 	advice          adviceDispatcher
 	commits         commitState
 	cancelWaiters   map[cwmodel.JobID][]func() // called when the end of a cancelled job is durable
+	reconnecting    atomic.Int32               // links that call a worker again and again until it is back
 	cleanup         cwduty.Cleanup
 	closed          bool      // the session has ended; its events are dropped
 	maintainedAt    time.Time // last call of runMaintenance that was due
--- a/internal/base/cwfault/fault.go
+++ b/internal/base/cwfault/fault.go
@@ -28,6 +28,8 @@
 type Error struct {
 	Code    Code
 	Message string
+	// Disconnected is true if the receiver has refused or ended the connection, as a process does that ends.
+	Disconnected bool
 }
 
 // Error returns the message with its code.
@@ -50,6 +52,12 @@
 	return Internal
 }
 
+// IsDisconnected reports whether the receiver of a call has refused or ended the connection.
+func IsDisconnected(err error) bool {
+	var typed *Error
+	return errors.As(err, &typed) && typed.Disconnected
+}
+
 // MessageOf returns the message of the Error in the chain of err, or the whole text if there is none.
 func MessageOf(err error) string {
 	var typed *Error
--- a/internal/base/cwhttp/client.go
+++ b/internal/base/cwhttp/client.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"time"
@@ -71,19 +71,17 @@
 // ReceiveRate returns at how many bytes per second the latest large response arrived; 0 before there was one.
 func (c *Client) ReceiveRate() float64 { return c.rate.load() }
 
-// dialer returns a function that connects to a host and counts the bytes of the connection. The connections record their rate.
+// dialer returns a function that connects to a host and counts the bytes of the connection. The connections record their rate, and those that
+// turn out to be dead with another one are dialed anew.
 func dialer(opts ClientOptions, rate *receiveRate) fasthttp.DialFunc {
+	var known endpoints
 	return func(addr string) (net.Conn, error) {
-		conn, err := net.DialTimeout("tcp", addr, opts.DialTimeout)
+		e := known.at(addr)
+		conn, ends, err := e.dial(opts, opts.DialTimeout)
 		if err != nil {
 			return nil, err
 		}
-		if tcp, ok := conn.(*net.TCPConn); ok && opts.UserTimeout > 0 {
-			if err := SetUserTimeout(tcp, opts.UserTimeout); err != nil {
-				return nil, errors.Join(err, conn.Close())
-			}
-		}
-		return &responseConn{Conn: opts.Traffic.Conn(conn), stallTimeout: opts.StallTimeout, rate: rate}, nil
+		return &responseConn{Conn: opts.Traffic.Conn(conn), stallTimeout: opts.StallTimeout, rate: rate, endpoint: e, ends: ends, opts: opts}, nil
 	}
 }
 
@@ -206,7 +204,7 @@
 	if isDialError(err) {
 		code = cwfault.Unavailable
 	}
-	return cwfault.New(code, "call %s: %v", path, err)
+	return &cwfault.Error{Code: code, Message: fmt.Sprintf("call %s: %v", path, err), Disconnected: isEnd(err) || eris.Is(err, fasthttp.ErrConnectionClosed)}
 }
 
 // isDialError reports whether err means that the request was never sent.
--- a/internal/base/cwhttp/progress.go
+++ b/internal/base/cwhttp/progress.go
@@ -22,6 +22,11 @@
 	received     int64         // bytes since then
 	firstReadAt  time.Time     // when the first of these arrived
 	rate         *receiveRate  // of all connections of the client
+
+	endpoint      *endpoint // that it was dialed to; nil: it is never dialed anew
+	ends          int64     // of the endpoint when it was dialed
+	opts          ClientOptions
+	writeDeadline time.Time
 }
 
 // minRateSample is the size from which a response counts as large, so that its rate is that of the link.
@@ -34,10 +39,24 @@
 
 func (r *receiveRate) store(bytesPerSecond float64) { r.bits.Store(math.Float64bits(bytesPerSecond)) }
 
-// Write sends a part of a request.
+// Write sends a part of a request. A connection that has carried a response, and is known to be dead since, is dialed anew for the next request.
 func (c *responseConn) Write(buf []byte) (n int, err error) {
+	if c.received > 0 {
+		if err = c.renewIfDead(); err != nil {
+			return 0, err
+		}
+	}
 	c.requestedAt, c.received = cwtimer.RuntimeTime(), 0
-	return c.Conn.Write(buf)
+	n, err = c.Conn.Write(buf)
+	c.recordEnd(err)
+	return n, err
+}
+
+// recordEnd records at the endpoint that the other side has ended the connection, if that is what the error says.
+func (c *responseConn) recordEnd(err error) {
+	if err != nil && c.endpoint != nil {
+		c.endpoint.record(err, c.ends)
+	}
 }
 
 // Read receives a part of a response. The caller's read deadline holds until its first byte. The error of a timeout states how much of
@@ -49,6 +68,7 @@
 		}
 	}
 	n, err = c.Conn.Read(buf)
+	c.recordEnd(err)
 	if c.received == 0 {
 		c.firstReadAt = cwtimer.RuntimeTime()
 	}
--- a/internal/core/cwcell/cluster_test.go
+++ b/internal/core/cwcell/cluster_test.go
@@ -766,6 +766,7 @@
 	if w.resetPolls[o] {
 		delete(w.resetPolls, o)
 		f = faultRequestLost
+		o.clock(id).RecordEnd()
 	}
 	o.polling[id] = true
 	c.send(o, w, f, func() *simResponse { return c.handlePoll(w, &call, ack) }, func(r *simResponse) {
--- a/internal/core/cwcell/order.go
+++ b/internal/core/cwcell/order.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"currantward/internal/core/cwclock"
 	"currantward/internal/core/cwmodel"
 	"currantward/internal/core/cwwork"
 )
@@ -69,6 +70,9 @@
 	if result.isResponse() {
 		w.lastResponse = now
 	}
+	if result == StartAcceptedOnRetry || result == StartUnanswered {
+		w.lateOrdersUntil = now.Add(cwclock.MaxCallDelay)
+	}
 	if result == StartAccepted || result == StartAcceptedOnRetry {
 		r.confirmedAt, r.progressedAt, r.triedTwice = now, now, result == StartAcceptedOnRetry
 		if r.state == runOrdered {
@@ -108,6 +112,15 @@
 	c.stopIncompleteGang(g, r.number)
 }
 
+// LateOrdersUntil returns the time until which a worker may carry out start orders of this owner that got no answer, also in its next incarnation if
+// this owner has not called that; zero: there are none.
+func (c *Cell) LateOrdersUntil(id cwmodel.HostID) time.Time {
+	if w, ok := c.workers[id]; ok {
+		return w.lateOrdersUntil
+	}
+	return time.Time{}
+}
+
 // RecordEarlierLeases records by when the leases of earlier owners' calls on the process that has accepted a start order have expired; zero: it is not
 // known. This owner's end by LeaseExpiry. The bound counts until a report contains the run.
 func (c *Cell) RecordEarlierLeases(o *StartOrder, expiry time.Time) {
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -44,6 +44,7 @@
 	lastContact        time.Time // time of the latest report, or when the worker was added
 	lastResponse       time.Time // time of the latest response of its present incarnation to any call, or of its end; zero: there is none
 	priorLastResponse  time.Time // the same of the incarnation before; zero: there is none
+	lateOrdersUntil    time.Time // when the orders of this owner that got no answer have been carried out at the latest; zero: there is none
 	replaced           bool      // the process of another worker answers at its address
 	lastSequence       uint64    // sequence number of the latest end that was processed
 	ackSequence        uint64    // sequence number of the latest end whose effect is durable
--- a/internal/core/cwclock/clock.go
+++ b/internal/core/cwclock/clock.go
@@ -110,6 +110,14 @@
 	}
 }
 
+// RecordEnd records that the process that takes calls with the present token has refused or ended a connection, and may have ended. The token is
+// raised before the next process is called: already the first call to it makes it refuse those that were meant for the one before.
+func (c *Clock) RecordEnd() {
+	if c.isSettled {
+		c.recordRestart()
+	}
+}
+
 // recordRestart raises the fencing token of the worker. After maxRestarts it stays, and the worker is never settled again under this
 // owner.
 func (c *Clock) recordRestart() {
--- a/internal/core/cwclock/clock_test.go
+++ b/internal/core/cwclock/clock_test.go
@@ -65,6 +65,45 @@
 	}
 }
 
+// TestTokenIsRaisedWhenAProcessEnds guards against a task that runs twice because the first call to a restarted worker has the token of the calls to its
+// earlier process, which it then still carries out.
+func TestTokenIsRaisedWhenAProcessEnds(t *testing.T) {
+	start := time.Unix(1000, 0)
+	cases := []struct {
+		name     string
+		unproven bool // no call with the present token has been answered
+		ends     int
+		answers  bool // the same process answers a call with the new token
+		raised   int
+		settled  bool
+	}{
+		{"no end", false, 0, false, 0, true},
+		{"one end", false, 1, false, 1, false},
+		{"several connections end", false, 3, false, 1, false},
+		{"one end, but the process lives", false, 1, true, 1, true},
+		{"not called before", true, 1, false, 0, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := New(6 * time.Second)
+			if !tc.unproven {
+				c = newTestClock(start)
+			}
+			first, _ := c.OpenCall(3)
+			for range tc.ends {
+				c.RecordEnd()
+			}
+			token, _ := c.OpenCall(3)
+			if tc.answers {
+				c.Record(Reading{token, start, time.Hour + time.Second, start.Add(time.Second), start.Add(time.Second)})
+			}
+			is.Equal(token, first+uint64(tc.raised))
+			is.Equal(c.IsSettled(token), tc.settled)
+		})
+	}
+}
+
 // TestSettledByReportsAlone guards against a task that runs twice because a restarted worker is used while it still executes the calls to its
 // earlier process: a response that names no process may be of a later one than the known one.
 func TestSettledByReportsAlone(t *testing.T) {
