Count failures of a hopeless step against no worker

Cause: two failed runs in a row opened a worker's breaker, whichever job they were of, and each further one doubled its cooldown, also that of runs which were under way as it opened: 4, 8, 16, 30 s at once. Nothing weighed that the job failed on the other workers, too.

Evidence: a test with one such job on a cell of eight workers finds 0 of 8 usable afterwards; without the job the later ones start at once (TROUBLE=0).

Change: a step that has failed on another worker, has succeeded nowhere, and has fewer runs at work than have failed is hopeless. Its failures don't count, and workers that are kept out for them alone are readmitted. A breaker trips once for the runs under way; after its cooldown the worker gets one run at a time until one succeeds. Failed runs keep out half of the workers at most. A long-running task that fails at its start is started again after 0.1 to 3 s; the closed workers had been its only delay.

Tests: TestHopelessJobClosesNoWorker failed in 2 of 2 cases before the change (0 workers usable in place of 8 and 7). Two older tests held the fault and are replaced by ones as strict: TestBreakerKeepsTasksOffAFailingWorker (a failure in an open breaker doubled its cooldown; now each trip after a cooldown must, and one while it is open must not), and the second case of TestFailuresOfLongRunningTasks (one lasting task that fails at once on each of three workers closed all three; now it closes none and starts less often, and a worker that fails such tasks of two jobs is kept out).

--- a/internal/core/cwcell/isolate.go
+++ b/internal/core/cwcell/isolate.go
@@ -45,7 +45,7 @@
 // isWaitingSuspect reports whether the task is a suspect that waits and may be started.
 func (c *Cell) isWaitingSuspect(g *group, index int) bool {
 	t := &g.tasks[index]
-	return !t.done && len(t.runs) == 0 && c.isSuspect(g, index) && !c.awaitsProof(t)
+	return !t.done && len(t.runs) == 0 && !c.now.Before(t.retryAt) && c.isSuspect(g, index) && !c.awaitsProof(t)
 }
 
 // waitingSuspects returns the number of suspects of the group that wait and may be started.
@@ -61,8 +61,10 @@
 	return n
 }
 
-// isOpen reports whether the worker takes tasks that are not suspects.
-func (w *worker) isOpen() bool { return w.heldBy == nil && w.cordonedFor == nil }
+// isOpen reports whether the worker takes tasks that are not suspects: it is not kept for one, and its breaker has no probe.
+func (w *worker) isOpen() bool {
+	return w.heldBy == nil && w.cordonedFor == nil && w.breaker.probe == nil
+}
 
 // probation returns how long a suspect must have run to be cleared.
 func (g *group) probation(index int) time.Duration {
--- a/internal/core/cwcell/job.go
+++ b/internal/core/cwcell/job.go
@@ -47,8 +47,9 @@
 	lastPreemption      time.Time        // when other tasks were last preempted for it
 	rejectionDelay      time.Duration    // latest delay after an order that was rejected as malformed; zero: none since the last accepted one
 	delayedUntil        time.Time        // end of that delay; no task starts earlier
-	hasLosses           bool             // some task has had a loss
-	incompleteSince     time.Time        // since when the current run of the gang has lacked members; zero: it does not
+	outcomes            outcomes
+	hasLosses           bool      // some task has had a loss
+	incompleteSince     time.Time // since when the current run of the gang has lacked members; zero: it does not
 }
 
 // task is one task of a group.
@@ -61,6 +62,8 @@
 	percent      int               // latest reported progress
 	avoidWorkers []cwmodel.HostID  // workers on which a run of the task has failed
 	losses       cwevidence.Losses // runs that have ended with their workers, or may have
+	retryDelay   time.Duration     // latest delay after a run of a long-running task that failed at its start; zero: none has
+	retryAt      time.Time         // end of that delay; the task is not started earlier
 	rejectedBy   []cwmodel.HostID  // workers that rejected its orders as malformed since one was last accepted
 }
 
--- a/internal/core/cwcell/place.go
+++ b/internal/core/cwcell/place.go
@@ -182,7 +182,7 @@
 	var renew []*worker
 	for index := 0; index < len(g.tasks) && len(candidates) > 0; index++ {
 		t := &g.tasks[index]
-		if t.done || len(t.runs) > 0 || c.isSuspect(g, index) || c.awaitsProof(t) {
+		if t.done || len(t.runs) > 0 || now.Before(t.retryAt) || c.isSuspect(g, index) || c.awaitsProof(t) {
 			continue
 		}
 		best := c.bestFit(g, t, candidates, now)
@@ -193,7 +193,7 @@
 		} else if !slices.Contains(renew, w) {
 			renew = append(renew, w)
 		}
-		if !g.step.Demand.FitsIn(w.free()) || g.atAntiAffinityLimit(w) || w.interferes(g.step) {
+		if !w.isOpen() || !g.step.Demand.FitsIn(w.free()) || g.atAntiAffinityLimit(w) || w.interferes(g.step) {
 			candidates = slices.Delete(candidates, best, best+1)
 		}
 	}
@@ -258,6 +258,9 @@
 	r := &run{group: g, taskIndex: index, number: max(number, g.job.runNumberBase+1), worker: w, state: runPlanned, orderedAt: now, orderedTo: w.Incarnation}
 	g.tasks[index].highestRun = max(g.tasks[index].highestRun, r.number)
 	w.allocate(r)
+	if w.breaker.isHalfOpen(now) {
+		w.breaker.probe = r
+	}
 	return r
 }
 
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -171,6 +171,9 @@
 	if r.state == runOrdered && !r.startUnanswered {
 		r.state, r.confirmedAt = runRunning, now
 	}
+	if w.breaker.probe == r && g.step.LongRunning && r.state == runRunning && now.Sub(r.confirmedAt) >= longRunningProbation {
+		w.breaker.reset() // it never ends as a success
+	}
 }
 
 // adoptRun takes over a run that an earlier owner started. It stops the run if its task is done or has another run, if another member of its gang
@@ -347,6 +350,7 @@
 		c.markNewCapacity(w)
 	}
 	w.breaker.reset()
+	g.outcomes.succeededOn = addWorker(g.outcomes.succeededOn, w.ID)
 	if r != nil {
 		c.recordRunTime(g, r, now)
 	}
@@ -374,14 +378,20 @@
 
 // taskFailed counts a failed run for its task and for the worker's breaker, and fails the job once the attempts of the task
 // are exhausted. r is nil if the run has no capacity allocated. A long-running task may fail at any time and never succeeds, so a run of
-// it that was at work for a while is no fault of its worker.
+// it that was at work for a while is no fault of its worker. One that fails at its start is started again after a delay.
 func (c *Cell) taskFailed(w *worker, g *group, r *run, e *RunEnd, now time.Time) {
 	wasAtWork := g.step.LongRunning && r != nil && now.Sub(r.confirmedAt) >= longRunningProbation
-	if !wasAtWork && w.breaker.recordFailure(now) {
-		c.log(LogEntry{Event: "worker-quarantined", Worker: w.ID, Detail: w.breaker.cooldown.String()})
+	t := &g.tasks[e.Task.Index]
+	if wasAtWork {
+		t.retryDelay = 0
+	} else {
+		c.recordFailure(w, g, r, now)
+	}
+	if g.step.LongRunning && !wasAtWork {
+		t.retryDelay = min(max(2*t.retryDelay, minRetryDelay), maxRetryDelay)
+		t.retryAt = now.Add(t.retryDelay)
 	}
 	if r != nil {
-		t := &g.tasks[e.Task.Index]
 		if !slices.Contains(t.avoidWorkers, w.ID) {
 			t.avoidWorkers = append(t.avoidWorkers, w.ID)
 		}
@@ -400,6 +410,12 @@
 	}
 }
 
+const (
+	// minRetryDelay and maxRetryDelay bound the delay after a run of a long-running task that failed at its start. It doubles with each further one.
+	minRetryDelay = 100 * time.Millisecond
+	maxRetryDelay = 3 * time.Second
+)
+
 // lossReason is why a run was lost without a reported end.
 type lossReason string
 
--- a/internal/core/cwcell/worker.go
+++ b/internal/core/cwcell/worker.go
@@ -341,6 +341,9 @@
 	if !r.lost {
 		c.dropLoss(g, r.taskIndex, r.number)
 	}
+	if w.breaker.probe == r {
+		w.breaker.probe = nil
+	}
 	delete(w.runs, r.key())
 	w.allocated = w.allocated.Sub(g.step.Demand)
 	w.countRun(g.step, -1)
