Don't take an unanswered order for a start after a takeover

Cause: a new owner counted every job with stored progress as started, also if the progress has only the loss of a run whose order got no answer.

Change: progress shows a start by done tasks, failed runs and lost runs that the worker is known to have started; of an isolated run, which counts as started for the evidence, only if its worker has crashed.

Tests: three of the five new cases of TestAdoptedJobHasStartedIfItHasProgress failed before the change.

--- a/internal/core/cwcell/occurrence.go
+++ b/internal/core/cwcell/occurrence.go
@@ -122,7 +122,9 @@
 			continue
 		}
 		g := o.groups[p.Step]
-		c.markStarted(j)
+		if p.HasStarted() {
+			c.markStarted(j)
+		}
 		for _, f := range p.Failed {
 			if f.Index < len(g.tasks) && !g.step.LongRunning {
 				g.countFailure(f.Index, f.Run)
--- a/internal/core/cwcell/order_test.go
+++ b/internal/core/cwcell/order_test.go
@@ -86,8 +86,14 @@
 	}
 }
 
+// lostOnly returns the progress of a job with one lost run.
+func lostOnly(l cwwork.LostRun) *cwwork.Progress {
+	l.Run, l.Worker, l.Early = 1, "gone", true
+	return &cwwork.Progress{Steps: []cwwork.StepProgress{{Lost: []cwwork.LostRun{l}}}}
+}
+
 // TestAdoptedJobHasStartedIfItHasProgress guards against a job that is counted as waiting again after a takeover, although tasks of it
-// have ended.
+// have ended, and against one that is not counted although only an order that got no answer was sent for it.
 func TestAdoptedJobHasStartedIfItHasProgress(t *testing.T) {
 	cases := []struct {
 		name     string
@@ -98,6 +104,11 @@
 		{"empty progress", &cwwork.Progress{}, 1},
 		{"done task", &cwwork.Progress{Steps: []cwwork.StepProgress{{Done: []int{1}}}}, 0},
 		{"failed run", &cwwork.Progress{Steps: []cwwork.StepProgress{{Failed: []cwwork.TaskRun{{Index: 0, Run: 1}}}}}, 0},
+		{"lost run", lostOnly(cwwork.LostRun{Started: true}), 0},
+		{"order without an answer", lostOnly(cwwork.LostRun{}), 1},
+		{"order without an answer, to a worker that has crashed", lostOnly(cwwork.LostRun{Crashed: true}), 1},
+		{"isolated order without an answer, in doubt", lostOnly(cwwork.LostRun{Alone: true, Started: true}), 1},
+		{"isolated order, to a worker that has crashed", lostOnly(cwwork.LostRun{Alone: true, Started: true, Crashed: true}), 0},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/core/cwwork/work.go
+++ b/internal/core/cwwork/work.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -195,6 +196,11 @@
 	Run   int
 }
 
+// HasStarted reports whether the progress shows that a worker has started a task of the step. A lost run may be an order that got no answer.
+func (p *StepProgress) HasStarted() bool {
+	return len(p.Done) > 0 || len(p.Failed) > 0 || slices.ContainsFunc(p.Lost, func(l LostRun) bool { return l.Started && (l.Crashed || !l.Alone) })
+}
+
 // LostRun is a run that has ended with its worker, or may have.
 type LostRun struct {
 	TaskRun
