--- a/internal/core/cwcell/cell_test.go
+++ b/internal/core/cwcell/cell_test.go
@@ -390,6 +390,24 @@
 	is.Equal(writes[0].State, cwwork.StateFailed)
 }
 
+// TestFailedRunsOfDoneTasksDoNotCount guards against a job that fails although each of its tasks can be done: ends of earlier runs of a task are read
+// after that of the run that has succeeded, once a worker answers again.
+func TestFailedRunsOfDoneTasksDoNotCount(t *testing.T) {
+	is := is.New(t)
+	f := newFixture([]cwmodel.HostID{"a", "b"}, plainPolicy)
+	f.admit(step(2, 4000, false))
+	task := cwwork.TaskKey{StepKey: cwwork.StepKey{Job: "job"}}
+	report := func(id cwmodel.HostID, ends ...RunEnd) {
+		f.HandleReport(&Report{Worker: id, Incarnation: time.Unix(1000, 0), RequestedAt: f.now, Ended: ends}, f.now)
+	}
+	f.acceptAll(f.decide().Starts)
+	report("a", RunEnd{Sequence: 1, Task: task, Run: 9, Kind: EndDone})
+	for n := range plainPolicy.MaxAttempts {
+		report("b", RunEnd{Sequence: uint64(n + 1), Task: task, Run: n + 2, Kind: EndFailed})
+	}
+	is.Equal(f.jobs["job"].outcome, cwwork.JobState(""))
+}
+
 // TestEndsAreAcknowledgedOnceDurable asserts that an end is not acknowledged to its worker before the state of its job
 // is durable.
 func TestEndsAreAcknowledgedOnceDurable(t *testing.T) {
