--- a/internal/app/cwlease/hold.go
+++ b/internal/app/cwlease/hold.go
@@ -74,9 +74,8 @@
 	return expiry
 }
 
-// formerOwnersAfter returns the owners before a new one. The calls of the last one may have an effect until those of its leases that last longest
-// would: it has sent none later than it granted the last of them. The bounds of the owners before it stand in its row, so that they do not
-// move with each change of the owner.
+// formerOwnersAfter returns the owners before a new one, with the bounds of their calls. That of the last one follows from priorLeaseExpiry, after which
+// it has sent none. Those of the owners before it are read from its row, so that they do not move with each change of the owner.
 func (e *Elector) formerOwnersAfter(previous cwcellcodec.Lease, priorLeaseExpiry, seenAt, now time.Time) cwclock.FormerOwners {
 	if previous.Term == 0 {
 		return nil
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -377,8 +377,9 @@
 }
 
 // taskFailed counts a failed run for its task and for the worker's breaker, and fails the job once the attempts of the task
-// are exhausted; the end of another run of a task that is done does not count. r is nil if the run has no capacity allocated. A long-running task may fail at any time and never succeeds, so a run of
-// it that was at work for a while is no fault of its worker. One that fails at its start is started again after a delay.
+// are exhausted; the end of another run of a task that is done does not count. r is nil if the run has no capacity allocated. A long-running task may
+// fail at any time and never succeeds, so a run of it that was at work for a while is no fault of its worker. One that fails at its start is started
+// again after a delay.
 func (c *Cell) taskFailed(w *worker, g *group, r *run, e *RunEnd, now time.Time) {
 	wasAtWork := g.step.LongRunning && r != nil && now.Sub(r.confirmedAt) >= longRunningProbation
 	t := &g.tasks[e.Task.Index]
--- a/internal/core/cwevidence/verdict.go
+++ b/internal/core/cwevidence/verdict.go
@@ -10,7 +10,7 @@
 const (
 	// earlyOfSuspect is the number of crashes within the CrashWindow that make a task a suspect.
 	earlyOfSuspect = 1
-	// crashesOfSuspect is the number of crashes at any time that make a task a suspect, which then stays isolated while it runs.
+	// crashesOfSuspect is the number of crashes at any time that make a task a suspect, which then stays isolated for longer.
 	crashesOfSuspect = 3
 	// requiredCrashes is the number of workers that must have crashed under a task before it is given up.
 	requiredCrashes = 2
@@ -72,8 +72,8 @@
 	return ls.Early() >= required || ls.StaysIsolated()
 }
 
-// StaysIsolated reports whether a task with these losses must be alone on its worker for its whole run: crashes that it may have caused long
-// after its start are the only way to tell.
+// StaysIsolated reports whether a task with these losses must be isolated for longer than its CrashWindow: crashes that it may have caused long
+// after its start count against it, too.
 func (ls Losses) StaysIsolated() bool { return ls.Crashes() >= crashesOfSuspect }
 
 // IsCulprit reports whether the losses of a task are enough evidence that it crashes its workers. isolated tells whether it can be started in
