Don't wait for late calls to workers that are gone

Cause: a start order without an answer counts as a run on a silent worker for 12 s and the longest lease, as a process that has restarted may carry it out late. The platform's list, which drops the entry of a lost worker and lists a restarted one with another start time, was not asked.

Change: the runs of a worker that has had no entry for 2.5 s, by a list that was read since, end with the known leases, if the last entry named the incarnation that this owner has settled: that one refuses orders whose deadlines have passed. The protocol says that such an entry is to be treated as gone. After a change of the owner the losses wait as before.

Tests: the case of a lost worker of TestWorkerWithoutAnEntryIsNotWaitedFor failed before the change.

--- a/internal/app/cwcellowner/session.go
+++ b/internal/app/cwcellowner/session.go
@@ -80,6 +80,7 @@
 		Policy:           o.opts.Policy,
 		LeaseExpiry:      o.opts.Workers.LeaseExpiry,
 		OwnedUntil:       func() time.Time { return o.opts.OwnedUntil(g.Fence) },
+		RegistryReadAt:   func() time.Time { return s.registrySentAt },
 		MaxStoredOccurrences: func(j *cwwork.Submission) int {
 			return cwcellcodec.MaxStoredOccurrences(j, o.maxRowBytes())
 		},
--- a/internal/core/cwcell/cell.go
+++ b/internal/core/cwcell/cell.go
@@ -44,6 +44,8 @@
 	// OwnedUntil returns the latest time at which this host is known to have been the only owner: when it sent the latest
 	// successful renewal of the cell's lease. Until its own lease expires, a later owner may act besides it.
 	OwnedUntil func() time.Time
+	// RegistryReadAt returns when the latest successful call for the platform's list of workers was sent; nil: never.
+	RegistryReadAt func() time.Time
 }
 
 // Cell is the scheduling state that one owner keeps of a cell.
@@ -137,6 +139,9 @@
 
 // New returns a cell without jobs and workers.
 func New(opts Options) *Cell {
+	if opts.RegistryReadAt == nil {
+		opts.RegistryReadAt = func() time.Time { return time.Time{} }
+	}
 	if opts.MaxStoredOccurrences == nil {
 		opts.MaxStoredOccurrences = func(*cwwork.Submission) int { return math.MaxInt }
 	}
--- a/internal/core/cwcell/lease.go
+++ b/internal/core/cwcell/lease.go
@@ -15,7 +15,7 @@
 // those of earlier owners. A run that was accepted and not reported yet lasts until the leases on the process that has accepted it have
 // expired, whichever that is. A run that a later incarnation may have started, or whose lease a call that was meant for an earlier
 // incarnation may extend, lasts for up to cwclock.MaxCallDelay and MaxTaskLease after the last such call, since the deadlines were
-// readings of the clock of the earlier one. A lease that a later owner may have extended counts as valid.
+// readings of the clock of the earlier one, unless the worker is gone. A lease that a later owner may have extended counts as valid.
 func (c *Cell) expireLeases(w *worker, now time.Time) {
 	now = c.exclusiveUntil(now)
 	if !w.unreachable || len(w.runs) == 0 || !c.leasesExpired(w, now) || !c.priorRunsEnded(w, now) {
@@ -36,6 +36,8 @@
 		case r.adopted && now.Before(c.opts.PriorLeaseExpiry): // under a lease of the owner that started it
 		case r.endsWithLeases() || c.acceptedLeaseOver(r, now):
 			lose(r, lostLeaseExpired)
+		case c.isGone(w):
+			lose(r, lostWorkerGone)
 		case c.lateCallsOver(r, now):
 			lose(r, lostLateCallsOver)
 		}
@@ -64,6 +66,13 @@
 	return !now.Before(later(r.earlierLeaseExpiry, c.opts.LeaseExpiry(r.worker.ID).Add(cwclock.MaxClockLag)).Add(leaseGrace))
 }
 
+// isGone reports whether the platform has listed a worker's present incarnation, and none for unlistedGrace. One that had restarted would be listed with
+// another start time. The orders to the present one are past their deadlines once its leases have expired, so that it is not waited for later ones.
+func (c *Cell) isGone(w *worker) bool {
+	return !w.listed && !w.unsettled && !w.listedIncarnation.IsZero() && w.listedIncarnation.Equal(w.Incarnation) &&
+		c.opts.RegistryReadAt().Sub(w.unlistedAt) >= unlistedGrace
+}
+
 // lateCallsOver reports whether every call that may start the run, or extend its lease, has been carried out, and the longest lease from
 // then on has expired.
 func (c *Cell) lateCallsOver(r *run, now time.Time) bool {
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -423,6 +423,7 @@
 const (
 	lostLeaseExpired    lossReason = "leases-over"      // its worker was unreachable until its leases expired
 	lostLateCallsOver   lossReason = "late-calls-over"  // the same, and until each call that could start it or extend them was carried out
+	lostWorkerGone      lossReason = "worker-gone"      // its worker was unreachable until its leases expired, and has no entry in the platform's list any more
 	lostWorkerRestarted lossReason = "worker-restarted" // it belonged to an earlier incarnation of its worker
 	lostWorkerReplaced  lossReason = "worker-replaced"  // the process of another worker answers at the address of its worker
 	lostMissing         lossReason = "vanished"         // its worker's report does not contain it
--- a/internal/core/cwcell/restart_test.go
+++ b/internal/core/cwcell/restart_test.go
@@ -255,6 +255,59 @@
 	}
 }
 
+// TestWorkerWithoutAnEntryIsNotWaitedFor guards against a task that waits for 18 s because its order got no answer from a worker that is lost for good:
+// the platform drops the entry of such a worker after some seconds, while one that has restarted gets a new one.
+func TestWorkerWithoutAnEntryIsNotWaitedFor(t *testing.T) {
+	const lease, unlisted = 3500 * time.Millisecond, 5 * time.Second // from the order
+	cases := []struct {
+		name   string
+		unlist bool
+		read   time.Duration // from the order to the latest reading of the platform's list
+		events func(f *fixture, incarnation time.Time)
+		waits  bool // for late calls
+	}{
+		{"no entry any more", true, unlisted + unlistedGrace, nil, false},
+		{"an entry", false, time.Hour, nil, true},
+		{"the list was not read since", true, unlisted + unlistedGrace - time.Millisecond, nil, true},
+		{"the entry is back", true, time.Hour, func(f *fixture, incarnation time.Time) { f.list("a", incarnation) }, true},
+		{"an entry of another incarnation before", true, time.Hour, func(f *fixture, incarnation time.Time) {
+			f.list("a", incarnation.Add(time.Second))
+			f.UnlistWorker("a", f.now)
+		}, true},
+		{"it has restarted, and takes calls to the incarnation before", true, time.Hour, func(f *fixture, incarnation time.Time) {
+			f.HandleReport(&Report{Worker: "a", Incarnation: incarnation.Add(time.Second), RequestedAt: f.now, Unsettled: true}, f.now)
+			f.list("a", incarnation.Add(time.Second))
+			f.UnlistWorker("a", f.now)
+			f.MarkUnreachable("a", f.now)
+		}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture([]cwmodel.HostID{"a"}, plainPolicy)
+			incarnation := f.now
+			f.opts.MaxTaskLease = 6 * time.Second
+			f.admit(step(1, 6000, false))
+			o := f.decide().Starts[0]
+			orderedAt := f.now
+			f.opts.LeaseExpiry = func(cwmodel.HostID) time.Time { return orderedAt.Add(lease) }
+			f.opts.RegistryReadAt = func() time.Time { return orderedAt.Add(tc.read) }
+			f.HandleStartResult(&o, StartUnanswered, f.now)
+			f.MarkUnreachable("a", f.now)
+			f.now = orderedAt.Add(unlisted)
+			if tc.unlist {
+				f.UnlistWorker("a", f.now)
+			}
+			if tc.events != nil {
+				tc.events(f, incarnation)
+			}
+			f.now = orderedAt.Add(unlisted + unlistedGrace + leaseGrace)
+			f.MarkUnreachable("a", f.now)
+			is.Equal(len(f.workers["a"].runs) > 0, tc.waits)
+		})
+	}
+}
+
 // TestAcceptedRunOutlivesTheGrantsByTheDelayOfItsAnswer guards against a task that runs twice because the process that has accepted it is a later one than
 // the known one, whose clock is behind by less than the answer took: this owner's deadlines end there that much later.
 func TestAcceptedRunOutlivesTheGrantsByTheDelayOfItsAnswer(t *testing.T) {
