--- a/internal/core/cwcell/loss.go
+++ b/internal/core/cwcell/loss.go
@@ -17,6 +17,18 @@
 	suspectedCrashMemory = time.Minute
 )
 
+// lossReason is why a run was lost without a reported end.
+type lossReason string
+
+const (
+	lostLeaseExpired    lossReason = "leases-over"      // its worker was unreachable until its leases expired
+	lostLateCallsOver   lossReason = "late-calls-over"  // the same, and until each call that could start it or extend them was carried out
+	lostWorkerGone      lossReason = "worker-gone"      // its worker was unreachable until its leases expired, and has no entry in the platform's list any more
+	lostWorkerRestarted lossReason = "worker-restarted" // it belonged to an earlier incarnation of its worker
+	lostWorkerReplaced  lossReason = "worker-replaced"  // the process of another worker answers at the address of its worker
+	lostMissing         lossReason = "vanished"         // its worker's report does not contain it
+)
+
 // suspectedCrash is a crash that a run in its CrashWindow may have caused.
 type suspectedCrash struct {
 	ended    []doubt // runs that it has ended
@@ -34,6 +46,33 @@
 // loss returns the loss that the doubt is about, or nil if it was dropped.
 func (d *doubt) loss() *cwevidence.Loss { return d.group.tasks[d.index].losses.Find(d.run) }
 
+// loseRun releases a run that has certainly ended although its end was not reported, and stops the other members of its
+// gang.
+func (c *Cell) loseRun(r *run, reason lossReason, now time.Time) {
+	c.log(LogEntry{Event: "run-lost", Job: r.group.job.ID, Task: r.key(), Worker: r.worker.ID, Run: r.number, Detail: string(reason), Incarnation: r.incarnation, Survived: new(r.survived())})
+	if reason != lostMissing || r.belongsToEarlierIncarnation() {
+		c.recordLoss(r, now)
+		r.lost = true
+	}
+	c.releaseRun(r, now)
+	if g := r.group; g.step.Gang && !g.tasks[r.taskIndex].done {
+		c.stopMembers(g, r.number)
+	}
+}
+
+// survived returns how long the run is known to have lived: from its confirmed start to the last response of its worker; 0 if no
+// response shows that it has started.
+func (r *run) survived() time.Duration {
+	if r.confirmedAt.IsZero() {
+		return 0
+	}
+	lastResponse := r.worker.lastResponse
+	if r.belongsToEarlierIncarnation() {
+		lastResponse = r.worker.priorLastResponse
+	}
+	return max(0, lastResponse.Sub(r.confirmedAt))
+}
+
 // recordLoss records that a run has ended with its worker, or may have, if its worker is silent. It ignores runs that were not ordered,
 // those of decided jobs and done tasks, and those of workers that leave as announced.
 func (c *Cell) recordLoss(r *run, now time.Time) {
--- a/internal/core/cwcell/report.go
+++ b/internal/core/cwcell/report.go
@@ -417,45 +417,6 @@
 	maxRetryDelay = 3 * time.Second
 )
 
-// lossReason is why a run was lost without a reported end.
-type lossReason string
-
-const (
-	lostLeaseExpired    lossReason = "leases-over"      // its worker was unreachable until its leases expired
-	lostLateCallsOver   lossReason = "late-calls-over"  // the same, and until each call that could start it or extend them was carried out
-	lostWorkerGone      lossReason = "worker-gone"      // its worker was unreachable until its leases expired, and has no entry in the platform's list any more
-	lostWorkerRestarted lossReason = "worker-restarted" // it belonged to an earlier incarnation of its worker
-	lostWorkerReplaced  lossReason = "worker-replaced"  // the process of another worker answers at the address of its worker
-	lostMissing         lossReason = "vanished"         // its worker's report does not contain it
-)
-
-// loseRun releases a run that has certainly ended although its end was not reported, and stops the other members of its
-// gang.
-func (c *Cell) loseRun(r *run, reason lossReason, now time.Time) {
-	c.log(LogEntry{Event: "run-lost", Job: r.group.job.ID, Task: r.key(), Worker: r.worker.ID, Run: r.number, Detail: string(reason), Incarnation: r.incarnation, Survived: new(r.survived())})
-	if reason != lostMissing || r.belongsToEarlierIncarnation() {
-		c.recordLoss(r, now)
-		r.lost = true
-	}
-	c.releaseRun(r, now)
-	if g := r.group; g.step.Gang && !g.tasks[r.taskIndex].done {
-		c.stopMembers(g, r.number)
-	}
-}
-
-// survived returns how long the run is known to have lived: from its confirmed start to the last response of its worker; 0 if no
-// response shows that it has started.
-func (r *run) survived() time.Duration {
-	if r.confirmedAt.IsZero() {
-		return 0
-	}
-	lastResponse := r.worker.lastResponse
-	if r.belongsToEarlierIncarnation() {
-		lastResponse = r.worker.priorLastResponse
-	}
-	return max(0, lastResponse.Sub(r.confirmedAt))
-}
-
 // stopMembers stops all members of the gang's run with the given number.
 func (c *Cell) stopMembers(g *group, number int) {
 	c.stopMembersIf(g, func(r *run) bool { return r.number == number })
